--- a/packages/net/HttpTypes.cpp
+++ b/packages/base/HttpHeader.cpp
@@ -1,5 +1,5 @@
-//===- HttpTypes.cpp ------------------------------------------------------===//
-#include "net/HttpTypes.h"
+//===- HttpHeader.cpp -----------------------------------------------------===//
+#include "base/HttpHeader.h"
 
 #include <algorithm>
 
@@ -12,18 +12,18 @@
   return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
 }
 
-bool sameName(std::string_view A, std::string_view B) {
+} // namespace
+
+bool sameHeaderName(std::string_view A, std::string_view B) {
   return std::equal(A.begin(), A.end(), B.begin(), B.end(), [](char X, char Y) {
     return lowerAscii(X) == lowerAscii(Y);
   });
 }
 
-} // namespace
-
 std::string_view headerValue(const HttpHeaders &Headers,
                              std::string_view Name) {
   for (const HttpHeader &H : Headers)
-    if (sameName(H.Name, Name))
+    if (sameHeaderName(H.Name, Name))
       return H.Value;
   return {};
 }
--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -2,6 +2,7 @@
 //
 // The public header of package base: names of things (Ids.h), time without a
 // clock (Time.h), numbered result codes (ResultCode.h), results (Result.h),
+// header lines (HttpHeader.h),
 // hashing (Hash.h) and random numbers that are passed in (Random.h).
 //
 //===----------------------------------------------------------------------===//
@@ -9,6 +10,7 @@
 #define SHALLOTSHIFT_BASE_H
 
 #include "base/Hash.h"
+#include "base/HttpHeader.h"
 #include "base/Ids.h"
 #include "base/Member.h"
 #include "base/Random.h"
--- a/packages/ctl/Session.cpp
+++ b/packages/ctl/Session.cpp
@@ -57,10 +57,10 @@
   std::unique_ptr<Session> S(new Session(std::move(Options)));
   if (S->Options.Platform.empty())
     return S;
-  PlatformSettings Settings;
+  StoreSettings Settings;
   Settings.Endpoints = S->Options.Platform;
-  BOOST_LEAF_ASSIGN(
-      S->Platform, PlatformClient::make(S->Loop, S->Http, std::move(Settings)));
+  BOOST_LEAF_ASSIGN(S->Platform,
+                    StoreClient::make(S->Loop, S->Http, std::move(Settings)));
   return S;
 }
 
--- a/packages/ctl/Session.h
+++ b/packages/ctl/Session.h
@@ -10,7 +10,7 @@
 #include "ctl/Options.h"
 #include "ctl/Report.h"
 #include "shallotshift/net.h"
-#include "shallotshift/platform.h"
+#include "shallotshift/store.h"
 
 #include <functional>
 #include <memory>
@@ -27,7 +27,7 @@
   EventLoop &loop() { return Loop; }
   HttpClient &http() { return Http; }
   /// Only for commands that need the platform.
-  PlatformClient &platform() { return *Platform; }
+  StoreClient &platform() { return *Platform; }
 
   /// Calls \p Start with a callback and runs the loop until it is called.
   template <typename T>
@@ -61,7 +61,7 @@
   CtlOptions Options;
   EventLoop Loop;
   HttpClient Http;
-  std::unique_ptr<PlatformClient> Platform;
+  std::unique_ptr<StoreClient> Platform;
 };
 
 /// Prints \p R on standard output, or its error on standard error.
--- a/packages/daemon/ActionService.cpp
+++ b/packages/daemon/ActionService.cpp
@@ -66,7 +66,7 @@
 } // namespace
 
 ActionService::ActionService(EventLoop &Loop, FleetState &Fleet,
-                             PlatformClient &Platform, SubRouter &Router,
+                             StoreClient &Platform, SubRouter &Router,
                              const ReplicaTable &Replicas, Metrics &Meter,
                              Random Rng)
     : Loop(Loop), Fleet(Fleet), Platform(Platform), Router(Router),
--- a/packages/daemon/ActionService.h
+++ b/packages/daemon/ActionService.h
@@ -13,8 +13,8 @@
 #include "shallotshift/action.h"
 #include "shallotshift/net.h"
 #include "shallotshift/peer.h"
-#include "shallotshift/platform.h"
 #include "shallotshift/query.h"
+#include "shallotshift/store.h"
 #include "shallotshift/telemetry.h"
 
 #include <functional>
@@ -26,7 +26,7 @@
 public:
   using Callback = std::function<void(ActionOutcome)>;
 
-  ActionService(EventLoop &Loop, FleetState &Fleet, PlatformClient &Platform,
+  ActionService(EventLoop &Loop, FleetState &Fleet, StoreClient &Platform,
                 SubRouter &Router, const ReplicaTable &Replicas, Metrics &Meter,
                 Random Rng);
 
@@ -75,7 +75,7 @@
 
   EventLoop &Loop;
   FleetState &Fleet;
-  PlatformClient &Platform;
+  StoreClient &Platform;
   SubRouter &Router;
   const ReplicaTable &Replicas;
   Metrics &Meter;
--- a/packages/daemon/ConfigLink.cpp
+++ b/packages/daemon/ConfigLink.cpp
@@ -42,7 +42,7 @@
 };
 
 ConfigLink::ConfigLink(EventLoop &Loop, FleetState &Fleet,
-                       PlatformClient &Platform, EventLog &Events, Random &Rng,
+                       StoreClient &Platform, EventLog &Events, Random &Rng,
                        Hooks H)
     : Loop(Loop), Fleet(Fleet), Platform(Platform), Events(Events), Rng(Rng),
       H(std::move(H)), Sync(Fleet.Self, Fleet.Zone, Rng),
--- a/packages/daemon/ConfigLink.h
+++ b/packages/daemon/ConfigLink.h
@@ -12,7 +12,7 @@
 #include "shallotshift/fleet.h"
 #include "shallotshift/net.h"
 #include "shallotshift/peer.h"
-#include "shallotshift/platform.h"
+#include "shallotshift/store.h"
 
 #include <functional>
 #include <memory>
@@ -28,7 +28,7 @@
     std::function<void(const std::vector<DaemonId> &)> Announce;
   };
 
-  ConfigLink(EventLoop &Loop, FleetState &Fleet, PlatformClient &Platform,
+  ConfigLink(EventLoop &Loop, FleetState &Fleet, StoreClient &Platform,
              EventLog &Events, Random &Rng, Hooks H);
 
   void connect(PeerNode &P) { Peers = &P; }
@@ -63,7 +63,7 @@
 
   EventLoop &Loop;
   FleetState &Fleet;
-  PlatformClient &Platform;
+  StoreClient &Platform;
   EventLog &Events;
   Random &Rng;
   Hooks H;
--- a/packages/daemon/ControlPlane.cpp
+++ b/packages/daemon/ControlPlane.cpp
@@ -47,8 +47,8 @@
 
 Result<std::unique_ptr<ControlPlane>>
 ControlPlane::open(EventLoop &Loop, const Settings &Set, Member Self,
-                   FleetState &Fleet, PlatformClient &Platform,
-                   EventLog &Events, Random &Rng, Hooks H) {
+                   FleetState &Fleet, StoreClient &Platform, EventLog &Events,
+                   Random &Rng, Hooks H) {
   Instant Now = Loop.now();
   BOOST_LEAF_AUTO(M,
                   Membership::make({}, std::move(Self), Set.Peers, Rng, Now));
@@ -68,8 +68,8 @@
 
 ControlPlane::ControlPlane(EventLoop &Loop, Membership M, EntryDirectory E,
                            Lifecycle L, FleetState &Fleet,
-                           PlatformClient &Platform, EventLog &Events,
-                           Random &Rng, Hooks H)
+                           StoreClient &Platform, EventLog &Events, Random &Rng,
+                           Hooks H)
     : Loop(Loop), Fleet(Fleet), Platform(Platform), Events(Events), Rng(Rng),
       H(std::move(H)), Members(std::move(M)), Entries(E), Life(std::move(L)),
       Config(Loop, Fleet, Platform, Events, Rng,
--- a/packages/daemon/ControlPlane.h
+++ b/packages/daemon/ControlPlane.h
@@ -43,7 +43,7 @@
   /// Opens the gossip socket. Fails with AddressInUse or SettingsInvalid.
   static Result<std::unique_ptr<ControlPlane>>
   open(EventLoop &Loop, const Settings &Set, Member Self, FleetState &Fleet,
-       PlatformClient &Platform, EventLog &Events, Random &Rng, Hooks H);
+       StoreClient &Platform, EventLog &Events, Random &Rng, Hooks H);
   ~ControlPlane();
 
   void connect(PeerNode &P);
@@ -64,7 +64,7 @@
 
 private:
   ControlPlane(EventLoop &Loop, Membership M, EntryDirectory E, Lifecycle L,
-               FleetState &Fleet, PlatformClient &Platform, EventLog &Events,
+               FleetState &Fleet, StoreClient &Platform, EventLog &Events,
                Random &Rng, Hooks H);
 
   void tick();
@@ -86,7 +86,7 @@
 
   EventLoop &Loop;
   FleetState &Fleet;
-  PlatformClient &Platform;
+  StoreClient &Platform;
   EventLog &Events;
   Random &Rng;
   Hooks H;
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -51,7 +51,7 @@
   SlotDesk Desk;
   SubRouter Router;
   SearchService Searches;
-  std::unique_ptr<PlatformClient> Platform;
+  std::unique_ptr<StoreClient> Platform;
   std::unique_ptr<ActionService> Actions;
   std::unique_ptr<ControlPlane> Control;
   std::unique_ptr<PeerNode> Peers;
@@ -60,9 +60,9 @@
 };
 
 Result<void> Daemon::Impl::openPlatform() {
-  PlatformSettings P;
+  StoreSettings P;
   P.Endpoints = Set.Platform;
-  BOOST_LEAF_ASSIGN(Platform, PlatformClient::make(Loop, Http, std::move(P)));
+  BOOST_LEAF_ASSIGN(Platform, StoreClient::make(Loop, Http, std::move(P)));
   Actions = std::make_unique<ActionService>(Loop, Fleet, *Platform, Router,
                                             Searches.replicas(), Meter,
                                             Random(Rng(), 1));
@@ -203,7 +203,7 @@
   Meter.gauge("shallot_peer_bytes", {{"dir", "sent"}}, double(S.BytesSent));
   Meter.gauge("shallot_peer_bytes", {{"dir", "received"}},
               double(S.BytesReceived));
-  const PlatformCounters &P = Platform->counters();
+  const StoreCounters &P = Platform->counters();
   Meter.gauge("shallot_platform_calls", {{"kind", "read"}}, double(P.Reads));
   Meter.gauge("shallot_platform_calls", {{"kind", "write"}}, double(P.Writes));
   Meter.gauge("shallot_platform_calls", {{"kind", "watch"}}, double(P.Watches));
--- a/packages/daemon/Options.cpp
+++ b/packages/daemon/Options.cpp
@@ -9,11 +9,17 @@
 std::string helpText() {
   return "Usage: shallotshiftd --settings FILE\n"
          "       shallotshiftd --check FILE\n"
+         "       shallotshiftd --front FILE\n"
+         "       shallotshiftd --check-front FILE\n"
          "\n"
          "Serves searches and actions over the configured upstreams.\n"
          "\n"
          "  -s, --settings FILE  run with these settings\n"
          "  -c, --check FILE     check the settings, open nothing, and exit\n"
+         "  -f, --front FILE     forward for the users' platform "
+         "(docs/operators/\n"
+         "                       front.md) with these settings\n"
+         "  -F, --check-front FILE  check those settings and exit\n"
          "  -h, --help           this text\n"
          "  -V, --version        the version\n"
          "\n"
@@ -29,17 +35,19 @@
 }
 
 Result<Options> Options::parse(int Argc, char **Argv) {
-  static constexpr std::array<option, 5> Known{
+  static constexpr std::array<option, 7> Known{
       {{"settings", required_argument, nullptr, 's'},
        {"check", required_argument, nullptr, 'c'},
+       {"front", required_argument, nullptr, 'f'},
+       {"check-front", required_argument, nullptr, 'F'},
        {"help", no_argument, nullptr, 'h'},
        {"version", no_argument, nullptr, 'V'},
        {nullptr, 0, nullptr, 0}}};
   Options O;
   optind = 1;
   opterr = 0;
-  for (int C;
-       (C = getopt_long(Argc, Argv, ":s:c:hV", Known.data(), nullptr)) != -1;) {
+  for (int C; (C = getopt_long(Argc, Argv, ":s:c:f:F:hV", Known.data(),
+                               nullptr)) != -1;) {
     switch (C) {
     case 's':
       O.SettingsPath = optarg;
@@ -48,6 +56,14 @@
       O.What = Action::Check;
       O.SettingsPath = optarg;
       break;
+    case 'f':
+      O.What = Action::Front;
+      O.SettingsPath = optarg;
+      break;
+    case 'F':
+      O.What = Action::CheckFront;
+      O.SettingsPath = optarg;
+      break;
     case 'h':
       O.What = Action::Help;
       return O;
--- a/packages/daemon/Options.h
+++ b/packages/daemon/Options.h
@@ -9,7 +9,14 @@
 namespace shallot {
 
 struct Options {
-  enum class Action : std::uint8_t { Run, Check, Help, Version };
+  enum class Action : std::uint8_t {
+    Run,
+    Check,
+    Front,      ///< Forward for a deployment (package front).
+    CheckFront, ///< Only check the settings for that.
+    Help,
+    Version,
+  };
 
   Action What = Action::Run;
   std::string SettingsPath;
--- /dev/null
+++ b/packages/forward/ForwardRun.cpp
@@ -0,0 +1,478 @@
+//===- ForwardRun.cpp -----------------------------------------------------===//
+#include "forward/ForwardRun.h"
+
+#include "forward/RecordMerge.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace shallot {
+
+namespace {
+
+/// Left of the objective when a partial answer goes out: the way to the caller
+/// (1 to 3 ms), merging, and a turn of a busy loop.
+constexpr Duration ObjectiveMargin = Millis(9);
+/// Left of the deadline when an error goes out.
+constexpr Duration EndMargin = Millis(12);
+
+/// A send is hedged when it has taken this many times what was predicted, and a
+/// little for timers. With work that spreads by a third about its mean this is
+/// beyond the 99th part of a hundred of healthy sends.
+constexpr double HedgeFactor = 1.9;
+constexpr Duration HedgeSlack = Millis(8);
+/// A plain request's work spreads more, and one send is all there is.
+constexpr double PlainHedgeFactor = 2.6;
+/// No hedge later than this part of the objective: it would come too late.
+constexpr double LatestHedgePart = 0.45;
+
+/// With less than this part of the budget free, only parts that decide the
+/// answer are hedged: the last ones open.
+constexpr double ScarceBudget = 0.35;
+constexpr std::size_t DecidingParts = 2;
+
+/// Sends of one part beyond those that may have run: rejected ones cost a
+/// replica little, but not nothing.
+constexpr unsigned MostRejections = 2;
+
+/// How soon to look again when every replica has as many sends as it may.
+constexpr Duration RoomPeriod = Millis(4);
+
+/// A part that no replica had room for is given up after this part of the
+/// objective: the caller does better to come back than to stand in a queue that
+/// it cannot see.
+constexpr double WaitPart = 0.2;
+
+/// Replies that nobody waits for may arrive this long after the answer. A
+/// closed connection costs the replica a new handshake, a reply of 400 bytes
+/// nothing; work that a caller left must end within half a second.
+constexpr Duration LingerTime = Millis(220);
+
+/// Callers come back after this when no replica can be used: trial connections
+/// to resting replicas are that far apart at first.
+constexpr Duration NoReplicaRetry = Millis(250);
+
+bool mayRetryStatus(int Status) { return Status >= 500; }
+
+} // namespace
+
+void ForwardRun::decideTimes() {
+  const Route &R = *Ask.Way;
+  Duration Limit = std::min(R.Timeout, Ask.CallerWaits);
+  End = Ask.Arrived + std::max(Duration(0), Limit - EndMargin);
+  // A caller that tries again says how much of its time is left. Its objective
+  // runs from its first try.
+  Duration Age = R.Timeout - Limit;
+  if (Age >= R.Objective)
+    Age = Duration(0); // It is late anyway; or the timeout says nothing.
+  Cutoff = Ask.Arrived + R.Objective - Age - ObjectiveMargin;
+  Cutoff = std::clamp(Cutoff, Ask.Arrived, End);
+}
+
+void ForwardRun::makeParts(ForwardShared &S, Instant Now) {
+  auto Add = [&](const ServiceName &Name) {
+    Part P;
+    P.Service = Name;
+    Parts.push_back(std::move(P));
+    S.Budgets[Name].request(S.Rules.Retries, Now);
+  };
+  if (Fan)
+    for (const ServiceName &Shard : Fan->Shards)
+      Add(Shard);
+  else if (const auto *Split = std::get_if<WeightedSplit>(&Ask.Way->Target))
+    Add(drawService(*Split, uniform01(S.Rng)));
+  else
+    Add(std::get<ServiceName>(Ask.Way->Target));
+  Story.Parts = static_cast<unsigned>(Parts.size());
+}
+
+Duration ForwardRun::work(ForwardShared &S) const {
+  return S.Work.of(Ask.Way->Name, Ask.Way->Objective).median();
+}
+
+bool ForwardRun::refuseAtOnce(ForwardShared &S, RunOutput &Out, Instant Now) {
+  if (Now >= End) {
+    finish(Out,
+           OwnAnswer{ResultCode::WouldMissDeadline,
+                     {},
+                     "the deadline passes before any replica could answer"},
+           Now);
+    return true;
+  }
+  std::size_t Servable = 0;
+  for (const Part &P : Parts)
+    Servable += S.Book.servable(P.Service, Now);
+  double Least = Fan ? Fan->LeastShare : 1;
+  double Share =
+      static_cast<double>(Servable) / static_cast<double>(Parts.size());
+  if (Share >= Least)
+    return false;
+  finish(Out,
+         OwnAnswer{ResultCode::NoReplica, NoReplicaRetry,
+                   fmt::format("{} of {} services have a usable replica",
+                               Servable, Parts.size())},
+         Now);
+  return true;
+}
+
+RunOutput ForwardRun::begin(ForwardShared &S, Instant Now) {
+  RunOutput Out;
+  Fan = Ask.Way->fanOut();
+  decideTimes();
+  makeParts(S, Now);
+  if (refuseAtOnce(S, Out, Now))
+    return Out;
+  for (unsigned I = 0; I < Parts.size(); ++I)
+    trySend(S, I, Out, Now);
+  settle(Out, Now);
+  return Out;
+}
+
+ReplicaPtr ForwardRun::pick(ForwardShared &S, const Part &P, unsigned Index,
+                            Instant Now) const {
+  auto Info = Ask.Config->services().find(P.Service);
+  Choice C;
+  C.Service = &Info->second;
+  C.Work = work(S);
+  std::vector<ReplicaPtr> Tried;
+  for (const Sent &X : Sends)
+    if (X.Part == Index)
+      Tried.push_back(X.To);
+  C.Exclude = Tried;
+  double Jitter = uniform01(S.Rng);
+  if (ReplicaPtr Fresh = S.Book.choose(C, Jitter, Now))
+    return Fresh;
+  // Of those tried, one that did not run it may be asked again.
+  Tried.clear();
+  for (const Sent &X : Sends)
+    if (X.Part == Index &&
+        (X.Open || X.How == SendEnd::Lost || X.How == SendEnd::Answered))
+      Tried.push_back(X.To);
+  C.Exclude = Tried;
+  return S.Book.choose(C, Jitter, Now);
+}
+
+bool ForwardRun::trySend(ForwardShared &S, unsigned Index, RunOutput &Out,
+                         Instant Now) {
+  Part &P = Parts[Index];
+  P.RetryAt = Instant::max();
+  ReplicaPtr To = pick(S, P, Index, Now);
+  if (!To) {
+    if (S.Book.servable(P.Service, Now)) {
+      P.RetryAt = Now + RoomPeriod;
+      ++Story.Waits;
+    } else if (P.Open == 0) {
+      P.GivenUp = true;
+    }
+    return false;
+  }
+  Duration Predicted = To->predicted(work(S), Now);
+  double Factor = Fan ? HedgeFactor : PlainHedgeFactor;
+  Duration Patience = fromMillisF(toMillisF(Predicted) * Factor) + HedgeSlack;
+  Duration Latest =
+      fromMillisF(toMillisF(Ask.Way->Objective) * LatestHedgePart);
+  Sent X;
+  X.Part = Index;
+  X.To = To;
+  X.Started = Now;
+  if (Ask.Way->Kind == Repetition::Idempotent)
+    X.HedgeAt = Now + std::min(Patience, Latest);
+  Out.Start.push_back({static_cast<unsigned>(Sends.size()), To,
+                       std::max(Duration(0), End - Now)});
+  Sends.push_back(std::move(X));
+  To->sendStarted(Now);
+  ++P.Open;
+  ++P.MayHaveRun;
+  ++P.Sends;
+  ++OpenSends;
+  ++Story.Sends;
+  return true;
+}
+
+bool ForwardRun::spend(ForwardShared &S, const Part &P, bool Hedge,
+                       Instant Now) {
+  RetryBudget &B = S.Budgets[P.Service];
+  std::size_t Daemons = S.Book.sharing().all();
+  bool Deciding = Parts.size() - PartsIn <= DecidingParts;
+  if (Hedge && !Deciding &&
+      B.freePart(S.Rules.Retries, Daemons, Now) < ScarceBudget)
+    return false;
+  if (B.trySpend(S.Rules.Retries, Daemons, Now))
+    return true;
+  ++Story.BudgetRefusals;
+  return false;
+}
+
+/// The part's last send ended as \p Last without an answer that can be used:
+/// another one, or none is possible.
+void ForwardRun::tryAgain(ForwardShared &S, unsigned Index, SendEnd Last,
+                          RunOutput &Out, Instant Now) {
+  Part &P = Parts[Index];
+  if (P.In || P.Open > 0 || P.GivenUp)
+    return;
+  bool Allowed = P.MayHaveRun < Ask.Way->MaxAttempts &&
+                 P.Sends < Ask.Way->MaxAttempts + MostRejections &&
+                 (Ask.Way->Kind == Repetition::Idempotent || P.MayHaveRun == 0);
+  // A send that never left reached no replica.
+  bool Free = Last == SendEnd::NotSent;
+  if (!Allowed || (!Free && !spend(S, P, false, Now))) {
+    P.GivenUp = true;
+    return;
+  }
+  if (trySend(S, Index, Out, Now))
+    ++Story.Retries;
+}
+
+void ForwardRun::hedge(ForwardShared &S, RunOutput &Out, Instant Now) {
+  std::size_t Count = Sends.size();
+  for (std::size_t I = 0; I < Count; ++I) {
+    if (!Sends[I].Open || Sends[I].HedgeAt > Now)
+      continue;
+    Sends[I].HedgeAt = Instant::max();
+    unsigned Index = Sends[I].Part;
+    const Part &P = Parts[Index];
+    if (P.In || P.MayHaveRun >= Ask.Way->MaxAttempts ||
+        P.RetryAt != Instant::max())
+      continue;
+    // Nobody to ask: the budget must not be spent.
+    ReplicaPtr Other = pick(S, P, Index, Now);
+    if (!Other || !spend(S, P, true, Now))
+      continue;
+    if (trySend(S, Index, Out, Now))
+      ++Story.Hedges;
+    Parts[Index].RetryAt = Instant::max();
+  }
+}
+
+void ForwardRun::lookForRoom(ForwardShared &S, RunOutput &Out, Instant Now) {
+  Instant GiveUpAt =
+      Ask.Arrived + fromMillisF(toMillisF(Ask.Way->Objective) * WaitPart);
+  for (unsigned I = 0; I < Parts.size(); ++I) {
+    Part &P = Parts[I];
+    if (P.RetryAt > Now)
+      continue;
+    bool Sent = !P.In && trySend(S, I, Out, Now);
+    if (!Sent && P.Open == 0 && Now >= GiveUpAt)
+      P.GivenUp = true;
+  }
+}
+
+bool ForwardRun::usable(const ReplicaReply &R) const {
+  return R.success() && !R.Signature.empty() && !R.Encoded;
+}
+
+void ForwardRun::take(ForwardShared &S, const Sent &X, Part &P,
+                      SendResult &Result, Instant Now) {
+  switch (Result.How) {
+  case SendEnd::Rejected:
+    --P.MayHaveRun;
+    ++Story.Rejected;
+    return;
+  case SendEnd::NotSent:
+    --P.MayHaveRun;
+    ++Story.NotSent;
+    return;
+  case SendEnd::Lost:
+  case SendEnd::Abandoned:
+    ++Story.Lost;
+    return;
+  case SendEnd::Answered:
+    break;
+  }
+  if (usable(*Result.Reply))
+    S.Work.of(Ask.Way->Name, Ask.Way->Objective)
+        .observe(Now - X.Started - X.To->roundTrip());
+  if (P.In)
+    return; // The other send of a hedged pair was first.
+  P.HasReply = true;
+  P.Reply = std::move(*Result.Reply);
+  if (!usable(P.Reply))
+    return;
+  P.In = true;
+  ++PartsIn;
+}
+
+RunOutput ForwardRun::replied(ForwardShared &S, unsigned Send,
+                              SendResult Result, Instant Now) {
+  RunOutput Out;
+  Sent &X = Sends[Send];
+  if (!X.Open)
+    return Out;
+  X.Open = false;
+  X.How = Result.How;
+  --OpenSends;
+  Part &P = Parts[X.Part];
+  --P.Open;
+  bool Unusable =
+      Result.How == SendEnd::Answered &&
+      (!Result.Reply || (Result.Reply->success() && !usable(*Result.Reply)));
+  if (Unusable)
+    Result.How = X.How = SendEnd::Lost;
+  bool Failure = Result.How == SendEnd::Answered && !Result.Reply->success() &&
+                 mayRetryStatus(Result.Reply->Status);
+  // To its replica a failed run is as bad as a lost one.
+  X.To->sendEnded(X.Started, Failure ? SendEnd::Rejected : Result.How, work(S),
+                  Now);
+  if (Result.WrongReplica)
+    X.To->sendEnded(X.Started, SendEnd::NotSent, work(S), Now);
+  if (Result.Load)
+    X.To->loadReported(*Result.Load, Now);
+  unsigned Index = X.Part;
+  take(S, X, P, Result, Now);
+  if (Answered)
+    return Out;
+  bool Final = P.HasReply && !P.In && !mayRetryStatus(P.Reply.Status);
+  if (Final)
+    P.GivenUp = true; // Another replica would say the same.
+  if (Now < End)
+    tryAgain(S, Index, Result.How, Out, Now);
+  settle(Out, Now);
+  return Out;
+}
+
+RunOutput ForwardRun::tick(ForwardShared &S, Instant Now) {
+  RunOutput Out;
+  if (Answered) {
+    if (Now >= DropAt)
+      dropOpen(Out, Now);
+    return Out;
+  }
+  CutoffSeen = CutoffSeen || Now >= Cutoff;
+  if (Now < End) {
+    hedge(S, Out, Now);
+    lookForRoom(S, Out, Now);
+  }
+  settle(Out, Now);
+  return Out;
+}
+
+RunOutput ForwardRun::callerGone(Instant Now) {
+  RunOutput Out;
+  if (Answered)
+    return Out;
+  Answered = true;
+  // What may run only once is left to run: half of it is worse than all.
+  DropAt = Ask.Way->Kind == Repetition::Idempotent ? Now + LingerTime : End;
+  return Out;
+}
+
+bool ForwardRun::enough() const {
+  if (!Fan)
+    return PartsIn == Parts.size();
+  double Share =
+      static_cast<double>(PartsIn) / static_cast<double>(Parts.size());
+  return PartsIn > 0 && Share >= Fan->LeastShare;
+}
+
+void ForwardRun::settle(RunOutput &Out, Instant Now) {
+  if (Answered)
+    return;
+  bool Waiting = std::ranges::any_of(
+      Parts, [](const Part &P) { return !P.In && !P.GivenUp; });
+  if (enough() && (!Waiting || Now >= Cutoff)) {
+    answerParts(Out, Now);
+    return;
+  }
+  if (!Waiting || Now >= End) {
+    answerFailure(Out, Now, Waiting);
+    return;
+  }
+  // No longer possible: as many parts are given up as may not be missing.
+  if (!Fan)
+    return;
+  std::size_t Possible = static_cast<std::size_t>(std::ranges::count_if(
+      Parts, [](const Part &P) { return P.In || !P.GivenUp; }));
+  if (static_cast<double>(Possible) / static_cast<double>(Parts.size()) <
+      Fan->LeastShare)
+    answerFailure(Out, Now, false);
+}
+
+void ForwardRun::answerParts(RunOutput &Out, Instant Now) {
+  withdraw(Out, Now);
+  if (!Fan) {
+    finish(Out, PassedAnswer{std::move(Parts.front().Reply)}, Now);
+    return;
+  }
+  MergedAnswer A;
+  std::vector<std::string_view> Bodies;
+  for (const Part &P : Parts) {
+    if (!P.In)
+      continue;
+    A.Signatures.push_back(P.Reply.Signature);
+    Bodies.push_back(P.Reply.Body);
+  }
+  A.Missing = Parts.size() - PartsIn;
+  A.Records = greatestRecords(Bodies, Fan->MostRecords);
+  finish(Out, std::move(A), Now);
+}
+
+void ForwardRun::answerFailure(RunOutput &Out, Instant Now, bool TimedOut) {
+  withdraw(Out, Now);
+  if (!Fan && Parts.front().HasReply) {
+    finish(Out, PassedAnswer{std::move(Parts.front().Reply)}, Now);
+    return;
+  }
+  bool NothingRan = std::ranges::all_of(
+      Parts, [](const Part &P) { return P.MayHaveRun == 0; });
+  std::string Why = fmt::format(
+      "{} of {} parts in, {} sends, {} rejected, {} lost, {} not sent", PartsIn,
+      Parts.size(), Story.Sends, Story.Rejected, Story.Lost, Story.NotSent);
+  if (NothingRan)
+    finish(Out, OwnAnswer{ResultCode::UpstreamShed, NoReplicaRetry, Why}, Now);
+  else if (Ask.Way->Kind == Repetition::AtMostOnce)
+    finish(Out, OwnAnswer{ResultCode::OutcomeUnknown, {}, Why}, Now);
+  else if (TimedOut)
+    finish(Out, OwnAnswer{ResultCode::DeadlineExceeded, {}, Why}, Now);
+  else
+    finish(Out, OwnAnswer{ResultCode::ConnectionClosed, {}, Why}, Now);
+}
+
+void ForwardRun::finish(RunOutput &Out, ForwardAnswer Answer, Instant Now) {
+  Answered = true;
+  Story.PartsIn = static_cast<unsigned>(PartsIn);
+  Out.Answer = std::move(Answer);
+  DropAt = Ask.Way->Kind == Repetition::Idempotent ? Now + LingerTime : End;
+}
+
+void ForwardRun::dropOpen(RunOutput &Out, Instant Now) {
+  for (unsigned I = 0; I < Sends.size(); ++I) {
+    Sent &X = Sends[I];
+    if (!X.Open)
+      continue;
+    X.Open = false;
+    X.To->sendEnded(X.Started, SendEnd::Abandoned, Duration(0), Now);
+    Out.Drop.push_back(I);
+  }
+  OpenSends = 0;
+}
+
+/// Takes back the sends that were to start in this step: the answer is known,
+/// and one that says "not run" must stay true.
+void ForwardRun::withdraw(RunOutput &Out, Instant Now) {
+  for (const StartSend &W : Out.Start) {
+    Sent &X = Sends[W.Send];
+    Part &P = Parts[X.Part];
+    X.Open = false;
+    --P.Open;
+    --P.MayHaveRun;
+    --OpenSends;
+    X.To->sendEnded(X.Started, SendEnd::Abandoned, Duration(0), Now);
+  }
+  Out.Start.clear();
+}
+
+Instant ForwardRun::nextTick() const {
+  if (Answered)
+    return DropAt;
+  Instant Next = End;
+  if (Fan && !CutoffSeen)
+    Next = std::min(Next, Cutoff);
+  for (const Sent &X : Sends)
+    if (X.Open && !Parts[X.Part].In)
+      Next = std::min(Next, X.HedgeAt);
+  for (const Part &P : Parts)
+    Next = std::min(Next, P.RetryAt);
+  return Next;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/forward/ForwardRun.h
@@ -0,0 +1,222 @@
+//===- ForwardRun.h - One caller's request, from start to answer -*- C++
+//-*-===//
+//
+// A state machine without input or output. A request has one part (a plain
+// request) or a part for each shard; a part is sent to one replica, and sent
+// again to another when that is allowed and of use:
+//
+//   - after a failure, at once;
+//   - as a hedge, when the first send takes longer than such sends do.
+//
+// A request that is not idempotent is sent again only when the send before is
+// proven not to have run. Every further send is paid from the service's
+// RetryBudget, and no more replicas may run a part than the route allows.
+//
+// When it answers:
+//
+//   all parts are in, or the rest cannot be had     at once
+//   the objective is about to pass                  with what is there, if that
+//                                                   is the least share or more:
+//                                                   late and whole is worth a
+//                                                   tenth, in time and nine
+//                                                   parts of ten four fifths
+//   after that                                      when the least share is in
+//   the caller's deadline or the route's timeout    an error, or what is there
+//
+// How to drive it: call begin() once, replied() for each send that ended and
+// tick() when nextTick() has come; do what comes back. After the answer it
+// still wants ticks until done(): replies under way get a little time to
+// arrive, which is cheaper for a replica than a closed connection, and are then
+// dropped.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FORWARD_FORWARDRUN_H
+#define SHALLOTSHIFT_FORWARD_FORWARDRUN_H
+
+#include "forward/ReplicaBook.h"
+#include "forward/RetryBudget.h"
+#include "forward/WorkEstimate.h"
+
+#include <optional>
+
+namespace shallot {
+
+/// A whole reply of a replica.
+struct ReplicaReply {
+  int Status = 0;
+  HttpHeaders Headers; ///< Without those of one connection.
+  std::string Body;
+  std::string Signature; ///< Proves which run made it; empty: not a replica's.
+  bool Encoded = false;  ///< The body is not as the replica made it.
+
+  bool success() const { return Status >= 200 && Status < 300; }
+  friend bool operator==(const ReplicaReply &, const ReplicaReply &) = default;
+};
+
+/// How a send ended, as the connection saw it. Reply is set for Answered.
+struct SendResult {
+  SendEnd How = SendEnd::Lost;
+  std::optional<ReplicaReply> Reply;
+  std::optional<ReportedLoad> Load;
+  /// The replica at this address is not the one that was asked for.
+  bool WrongReplica = false;
+};
+
+/// What the operator and the settings allow all requests.
+struct ForwardRules {
+  RetryAllowance Retries;
+
+  friend bool operator==(const ForwardRules &, const ForwardRules &) = default;
+};
+
+/// Budgets by service.
+using BudgetMap = std::unordered_map<ServiceName, RetryBudget>;
+
+/// What the runs of one daemon share.
+struct ForwardShared {
+  ReplicaBook &Book;
+  BudgetMap &Budgets;
+  WorkBook &Work;
+  Random &Rng;
+  ForwardRules Rules;
+};
+
+/// A caller's request, as far as the decisions need it.
+struct ForwardAsk {
+  std::shared_ptr<const ServingConfig> Config;
+  const Route *Way = nullptr; ///< Of Config.
+  Instant Arrived;
+  Duration CallerWaits{}; ///< The caller's own deadline, from Arrived.
+};
+
+/// A send to start.
+struct StartSend {
+  unsigned Send = 0;
+  ReplicaPtr To;
+  Duration TimeLeft{}; ///< What the replica is told.
+};
+
+/// The greatest records of the parts that are in.
+struct MergedAnswer {
+  std::vector<std::string> Signatures;
+  std::size_t Missing = 0;
+  std::string Records;
+};
+
+/// A replica's reply, to be passed on as it is.
+struct PassedAnswer {
+  ReplicaReply Reply;
+};
+
+/// An answer of our own. Codes that prove "not run" are used only when nothing
+/// was sent or every send was rejected.
+struct OwnAnswer {
+  ResultCode Code = ResultCode::Internal;
+  Duration RetryAfter{};
+  std::string Why;
+};
+
+using ForwardAnswer = std::variant<MergedAnswer, PassedAnswer, OwnAnswer>;
+
+struct RunOutput {
+  std::vector<StartSend> Start;
+  std::vector<unsigned> Drop; ///< Close their connections.
+  std::optional<ForwardAnswer> Answer;
+};
+
+/// What a run did, for the log line and the metrics of its request.
+struct RunStory {
+  unsigned Parts = 0;
+  unsigned PartsIn = 0;
+  unsigned Sends = 0;
+  unsigned Hedges = 0;
+  unsigned Retries = 0;
+  unsigned Rejected = 0;
+  unsigned Lost = 0;
+  unsigned NotSent = 0;
+  unsigned BudgetRefusals = 0;
+  unsigned Waits = 0; ///< Times that no replica had room.
+
+  friend bool operator==(const RunStory &, const RunStory &) = default;
+};
+
+class ForwardRun {
+public:
+  explicit ForwardRun(ForwardAsk Ask) : Ask(std::move(Ask)) {}
+
+  RunOutput begin(ForwardShared &S, Instant Now);
+  RunOutput replied(ForwardShared &S, unsigned Send, SendResult Result,
+                    Instant Now);
+  RunOutput tick(ForwardShared &S, Instant Now);
+  /// The caller closed its connection: nobody waits for an answer any more.
+  RunOutput callerGone(Instant Now);
+
+  /// When tick() is wanted next.
+  Instant nextTick() const;
+  bool answered() const { return Answered; }
+  /// Nothing is open any more.
+  bool done() const { return Answered && OpenSends == 0; }
+  const ForwardAsk &ask() const { return Ask; }
+  const RunStory &story() const { return Story; }
+
+private:
+  struct Part {
+    ServiceName Service;
+    bool In = false;
+    bool GivenUp = false; ///< No further send is possible.
+    unsigned Open = 0;
+    unsigned MayHaveRun = 0; ///< Sends that ran or may have, open ones too.
+    unsigned Sends = 0;
+    Instant RetryAt = Instant::max(); ///< No replica had room; look again.
+    ReplicaReply Reply;               ///< The success, or the last failure.
+    bool HasReply = false;
+  };
+  struct Sent {
+    unsigned Part = 0;
+    ReplicaPtr To;
+    Instant Started;
+    Instant HedgeAt = Instant::max();
+    bool Open = true;
+    SendEnd How = SendEnd::Abandoned;
+  };
+
+  void decideTimes();
+  void makeParts(ForwardShared &S, Instant Now);
+  bool refuseAtOnce(ForwardShared &S, RunOutput &Out, Instant Now);
+  bool trySend(ForwardShared &S, unsigned Index, RunOutput &Out, Instant Now);
+  ReplicaPtr pick(ForwardShared &S, const Part &P, unsigned Index,
+                  Instant Now) const;
+  void tryAgain(ForwardShared &S, unsigned Index, SendEnd Last, RunOutput &Out,
+                Instant Now);
+  void hedge(ForwardShared &S, RunOutput &Out, Instant Now);
+  void lookForRoom(ForwardShared &S, RunOutput &Out, Instant Now);
+  bool spend(ForwardShared &S, const Part &P, bool Hedge, Instant Now);
+  void take(ForwardShared &S, const Sent &X, Part &P, SendResult &Result,
+            Instant Now);
+  bool usable(const ReplicaReply &R) const;
+  void settle(RunOutput &Out, Instant Now);
+  bool enough() const;
+  void answerParts(RunOutput &Out, Instant Now);
+  void answerFailure(RunOutput &Out, Instant Now, bool TimedOut);
+  void finish(RunOutput &Out, ForwardAnswer Answer, Instant Now);
+  void dropOpen(RunOutput &Out, Instant Now);
+  void withdraw(RunOutput &Out, Instant Now);
+  Duration work(ForwardShared &S) const;
+
+  ForwardAsk Ask;
+  const ShardFanOut *Fan = nullptr;
+  Instant Cutoff; ///< The objective is about to pass.
+  Instant End;    ///< The last moment for an answer.
+  Instant DropAt = Instant::max();
+  std::vector<Part> Parts;
+  std::vector<Sent> Sends;
+  std::size_t OpenSends = 0;
+  std::size_t PartsIn = 0;
+  bool CutoffSeen = false;
+  bool Answered = false;
+  RunStory Story;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FORWARD_FORWARDRUN_H
--- /dev/null
+++ b/packages/forward/Replica.cpp
@@ -0,0 +1,224 @@
+//===- Replica.cpp --------------------------------------------------------===//
+#include "forward/Replica.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallot {
+
+namespace {
+
+/// Usual times there and back, by the users' figures for their networks: under
+/// a millisecond in a zone, 0.5 to 1.4 ms one way between zones of a region,
+/// 8 ms between regions.
+constexpr double SameZoneMs = 0.4;
+constexpr double SameRegionMs = 3;
+constexpr double OtherRegionMs = 17;
+
+/// What a send to another zone or region costs beside its time, in the same
+/// unit: bytes between regions are the dearest thing that a send uses. Large
+/// enough that a near replica with a short queue is still taken, small enough
+/// that a stuck or slow one is not waited for.
+constexpr double SameRegionPriceMs = 2;
+constexpr double OtherRegionPriceMs = 15;
+
+/// Weight of the newest answer in the slowness; four answers move it most of
+/// the way.
+constexpr double SlownessWeight = 0.3;
+/// One answer counts as at most this much slower than usual.
+constexpr double MostSlowness = 20;
+/// Without answers slowness and failures are forgotten by half in this time,
+/// so that a replica that recovered is found again.
+constexpr double SlownessHalfLifeMs = 1500;
+constexpr double FailureHalfLifeMs = 2000;
+constexpr double FailureWeight = 0.2;
+/// A send that fails costs another one and the time until it is noticed.
+constexpr double FailureCostMs = 150;
+
+/// A reported load is about the moment of the reply; it is worth nothing after
+/// a few requests' time.
+constexpr double LoadHalfLifeMs = 40;
+
+/// A send is stuck when it takes this many times what was predicted, and a
+/// little for timers and scheduling.
+constexpr double StuckFactor = 2.0;
+constexpr double StuckSlackMs = 12;
+/// Added to the prediction of a stuck replica: the pauses that were seen last
+/// 150 to 250 ms, and a replica that hangs for good must lose as well.
+constexpr double StuckCostMs = 150;
+
+/// A replica that has just started takes about this much longer.
+constexpr double ColdFactor = 1.6;
+
+/// Sends lost in a row before a replica rests; one loss may be its neighbour's
+/// fault or a reply spoilt on the way.
+constexpr unsigned LostBeforeRest = 3;
+/// Longer than the longest pause that was seen (250 ms) with its queue.
+constexpr double OverdueMs = 320;
+constexpr Duration FirstRest = Millis(200);
+constexpr Duration LongestRest = Seconds(3);
+
+double half(double Value, Duration Age, double HalfLifeMs) {
+  return Value * std::exp2(-std::max(0.0, toMillisF(Age)) / HalfLifeMs);
+}
+
+double priceMs(Distance D) {
+  switch (D) {
+  case Distance::SameZone:
+    return 0;
+  case Distance::SameRegion:
+    return SameRegionPriceMs;
+  case Distance::OtherRegion:
+    return OtherRegionPriceMs;
+  }
+  return 0;
+}
+
+double roundTripMs(Distance D) {
+  switch (D) {
+  case Distance::SameZone:
+    return SameZoneMs;
+  case Distance::SameRegion:
+    return SameRegionMs;
+  case Distance::OtherRegion:
+    return OtherRegionMs;
+  }
+  return 0;
+}
+
+} // namespace
+
+Replica::Replica(ReplicaEntry E, Distance Far, Instant Now)
+    : Entry(std::move(E)), Far(Far), WarmAt(Now + Entry.WarmupLeft),
+      LastAnswer(Now), SlownessAt(Now), FailureAt(Now), LoadAt(Now) {}
+
+void Replica::update(ReplicaEntry E, Instant Now) {
+  Entry = std::move(E);
+  WarmAt = Now + Entry.WarmupLeft;
+}
+
+Duration Replica::roundTrip() const { return fromMillisF(roundTripMs(Far)); }
+
+void Replica::sendStarted(Instant Now) { Open.push_back(Now); }
+
+double Replica::slowness(Instant Now) const {
+  return 1 + half(SlownessSeen - 1, Now - SlownessAt, SlownessHalfLifeMs);
+}
+
+double Replica::failureRate(Instant Now) const {
+  return half(FailureSeen, Now - FailureAt, FailureHalfLifeMs);
+}
+
+void Replica::noteFailure(double Outcome, Instant Now) {
+  double Before = failureRate(Now);
+  FailureSeen = Before + FailureWeight * (Outcome - Before);
+  FailureAt = Now;
+}
+
+void Replica::sendEnded(Instant Started, SendEnd How, Duration Work,
+                        Instant Now) {
+  auto At = std::ranges::find(Open, Started);
+  if (At != Open.end())
+    Open.erase(At);
+  switch (How) {
+  case SendEnd::Answered: {
+    double Took = toMillisF(Now - Started - roundTrip());
+    double Ratio =
+        std::clamp(Took / std::max(1.0, toMillisF(Work)), 0.5, MostSlowness);
+    double Before = slowness(Now);
+    SlownessSeen = Before + SlownessWeight * (Ratio - Before);
+    SlownessAt = Now;
+    LastAnswer = Now;
+    LostInARow = 0;
+    RestTime = Duration(0);
+    noteFailure(0, Now);
+    return;
+  }
+  case SendEnd::Rejected:
+    LastAnswer = Now;
+    noteFailure(1, Now);
+    return;
+  case SendEnd::NotSent:
+    noteFailure(1, Now);
+    rest(Now);
+    return;
+  case SendEnd::Lost:
+    noteFailure(1, Now);
+    if (++LostInARow >= LostBeforeRest)
+      rest(Now);
+    return;
+  case SendEnd::Abandoned:
+    // Nobody learns how it would have ended. When it had taken longer than any
+    // pause, it counts as lost: a replica that takes requests and never answers
+    // would otherwise cost every request a hedge.
+    if (toMillisF(Now - Started) < OverdueMs || LastAnswer > Started)
+      return;
+    noteFailure(1, Now);
+    if (++LostInARow >= LostBeforeRest)
+      rest(Now);
+    return;
+  }
+}
+
+void Replica::loadReported(const ReportedLoad &L, Instant Now) {
+  Load = L;
+  LoadAt = Now;
+}
+
+bool Replica::stuck(Duration Work, Instant Now) const {
+  if (Open.empty())
+    return false;
+  Instant Oldest = *std::ranges::min_element(Open);
+  double Ahead =
+      static_cast<double>(Open.size() - 1) / std::max(1U, Entry.Slots);
+  double Usual =
+      roundTripMs(Far) + toMillisF(Work) * slowness(Now) * (1 + Ahead);
+  double Quiet = toMillisF(Now - std::max(Oldest, LastAnswer));
+  return Quiet > StuckFactor * Usual + StuckSlackMs;
+}
+
+Duration Replica::predicted(Duration Work, Instant Now) const {
+  double Slots = std::max(1U, Entry.Slots);
+  double Busy = static_cast<double>(Open.size());
+  if (Load)
+    Busy = std::max(Busy, half(Load->Running + Load->Waiting, Now - LoadAt,
+                               LoadHalfLifeMs));
+  double Queue = std::max(0.0, Busy + 1 - Slots) / Slots;
+  double Cold = Now < WarmAt ? ColdFactor : 1;
+  double Ms = roundTripMs(Far) + priceMs(Far);
+  Ms += toMillisF(Work) * Cold * slowness(Now) * (1 + Queue);
+  Ms += failureRate(Now) * FailureCostMs;
+  if (stuck(Work, Now))
+    Ms += StuckCostMs;
+  return fromMillisF(Ms);
+}
+
+void Replica::rest(Instant Now) {
+  RestTime = std::clamp(RestTime * 2, FirstRest, LongestRest);
+  Resting = true;
+  TrialRuns = false;
+  TrialAt = Now + RestTime;
+}
+
+bool Replica::takeTrial(Instant Now) {
+  if (!Resting || TrialRuns || Now < TrialAt)
+    return false;
+  TrialRuns = true;
+  return true;
+}
+
+void Replica::trialEnded(bool Worked, Instant Now) {
+  if (!Resting)
+    return;
+  if (!Worked) {
+    rest(Now);
+    return;
+  }
+  Resting = false;
+  TrialRuns = false;
+  // One more loss puts it back to rest: a process that takes connections and
+  // answers nothing passes every trial.
+  LostInARow = LostBeforeRest - 1;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/forward/Replica.h
@@ -0,0 +1,124 @@
+//===- Replica.h - One replica and what we saw of it ------------*- C++ -*-===//
+//
+// A replica is judged by evidence of this daemon's own sends: what is open
+// there, how long answers take against what that work usually takes, what
+// failed, and how loaded it says it is. From these a replica predicts how long
+// a send would take now; the smallest prediction is chosen (ReplicaBook).
+//
+// Three troubles look alike at first and must not be answered alike:
+//
+//   - a pause of 150 to 250 ms (a collection, a compaction): several sends stay
+//     open and nothing answers. Sends that have not begun go elsewhere until
+//     anything answers; then it is as good as before.
+//   - slowness of seconds: answers come, late. The prediction grows with them
+//     and falls back by itself in a few seconds, so that it is tried again.
+//   - a dead replica: connections fail or sends are lost in a row. It rests,
+//     for longer each time, until a connection opened for that purpose works;
+//     no caller pays for the try.
+//
+// A quick failure must not look like a quick replica: failures never shorten a
+// prediction, they lengthen it.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FORWARD_REPLICA_H
+#define SHALLOTSHIFT_FORWARD_REPLICA_H
+
+#include "shallotshift/base.h"
+
+#include <optional>
+#include <vector>
+
+namespace shallot {
+
+/// A replica as it registered itself.
+struct ReplicaEntry {
+  UpstreamId Id;
+  ServiceName Service;
+  Endpoint At;
+  AvailabilityZone Zone;
+  Region Reg;
+  unsigned Slots = 1;
+  bool Leaving = false;  ///< It takes no new work.
+  Duration WarmupLeft{}; ///< It answers slowly for this long after its start.
+
+  friend bool operator==(const ReplicaEntry &, const ReplicaEntry &) = default;
+};
+
+/// How far a replica is from this daemon.
+enum class Distance : std::uint8_t { SameZone, SameRegion, OtherRegion };
+
+/// How one send ended.
+enum class SendEnd : std::uint8_t {
+  Answered,  ///< A whole reply to this request.
+  Rejected,  ///< The replica said that it did not run it.
+  NotSent,   ///< No connection: nothing left this process.
+  Lost,      ///< It was sent and no usable reply came; it may have run.
+  Abandoned, ///< We stopped waiting.
+};
+
+/// What a replica says of itself beside a reply.
+struct ReportedLoad {
+  unsigned Running = 0;
+  unsigned Waiting = 0;
+  unsigned Slots = 1;
+
+  friend bool operator==(const ReportedLoad &, const ReportedLoad &) = default;
+};
+
+class Replica {
+public:
+  Replica(ReplicaEntry Entry, Distance Far, Instant Now);
+
+  const ReplicaEntry &entry() const { return Entry; }
+  Distance distance() const { return Far; }
+  /// The same replica registered anew, with another state.
+  void update(ReplicaEntry Entry, Instant Now);
+
+  void sendStarted(Instant Now);
+  /// \p Work is what such a request usually takes in a replica.
+  void sendEnded(Instant Started, SendEnd How, Duration Work, Instant Now);
+  void loadReported(const ReportedLoad &L, Instant Now);
+
+  /// How long a send begun now would take, with what it would cost besides.
+  Duration predicted(Duration Work, Instant Now) const;
+  /// The time that only the way there and back takes.
+  Duration roundTrip() const;
+  std::size_t openSends() const { return Open.size(); }
+  /// Sends wait there and nothing came back for longer than they should take.
+  bool stuck(Duration Work, Instant Now) const;
+
+  /// It gets no callers' requests until a trial connection worked.
+  bool resting() const { return Resting; }
+  /// A trial connection should be opened now; answers true once for each rest.
+  bool takeTrial(Instant Now);
+  void trialEnded(bool Worked, Instant Now);
+  /// Other copies of the process share this replica's evidence no longer: all
+  /// kept connections are doubtful after this process was suspended.
+  double slowness(Instant Now) const;
+
+private:
+  void rest(Instant Now);
+  double failureRate(Instant Now) const;
+  void noteFailure(double Outcome, Instant Now);
+
+  ReplicaEntry Entry;
+  Distance Far;
+  Instant WarmAt;
+  std::vector<Instant> Open; ///< When each open send began.
+  Instant LastAnswer;
+  double SlownessSeen = 1; ///< Answers against the usual time.
+  Instant SlownessAt;
+  double FailureSeen = 0; ///< Part of the sends that failed lately.
+  Instant FailureAt;
+  unsigned LostInARow = 0;
+  std::optional<ReportedLoad> Load;
+  Instant LoadAt;
+  bool Resting = false;
+  bool TrialRuns = false;
+  Instant TrialAt;
+  Duration RestTime{};
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FORWARD_REPLICA_H
--- /dev/null
+++ b/packages/forward/ReplicaBook.cpp
@@ -0,0 +1,168 @@
+//===- ReplicaBook.cpp ----------------------------------------------------===//
+#include "forward/ReplicaBook.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace shallot {
+
+namespace {
+
+/// Part of a replica's connections that daemons of its own region share. Sends
+/// go to near replicas unless these are slow or stuck, so the near ones need
+/// more; the rest is enough to take over a neighbour's load.
+constexpr double NearPart = 0.6;
+/// Predictions are spread by this part at most: enough that daemons that see
+/// the same do not all take the same replica, too little to take a bad one.
+constexpr double JitterPart = 0.15;
+
+} // namespace
+
+std::size_t connectionShare(unsigned MaxConnections, Distance Far,
+                            const Sharing &S) {
+  double Part = S.Elsewhere == 0 ? 1 : NearPart;
+  std::size_t Sharers = S.InRegion;
+  if (Far == Distance::OtherRegion) {
+    Part = 1 - NearPart;
+    // Daemons of the replica's own region have the other part; how many there
+    // are in all other regions is not more than there are in all.
+    Sharers = std::max<std::size_t>(1, S.all() - 1);
+  }
+  double Share = MaxConnections * Part / static_cast<double>(Sharers);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(Share));
+}
+
+Distance ReplicaBook::distance(const ReplicaEntry &E) const {
+  if (E.Zone == Here.Zone)
+    return Distance::SameZone;
+  return E.Reg == Here.Reg ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+void ReplicaBook::put(ReplicaEntry Entry, Instant Now) {
+  UpstreamId Id = Entry.Id;
+  auto [At, New] = ById.try_emplace(Id);
+  Slot &S = At->second;
+  if (!New && S.Ptr->entry().Service == Entry.Service &&
+      S.Ptr->entry().At == Entry.At) {
+    S.Registered = true;
+    S.Ptr->update(std::move(Entry), Now);
+    return;
+  }
+  if (!New)
+    std::erase(ByService[S.Ptr->entry().Service], &S);
+  Distance Far = distance(Entry);
+  ByService[Entry.Service].push_back(&S);
+  S.Registered = true;
+  S.Ptr = std::make_shared<Replica>(std::move(Entry), Far, Now);
+}
+
+void ReplicaBook::vanish(Slot &S, Instant Now) {
+  if (!S.Registered)
+    return;
+  S.Registered = false;
+  S.VanishedAt = Now;
+}
+
+void ReplicaBook::remove(const UpstreamId &Id, Instant Now) {
+  auto At = ById.find(Id);
+  if (At != ById.end())
+    vanish(At->second, Now);
+}
+
+void ReplicaBook::replaceAll(std::vector<ReplicaEntry> Entries, Instant Now) {
+  std::unordered_set<UpstreamId> Listed;
+  for (ReplicaEntry &E : Entries) {
+    Listed.insert(E.Id);
+    put(std::move(E), Now);
+  }
+  for (auto &[Id, S] : ById)
+    if (!Listed.contains(Id))
+      vanish(S, Now);
+}
+
+void ReplicaBook::storeAway() { StoreIsAway = true; }
+
+void ReplicaBook::storeBack(Instant Now) {
+  if (!StoreIsAway)
+    return;
+  StoreIsAway = false;
+  StoreBackAt = Now;
+}
+
+Instant ReplicaBook::holdEnds(const Slot &S) const {
+  Instant Usual = S.VanishedAt + Options.LapseHold;
+  // An entry that is missing right after an outage may still come back.
+  Instant Back = StoreBackAt + Options.ReturnGrace;
+  return S.VanishedAt < Back ? std::max(Usual, Back) : Usual;
+}
+
+bool ReplicaBook::holds(const Slot &S, Instant Now) const {
+  return !S.Registered && !S.Ptr->entry().Leaving && Now < holdEnds(S);
+}
+
+ReplicaPtr ReplicaBook::choose(const Choice &C, double Jitter, Instant Now) {
+  auto At = ByService.find(C.Service->Name);
+  if (At == ByService.end())
+    return nullptr;
+  std::vector<Slot *> &Slots = At->second;
+  bool AnyRegistered = std::ranges::any_of(Slots, [](const Slot *S) {
+    return S->Registered && !S->Ptr->entry().Leaving && !S->Ptr->resting();
+  });
+  ReplicaPtr Best;
+  double BestMs = 0;
+  double Draw = Jitter;
+  for (Slot *S : Slots) {
+    const Replica &R = *S->Ptr;
+    bool Usable =
+        S->Registered ? !R.entry().Leaving : !AnyRegistered && holds(*S, Now);
+    if (!Usable || R.resting())
+      continue;
+    if (std::ranges::find(C.Exclude, S->Ptr) != C.Exclude.end())
+      continue;
+    if (R.openSends() >=
+        connectionShare(C.Service->MaxConnections, R.distance(), Shared))
+      continue;
+    Draw = Draw * 7.31 + 0.137;
+    Draw -= static_cast<double>(static_cast<int>(Draw));
+    double Ms = toMillisF(R.predicted(C.Work, Now)) * (1 + JitterPart * Draw);
+    if (Best && Ms >= BestMs)
+      continue;
+    Best = S->Ptr;
+    BestMs = Ms;
+  }
+  return Best;
+}
+
+bool ReplicaBook::servable(const ServiceName &Service, Instant Now) {
+  auto At = ByService.find(Service);
+  if (At == ByService.end())
+    return false;
+  return std::ranges::any_of(At->second, [&](const Slot *S) {
+    bool Usable = S->Registered ? !S->Ptr->entry().Leaving : holds(*S, Now);
+    return Usable && !S->Ptr->resting();
+  });
+}
+
+void ReplicaBook::expire(Instant Now) {
+  std::erase_if(ById, [&](const auto &Item) {
+    const Slot &S = Item.second;
+    // While the store is away nothing is known to be gone.
+    if (S.Registered || StoreIsAway || Now < holdEnds(S))
+      return false;
+    auto At = ByService.find(S.Ptr->entry().Service);
+    std::erase(At->second, &S);
+    if (At->second.empty())
+      ByService.erase(At);
+    return true;
+  });
+}
+
+std::vector<ReplicaPtr> ReplicaBook::dueTrials(Instant Now) {
+  std::vector<ReplicaPtr> Due;
+  for (auto &[Id, S] : ById)
+    if (S.Registered && !S.Ptr->entry().Leaving && S.Ptr->takeTrial(Now))
+      Due.push_back(S.Ptr);
+  return Due;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/forward/ReplicaBook.h
@@ -0,0 +1,127 @@
+//===- ReplicaBook.h - Which replicas may be used, and the best -*- C++ -*-===//
+//
+// Keeps every registered replica by service and chooses one for each send.
+//
+// What a registration proves, and for how long:
+//
+//   registered, ready     used.
+//   leaving               gets nothing new.
+//   its entry vanished    it is leaving without a word, or its entry lapsed
+//                         because the store could not be reached. It is used
+//                         only while its service has no other, and only for
+//                         LapseHold; after an outage of the store until
+//                         ReturnGrace after its return, when entries of live
+//                         replicas are back.
+//
+// So a store that forgot everything does not empty the fleet at once, and a
+// replica that is gone gets nothing new long before the time by which it must
+// have been left alone.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FORWARD_REPLICABOOK_H
+#define SHALLOTSHIFT_FORWARD_REPLICABOOK_H
+
+#include "forward/Replica.h"
+#include "forward/Route.h"
+
+#include <map>
+#include <memory>
+#include <span>
+#include <unordered_map>
+
+namespace shallot {
+
+using ReplicaPtr = std::shared_ptr<Replica>;
+
+/// Where this daemon runs.
+struct Place {
+  AvailabilityZone Zone;
+  Region Reg;
+
+  friend bool operator==(const Place &, const Place &) = default;
+};
+
+/// How many daemons share the connections that a replica takes.
+struct Sharing {
+  std::size_t InRegion = 1; ///< Daemons of this daemon's region, itself too.
+  std::size_t Elsewhere = 0;
+
+  std::size_t all() const { return InRegion + Elsewhere; }
+  friend bool operator==(const Sharing &, const Sharing &) = default;
+};
+
+/// Connections that this daemon may hold to a replica that takes
+/// \p MaxConnections from everyone.
+std::size_t connectionShare(unsigned MaxConnections, Distance Far,
+                            const Sharing &S);
+
+struct ReplicaBookOptions {
+  /// How long a vanished replica may stand in for a service that has no other:
+  /// well within the time that a leaving replica serves on.
+  Duration LapseHold = Seconds(2);
+  /// Entries of live replicas are back about two seconds after the store is.
+  Duration ReturnGrace = Millis(2500);
+
+  friend bool operator==(const ReplicaBookOptions &,
+                         const ReplicaBookOptions &) = default;
+};
+
+/// What a send is to be chosen for.
+struct Choice {
+  const ServiceInfo *Service = nullptr;
+  Duration Work{};                     ///< What such a request usually takes.
+  std::span<const ReplicaPtr> Exclude; ///< Tried before.
+};
+
+class ReplicaBook {
+public:
+  ReplicaBook(Place Here, ReplicaBookOptions Options)
+      : Here(std::move(Here)), Options(Options) {}
+
+  /// Everything that is registered now; what is missing has vanished.
+  void replaceAll(std::vector<ReplicaEntry> Entries, Instant Now);
+  void put(ReplicaEntry Entry, Instant Now);
+  void remove(const UpstreamId &Id, Instant Now);
+  /// The store stopped or began to answer us.
+  void storeAway();
+  void storeBack(Instant Now);
+  void setSharing(Sharing S) { Shared = S; }
+  const Sharing &sharing() const { return Shared; }
+
+  /// The best replica now, or null: none may be used, or each has as many open
+  /// sends as this daemon may have connections to it. \p Jitter in [0, 1)
+  /// spreads daemons that see the same.
+  ReplicaPtr choose(const Choice &C, double Jitter, Instant Now);
+  /// True when some replica of the service may be used, busy or not.
+  bool servable(const ServiceName &Service, Instant Now);
+  /// Forgets replicas whose time as a stand-in has passed.
+  void expire(Instant Now);
+  /// Replicas that should be tried with a connection now.
+  std::vector<ReplicaPtr> dueTrials(Instant Now);
+
+  std::size_t size() const { return ById.size(); }
+
+private:
+  struct Slot {
+    ReplicaPtr Ptr;
+    bool Registered = true;
+    Instant VanishedAt{};
+  };
+
+  Distance distance(const ReplicaEntry &E) const;
+  bool holds(const Slot &S, Instant Now) const;
+  Instant holdEnds(const Slot &S) const;
+  void vanish(Slot &S, Instant Now);
+
+  Place Here;
+  ReplicaBookOptions Options;
+  Sharing Shared;
+  std::unordered_map<UpstreamId, Slot> ById;
+  std::unordered_map<ServiceName, std::vector<Slot *>> ByService;
+  bool StoreIsAway = false;
+  Instant StoreBackAt{};
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FORWARD_REPLICABOOK_H
--- /dev/null
+++ b/packages/forward/RetryBudget.cpp
@@ -0,0 +1,65 @@
+//===- RetryBudget.cpp ----------------------------------------------------===//
+#include "forward/RetryBudget.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+double allowed(const RetryAllowance &A, double Requests, std::size_t Daemons) {
+  double Share =
+      A.Constant / static_cast<double>(std::max<std::size_t>(1, Daemons));
+  return UsedPartOfAllowance * (A.Ratio * Requests + Share);
+}
+
+} // namespace
+
+RetryBudget::Slice &RetryBudget::slice(const RetryAllowance &A, Instant Now) {
+  std::int64_t Number =
+      Now.time_since_epoch() / (A.Window / std::int64_t(SlicesPerWindow));
+  Slice &S = Ring[static_cast<std::size_t>(Number) % Slices];
+  if (S.Number != Number)
+    S = Slice{Number};
+  return S;
+}
+
+RetryBudget::Sums RetryBudget::sums(const RetryAllowance &A,
+                                    Instant Now) const {
+  std::int64_t Number =
+      Now.time_since_epoch() / (A.Window / std::int64_t(SlicesPerWindow));
+  std::int64_t First = Number - std::int64_t(SlicesPerWindow);
+  Sums Out;
+  for (const Slice &S : Ring) {
+    if (S.Number < First || S.Number > Number)
+      continue;
+    Out.Extra += S.Extra;
+    // The oldest slice lies partly outside of the window: its extra sends
+    // count whole and its requests not at all, which errs on the safe side.
+    if (S.Number != First)
+      Out.Requests += S.Requests;
+  }
+  return Out;
+}
+
+void RetryBudget::request(const RetryAllowance &A, Instant Now) {
+  ++slice(A, Now).Requests;
+}
+
+bool RetryBudget::trySpend(const RetryAllowance &A, std::size_t Daemons,
+                           Instant Now) {
+  Sums S = sums(A, Now);
+  if (S.Extra + 1 > allowed(A, S.Requests, Daemons))
+    return false;
+  ++slice(A, Now).Extra;
+  return true;
+}
+
+double RetryBudget::freePart(const RetryAllowance &A, std::size_t Daemons,
+                             Instant Now) const {
+  Sums S = sums(A, Now);
+  double Room = allowed(A, S.Requests, Daemons);
+  return Room <= 0 ? 0 : std::clamp(1 - S.Extra / Room, 0.0, 1.0);
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/forward/include/shallotshift/forward.h
@@ -0,0 +1,20 @@
+//===- shallotshift/forward.h - Forwarding of callers' requests -*- C++ -*-===//
+//
+// The public header of package forward: routes (Route.h), replicas and the
+// choice among them (Replica.h, ReplicaBook.h), what a request may cost
+// (RetryBudget.h, WorkEstimate.h), one request from start to answer
+// (ForwardRun.h) and the merging of parts (RecordMerge.h).
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FORWARD_H
+#define SHALLOTSHIFT_FORWARD_H
+
+#include "forward/ForwardRun.h"
+#include "forward/RecordMerge.h"
+#include "forward/Replica.h"
+#include "forward/ReplicaBook.h"
+#include "forward/RetryBudget.h"
+#include "forward/Route.h"
+#include "forward/WorkEstimate.h"
+
+#endif // SHALLOTSHIFT_FORWARD_H
--- /dev/null
+++ b/packages/front/FleetLink.cpp
@@ -0,0 +1,158 @@
+//===- FleetLink.cpp ------------------------------------------------------===//
+#include "front/FleetLink.h"
+
+#include "shallotshift/telemetry.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+namespace {
+
+/// A fleet whose callers learn of a dead daemon only from us: it is left out of
+/// answers after about two seconds, and the probes for it cost some hundred
+/// bytes a second.
+MembershipOptions membershipOptions() {
+  MembershipOptions O;
+  O.MinPeriod = Millis(300);
+  O.MaxPeriod = Millis(600);
+  O.SuspicionPeriods = 2;
+  O.SettleTime = Millis(600);
+  O.TombstoneProbePeriod = Seconds(1);
+  return O;
+}
+
+/// Seeds are addresses for HTTP; all daemons of a deployment use one port for
+/// gossip.
+std::vector<Endpoint> gossipSeeds(const FrontSettings &Set) {
+  std::vector<Endpoint> Seeds;
+  for (const Endpoint &Seed : Set.Seeds)
+    if (Seed.Ip != Set.Gossip.Ip)
+      Seeds.push_back({Seed.Ip, Set.Gossip.Port});
+  return Seeds;
+}
+
+LogLevel levelOf(MembershipEventKind K) {
+  switch (K) {
+  case MembershipEventKind::Failed:
+  case MembershipEventKind::Accused:
+  case MembershipEventKind::Paused:
+  case MembershipEventKind::Superseded:
+    return LogLevel::Warn;
+  default:
+    return LogLevel::Info;
+  }
+}
+
+} // namespace
+
+Result<Membership> FleetLink::join(EventLoop &Loop, const FrontSettings &Set,
+                                   Random &Rng, std::uint64_t Incarnation,
+                                   MemberState State) {
+  Member Self{{Set.Host, Incarnation},
+              Set.Here.Zone,
+              Set.Here.Reg,
+              Set.Callers,
+              Set.Gossip,
+              Set.Peers,
+              State};
+  return Membership::make(membershipOptions(), std::move(Self),
+                          gossipSeeds(Set), Rng, Loop.now());
+}
+
+FleetLink::FleetLink(EventLoop &Loop, const FrontSettings &Set, Random &Rng,
+                     Membership M, ChangedFn Fn)
+    : Loop(Loop), Set(Set), Rng(Rng), Members(std::move(M)),
+      OnChanged(std::move(Fn)), LastTick(Loop.now()) {}
+
+Result<std::unique_ptr<FleetLink>> FleetLink::open(EventLoop &Loop,
+                                                   const FrontSettings &Set,
+                                                   Random &Rng, ChangedFn Fn) {
+  auto Incarnation = static_cast<std::uint64_t>(Loop.wallTime());
+  BOOST_LEAF_AUTO(M, join(Loop, Set, Rng, Incarnation, MemberState::Starting));
+  std::unique_ptr<FleetLink> L(
+      new FleetLink(Loop, Set, Rng, std::move(M), std::move(Fn)));
+  BOOST_LEAF_ASSIGN(
+      L->Socket,
+      GossipSocket::open(
+          Loop, Set.Gossip,
+          [Raw = L.get()](const GossipMessage &Message, const Endpoint &) {
+            Raw->apply(Raw->Members.onMessage(Message, Raw->Loop.now()));
+          }));
+  return L;
+}
+
+void FleetLink::start() { tick(); }
+
+void FleetLink::tick() {
+  Instant Now = Loop.now();
+  // What waited in the socket over a pause is as old as the pause is long; read
+  // as fresh it would show dead daemons as alive.
+  if (Now - LastTick > MembershipOptions().PauseThreshold)
+    Socket->discardWaiting();
+  LastTick = Now;
+  apply(Members.onTick(Now));
+  if (Superseder != 0)
+    outrun(std::exchange(Superseder, 0));
+  Loop.after(TickPeriod, [this] { tick(); });
+}
+
+void FleetLink::setState(MemberState State) {
+  apply(Members.setSelfState(State, Loop.now()));
+}
+
+void FleetLink::apply(const MembershipOutput &Out) {
+  for (const MembershipEvent &E : Out.Events) {
+    logEvent(levelOf(E.Kind), eventName(E.Kind),
+             {{"daemon", E.Who.str()},
+              {"by", E.By.str()},
+              {"evidence", E.Evidence}});
+    if (E.Kind == MembershipEventKind::Superseded)
+      Superseder = E.Who.Incarnation;
+  }
+  for (const GossipSend &S : Out.Sends)
+    Socket->send(S.To, S.Message);
+  if (Out.Changed)
+    OnChanged();
+}
+
+/// The failure: the time of day was set back between two runs of this host, so
+/// the new run's number is below the old one's and the others take the new one
+/// for a ghost; it would get no callers. Nothing else runs under this name on
+/// this host, so the higher number can only be an earlier run's.
+void FleetLink::outrun(std::uint64_t Incarnation) {
+  MemberState State = Members.self().State;
+  auto M =
+      attempt([&] { return join(Loop, Set, Rng, Incarnation + 1, State); });
+  if (!M) {
+    logEvent(LogLevel::Error, "rejoin_failed", {{"why", M.error().Detail}});
+    return;
+  }
+  logEvent(LogLevel::Warn, "rejoined",
+           {{"incarnation", std::to_string(Incarnation + 1)}});
+  Members = std::move(*M);
+  OnChanged();
+}
+
+Sharing FleetLink::sharing() const {
+  Sharing S;
+  S.InRegion = 0;
+  for (const Member &M : view().Members) {
+    bool Self = M.Id.Host == Set.Host;
+    if (!Self && !takesNewWork(M) && M.State != MemberState::Leaving)
+      continue;
+    ++(M.Reg == Set.Here.Reg ? S.InRegion : S.Elsewhere);
+  }
+  S.InRegion = std::max<std::size_t>(1, S.InRegion);
+  return S;
+}
+
+std::vector<Endpoint> FleetLink::peers() const {
+  std::vector<Endpoint> Found;
+  for (const Member &M : view().Members)
+    if (M.Id.Host != Set.Host && takesNewWork(M))
+      Found.push_back(M.Rpc);
+  return Found;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/FleetLink.h
@@ -0,0 +1,64 @@
+//===- FleetLink.h - The other front daemons --------------------*- C++ -*-===//
+//
+// Drives the membership of package fleet over UDP: who serves callers, who is
+// leaving, who has failed. Nothing of it is stored and no daemon is special.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_FLEETLINK_H
+#define SHALLOTSHIFT_FRONT_FLEETLINK_H
+
+#include "front/FrontSettings.h"
+#include "shallotshift/fleet.h"
+#include "shallotshift/net.h"
+#include "shallotshift/peer.h"
+
+#include <functional>
+#include <memory>
+
+namespace shallot {
+
+class FleetLink {
+public:
+  /// Called when view() has changed.
+  using ChangedFn = std::function<void()>;
+
+  /// Opens the socket. Fails with AddressInUse or SettingsInvalid.
+  static Result<std::unique_ptr<FleetLink>>
+  open(EventLoop &Loop, const FrontSettings &Set, Random &Rng, ChangedFn Fn);
+  FleetLink(const FleetLink &) = delete;
+  FleetLink &operator=(const FleetLink &) = delete;
+
+  void start();
+  /// What the others are told of this daemon.
+  void setState(MemberState State);
+
+  const FleetView &view() const { return Members.view(); }
+  /// How many daemons share the replicas' connections and the retry allowance.
+  Sharing sharing() const;
+  /// Peers' addresses for HTTP, live ones.
+  std::vector<Endpoint> peers() const;
+
+private:
+  FleetLink(EventLoop &Loop, const FrontSettings &Set, Random &Rng,
+            Membership M, ChangedFn Fn);
+
+  static Result<Membership> join(EventLoop &Loop, const FrontSettings &Set,
+                                 Random &Rng, std::uint64_t Incarnation,
+                                 MemberState State);
+  void tick();
+  void apply(const MembershipOutput &Out);
+  void outrun(std::uint64_t Incarnation);
+
+  EventLoop &Loop;
+  FrontSettings Set;
+  Random &Rng;
+  Membership Members;
+  ChangedFn OnChanged;
+  std::unique_ptr<GossipSocket> Socket;
+  Instant LastTick;
+  std::uint64_t Superseder = 0;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_FLEETLINK_H
--- /dev/null
+++ b/packages/front/FrontDaemon.cpp
@@ -0,0 +1,294 @@
+//===- FrontDaemon.cpp ----------------------------------------------------===//
+#include "front/FrontDaemon.h"
+
+#include "front/EntryAddresses.h"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+
+namespace shallot {
+
+namespace {
+
+/// Resting replicas are tried and time is watched this often.
+constexpr Duration HousekeepingPeriod = Millis(100);
+/// A stop closes the listening socket this long before the kill, so that the
+/// last requests are answered.
+constexpr Duration LastCalls = Millis(900);
+/// The process ends this long before the kill at the latest.
+constexpr Duration EndMargin = Millis(150);
+/// Callers that still have this daemon's address are waited for at least this
+/// long after the signal: it covers the validity that most of them keep to.
+constexpr Duration LeastLeaving = Seconds(3);
+/// How long callers may keep an answer of the directory. Short, because a
+/// caller that keeps the address of a dead daemon fails; each answer costs
+/// some 100 us of processor time.
+constexpr Duration EntryValidity = Seconds(2);
+/// The process did not run for longer than this while time went on: its
+/// connections may be forgotten by everyone between.
+constexpr Duration SuspendGap = Millis(1000);
+
+Duration clockGap(clockid_t Clock) {
+  timespec T{};
+  clock_gettime(Clock, &T);
+  return Seconds(T.tv_sec) + Duration(T.tv_nsec);
+}
+
+/// Time that the steady clock did not count, because the machine was suspended.
+Duration suspendedTime() {
+  return clockGap(CLOCK_BOOTTIME) - clockGap(CLOCK_MONOTONIC);
+}
+
+CallerServerOptions callerOptions(const CallerLimits &L) {
+  CallerServerOptions O;
+  O.MaxHeaderBytes = L.MaxHeaderBytes;
+  O.MaxBodyBytes = L.MaxBodyBytes;
+  O.HeaderTimeout = L.HeaderTimeout;
+  O.IdleTimeout = L.IdleTimeout;
+  return O;
+}
+
+} // namespace
+
+struct FrontDaemon::Impl {
+  Impl(EventLoop &Loop, const FrontSettings &Set, FrontAdapter Adapter,
+       std::uint64_t Seed)
+      : Loop(Loop), Set(Set), Adapter(std::move(Adapter)), Rng(Seed),
+        Timers(Loop), Book(Set.Here, bookOptions(Set)),
+        Desk(Loop, Timers, this->Adapter.Headers, Book, {Set.Retries}, Rng,
+             Meter),
+        Suspended(suspendedTime()), LastRun(Loop.now()) {}
+
+  static ReplicaBookOptions bookOptions(const FrontSettings &Set);
+  Result<void> open();
+  Result<void> openHttp();
+  void directory(const ServerRequest &R, const Responder &A);
+  void readiness(const ServerRequest &R, const Responder &A);
+  void scrape(const Responder &A);
+  void housekeeping();
+  void fleetChanged();
+  void becomeReady();
+  bool ready() const;
+  void leave();
+  void lastCalls();
+  void end();
+
+  EventLoop &Loop;
+  FrontSettings Set;
+  FrontAdapter Adapter;
+  Random Rng;
+  TimerQueue Timers;
+  Metrics Meter;
+  ReplicaBook Book;
+  RequestDesk Desk;
+  std::unique_ptr<FleetLink> Fleet;
+  std::unique_ptr<CallerServer> Callers;
+  std::unique_ptr<HttpServer> Directory;
+  std::unique_ptr<HttpServer> Readiness;
+  std::unique_ptr<HttpServer> Scrapes;
+  bool Listed = false;
+  bool Leaving = false;
+  Instant LeavingSince;
+  std::function<void()> Gone;
+  Duration Suspended;
+  Instant LastRun;
+};
+
+ReplicaBookOptions FrontDaemon::Impl::bookOptions(const FrontSettings &Set) {
+  ReplicaBookOptions O;
+  // A vanished replica may have been leaving since a little before we saw it.
+  O.LapseHold = std::min(O.LapseHold, Set.LeavingServes / 2);
+  return O;
+}
+
+Result<void> FrontDaemon::Impl::openHttp() {
+  auto Serve = [&](const Endpoint &At, HttpServer::Handler Fn) {
+    return HttpServer::open(Loop, At, {}, std::move(Fn));
+  };
+  BOOST_LEAF_ASSIGN(Readiness, Serve(Set.Readiness, [this](ServerRequest R,
+                                                           const Responder &A) {
+                      readiness(R, A);
+                    }));
+  BOOST_LEAF_ASSIGN(Directory, Serve(Set.Directory, [this](ServerRequest R,
+                                                           const Responder &A) {
+                      directory(R, A);
+                    }));
+  BOOST_LEAF_ASSIGN(
+      Scrapes, Serve(Set.Metrics, [this](const ServerRequest &,
+                                         const Responder &A) { scrape(A); }));
+  return {};
+}
+
+Result<void> FrontDaemon::Impl::open() {
+  BOOST_LEAF_ASSIGN(
+      Fleet, FleetLink::open(Loop, Set, Rng, [this] { fleetChanged(); }));
+  BOOST_LEAF_ASSIGN(
+      Callers,
+      CallerServer::open(Loop, Timers, Set.Callers, callerOptions({}),
+                         [this](const ExchangePtr &E) { Desk.handle(E); }));
+  BOOST_LEAF_CHECK(openHttp());
+  Fleet->start();
+  housekeeping();
+  return {};
+}
+
+void FrontDaemon::Impl::fleetChanged() {
+  if (Fleet)
+    Book.setSharing(Fleet->sharing());
+}
+
+bool FrontDaemon::Impl::ready() const {
+  return Desk.config() && Listed && !Leaving;
+}
+
+void FrontDaemon::Impl::becomeReady() {
+  if (!ready() || Fleet->view().Members.empty())
+    return;
+  Fleet->setState(MemberState::Alive);
+  logEvent(LogLevel::Info, "ready",
+           {{"config", std::to_string(Desk.config()->version())},
+            {"replicas", std::to_string(Book.size())}});
+}
+
+void FrontDaemon::Impl::readiness(const ServerRequest &R, const Responder &A) {
+  ServerReply Reply;
+  if (R.Path != Adapter.ReadyPath)
+    Reply = problemReply(ResultCode::UnknownPath, R.Path);
+  else if (!ready())
+    Reply = problemReply(Leaving ? ResultCode::Leaving : ResultCode::NotReady,
+                         Leaving ? "stopping" : "waiting for the store");
+  A.reply(std::move(Reply));
+}
+
+void FrontDaemon::Impl::directory(const ServerRequest &R, const Responder &A) {
+  if (R.Path != Adapter.DirectoryPath) {
+    A.reply(problemReply(ResultCode::UnknownPath, R.Path));
+    return;
+  }
+  EntryQuestion Q = Adapter.ReadQuestion(R.Query);
+  std::vector<Endpoint> Found = entryAddresses(Fleet->view(), Q.Caller);
+  if (Found.empty()) {
+    A.reply(problemReply(ResultCode::NotReady, "no daemon takes callers now"));
+    return;
+  }
+  ServerReply Reply;
+  Reply.Body =
+      Adapter.WriteAddresses(Found, std::min(EntryValidity, Set.EntryValidity));
+  A.reply(std::move(Reply));
+}
+
+void FrontDaemon::Impl::scrape(const Responder &A) {
+  const UpstreamPoolCounters &C = Desk.connectionCounters();
+  Meter.gauge("shallot_upstream_connections_opened", {}, double(C.Opened));
+  Meter.gauge("shallot_upstream_connections_reused", {}, double(C.Reused));
+  Meter.gauge("shallot_upstream_stray_bytes", {}, double(C.Stray));
+  Meter.gauge("shallot_in_flight", {}, double(Desk.inFlight()));
+  Meter.gauge("shallot_caller_connections", {}, double(Callers->connections()));
+  Meter.gauge("shallot_replicas_known", {}, double(Book.size()));
+  Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
+  ServerReply Reply;
+  Reply.ContentType = "text/plain; version=0.0.4";
+  Reply.Body = Meter.text();
+  A.reply(std::move(Reply));
+}
+
+void FrontDaemon::Impl::housekeeping() {
+  Duration Now = suspendedTime();
+  if (Now - Suspended > SuspendGap) {
+    logEvent(LogLevel::Warn, "was_suspended",
+             {{"ms", std::to_string(toMillis(Now - Suspended))}});
+    Desk.closeIdleConnections();
+  }
+  Suspended = Now;
+  Desk.tick();
+  Timers.after(HousekeepingPeriod, [this] { housekeeping(); });
+}
+
+void FrontDaemon::Impl::leave() {
+  Leaving = true;
+  LeavingSince = Loop.now();
+  logEvent(LogLevel::Info, "leaving",
+           {{"grace_ms", std::to_string(toMillis(Set.StopGrace))},
+            {"connections", std::to_string(Callers->connections())}});
+  Fleet->setState(MemberState::Leaving);
+  Callers->closeAfterReply();
+  lastCalls();
+}
+
+void FrontDaemon::Impl::lastCalls() {
+  Duration Since = Loop.now() - LeavingSince;
+  bool Late = Since >= Set.StopGrace - LastCalls;
+  if (Late) {
+    Callers->stopAccepting();
+    Callers->closeIdle();
+  }
+  bool Alone = Callers->connections() == 0 && Desk.inFlight() == 0;
+  bool WaitedEnough = Late || Since >= LeastLeaving;
+  if ((Alone && WaitedEnough) || Since >= Set.StopGrace - EndMargin) {
+    end();
+    return;
+  }
+  Timers.after(Millis(50), [this] { lastCalls(); });
+}
+
+void FrontDaemon::Impl::end() {
+  logEvent(LogLevel::Info, "stopped",
+           {{"unanswered", std::to_string(Desk.inFlight())}});
+  Fleet->setState(MemberState::Left);
+  Gone();
+}
+
+FrontDaemon::FrontDaemon(std::unique_ptr<Impl> I) : I(std::move(I)) {}
+FrontDaemon::~FrontDaemon() = default;
+
+Result<std::unique_ptr<FrontDaemon>> FrontDaemon::open(EventLoop &Loop,
+                                                       const FrontSettings &Set,
+                                                       FrontAdapter Adapter,
+                                                       std::uint64_t Seed) {
+  std::unique_ptr<FrontDaemon> D(new FrontDaemon(
+      std::make_unique<Impl>(Loop, Set, std::move(Adapter), Seed)));
+  BOOST_LEAF_CHECK(D->I->open());
+  logEvent(LogLevel::Info, "started",
+           {{"callers", Set.Callers.str()}, {"zone", Set.Here.Zone.str()}});
+  return D;
+}
+
+void FrontDaemon::install(ServingConfig Config) {
+  const auto &Before = I->Desk.config();
+  if (Before && Config.version() <= Before->version()) {
+    if (Config.version() < Before->version())
+      logEvent(LogLevel::Warn, "config_ignored",
+               {{"version", std::to_string(Config.version())},
+                {"in_force", std::to_string(Before->version())}});
+    return;
+  }
+  bool First = !Before;
+  logEvent(LogLevel::Info, "config_installed",
+           {{"version", std::to_string(Config.version())},
+            {"routes", std::to_string(Config.routes().size())}});
+  I->Callers->setOptions(callerOptions(Config.limits()));
+  I->Desk.install(std::make_shared<ServingConfig>(std::move(Config)));
+  if (First)
+    I->becomeReady();
+}
+
+ReplicaBook &FrontDaemon::replicas() { return I->Book; }
+
+void FrontDaemon::replicasListed() {
+  if (!std::exchange(I->Listed, true))
+    I->becomeReady();
+}
+
+Metrics &FrontDaemon::metrics() { return I->Meter; }
+
+Random &FrontDaemon::random() { return I->Rng; }
+
+void FrontDaemon::requestStop(std::function<void()> Gone) {
+  if (I->Leaving)
+    return;
+  I->Gone = std::move(Gone);
+  I->leave();
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/FrontDaemon.h
@@ -0,0 +1,79 @@
+//===- FrontDaemon.h - A daemon that forwards for a deployment --*- C++ -*-===//
+//
+// Serves callers by routes, answers where callers should connect, says whether
+// it is ready, and stops in order. Whoever joins it to a deployment gives it
+// the configuration and the replicas as they change:
+//
+//   auto D = FrontDaemon::open(Loop, Settings, Adapter, Seed);
+//   (*D)->install(Config);        // from the store, at each change
+//   (*D)->replicas().put(Entry, Now);
+//
+// A stop: from the signal on it is not ready, others do not name it to callers,
+// and every answer closes its connection. It goes on accepting for callers that
+// still keep its address, and ends when none is left or just before it would be
+// killed. A request that was read is never cut off by it.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_FRONTDAEMON_H
+#define SHALLOTSHIFT_FRONT_FRONTDAEMON_H
+
+#include "front/FleetLink.h"
+#include "front/FrontSettings.h"
+#include "front/HeaderNames.h"
+#include "front/RequestDesk.h"
+
+#include <functional>
+#include <memory>
+
+namespace shallot {
+
+/// What a caller asks the directory.
+struct EntryQuestion {
+  Place Caller;
+
+  friend bool operator==(const EntryQuestion &,
+                         const EntryQuestion &) = default;
+};
+
+/// What the deployment's own names and forms are; the rest is the product's.
+struct FrontAdapter {
+  HeaderNames Headers;
+  std::string ReadyPath;
+  std::string DirectoryPath;
+  /// Reads a question from a query string, and writes the answer's body.
+  std::function<EntryQuestion(std::string_view Query)> ReadQuestion;
+  std::function<std::string(const std::vector<Endpoint> &, Duration Validity)>
+      WriteAddresses;
+};
+
+class FrontDaemon {
+public:
+  /// Listens on every address of \p Set. Fails with AddressInUse or
+  /// SettingsInvalid.
+  static Result<std::unique_ptr<FrontDaemon>> open(EventLoop &Loop,
+                                                   const FrontSettings &Set,
+                                                   FrontAdapter Adapter,
+                                                   std::uint64_t Seed);
+  ~FrontDaemon();
+  FrontDaemon(const FrontDaemon &) = delete;
+  FrontDaemon &operator=(const FrontDaemon &) = delete;
+
+  /// A configuration older than the one in force is ignored.
+  void install(ServingConfig Config);
+  ReplicaBook &replicas();
+  /// The replicas were listed once, so that their absence means something.
+  void replicasListed();
+  Metrics &metrics();
+  Random &random();
+  /// Stops in order; \p Gone is called when the process may end.
+  void requestStop(std::function<void()> Gone);
+
+private:
+  struct Impl;
+  explicit FrontDaemon(std::unique_ptr<Impl> I);
+  std::unique_ptr<Impl> I;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_FRONTDAEMON_H
--- /dev/null
+++ b/packages/front/FrontSettings.cpp
@@ -0,0 +1,96 @@
+//===- FrontSettings.cpp --------------------------------------------------===//
+#include "front/FrontSettings.h"
+
+#include "shallotshift/model.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace shallot {
+
+namespace {
+
+/// Beyond an hour a bound is a mistake in its unit.
+constexpr double MostSeconds = 3600;
+constexpr double MostRetries = 1e6;
+
+Result<Endpoint> endpoint(JsonFields &F, std::string_view Key) {
+  BOOST_LEAF_AUTO(Text, F.string(Key));
+  return Endpoint::parse(Text, Key);
+}
+
+Result<Duration> seconds(JsonFields &F, std::string_view Key) {
+  BOOST_LEAF_AUTO(S, F.number(Key, 0, MostSeconds));
+  return fromMillisF(S * 1000);
+}
+
+Result<void> readPlace(JsonFields &F, FrontSettings &S) {
+  BOOST_LEAF_AUTO(Host, F.string("host"));
+  BOOST_LEAF_AUTO(Zone, F.string("zone"));
+  BOOST_LEAF_AUTO(Reg, F.string("region"));
+  S.Host = HostId(Host);
+  S.Here = {AvailabilityZone(Zone), Region(Reg)};
+  BOOST_LEAF_AUTO(Zones, F.object("zones"));
+  for (const auto &[Name, Value] : Zones->items()) {
+    if (!Value.is_string())
+      return fail(ResultCode::WrongType, "zones." + Name + ": name a region");
+    S.Zones.emplace(AvailabilityZone(Name), Region(Value.get<std::string>()));
+  }
+  return {};
+}
+
+Result<void> readAddresses(JsonFields &F, FrontSettings &S) {
+  BOOST_LEAF_ASSIGN(S.Callers, endpoint(F, "callers"));
+  BOOST_LEAF_ASSIGN(S.Readiness, endpoint(F, "readiness"));
+  BOOST_LEAF_ASSIGN(S.Directory, endpoint(F, "directory"));
+  BOOST_LEAF_ASSIGN(S.Peers, endpoint(F, "peers"));
+  BOOST_LEAF_ASSIGN(S.Gossip, endpoint(F, "gossip"));
+  BOOST_LEAF_ASSIGN(S.Metrics, endpoint(F, "metrics"));
+  BOOST_LEAF_ASSIGN(S.Store, endpoint(F, "store"));
+  BOOST_LEAF_AUTO(Seeds, F.array("seeds"));
+  for (const nlohmann::json &Item : *Seeds) {
+    if (!Item.is_string())
+      return fail(ResultCode::WrongType, "seeds: name an address each");
+    BOOST_LEAF_AUTO(Seed, Endpoint::parse(Item.get<std::string>(), "seeds"));
+    S.Seeds.push_back(std::move(Seed));
+  }
+  return {};
+}
+
+Result<void> readBounds(JsonFields &F, FrontSettings &S) {
+  BOOST_LEAF_ASSIGN(S.StopGrace, seconds(F, "stop_grace_s"));
+  BOOST_LEAF_AUTO(DrainMs, F.number("drain_ms", 0, MostSeconds * 1000));
+  S.LeavingServes = fromMillisF(DrainMs);
+  BOOST_LEAF_ASSIGN(S.EntryValidity, seconds(F, "entry_validity_s"));
+  BOOST_LEAF_ASSIGN(S.Retries.Ratio, F.number("retry_ratio", 0, 1));
+  BOOST_LEAF_ASSIGN(S.Retries.Window, seconds(F, "retry_window_s"));
+  BOOST_LEAF_ASSIGN(S.Retries.Constant,
+                    F.number("retry_constant", 0, MostRetries));
+  if (S.Retries.Window < Seconds(1))
+    return fail(ResultCode::OutOfRange, "retry_window_s: at least 1");
+  return {};
+}
+
+} // namespace
+
+Result<FrontSettings> FrontSettings::parse(std::string_view Json) {
+  BOOST_LEAF_AUTO(Doc, parseJson(Json, "the settings"));
+  BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "settings"));
+  FrontSettings S;
+  BOOST_LEAF_CHECK(readPlace(F, S));
+  BOOST_LEAF_CHECK(readAddresses(F, S));
+  BOOST_LEAF_CHECK(readBounds(F, S));
+  BOOST_LEAF_CHECK(F.finish());
+  return S;
+}
+
+Result<FrontSettings> FrontSettings::load(const std::string &Path) {
+  std::ifstream File(Path);
+  std::ostringstream Text;
+  if (!File || !(Text << File.rdbuf()))
+    return fail(ResultCode::SettingsUnreadable, "cannot read " + Path);
+  return parse(Text.str());
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/ReplyReading.cpp
@@ -0,0 +1,69 @@
+//===- ReplyReading.cpp ---------------------------------------------------===//
+#include "front/ReplyReading.h"
+
+#include <array>
+#include <charconv>
+
+namespace shallot {
+
+namespace {
+
+/// The replica at this address is another than the one that was asked for.
+constexpr int MisdirectedRequest = 421;
+
+bool isEncoded(const HttpHeaders &Headers) {
+  std::string_view Coding = headerValue(Headers, "Content-Encoding");
+  return !Coding.empty() && !sameHeaderName(Coding, "identity");
+}
+
+HttpHeaders passedOn(HttpHeaders Headers) {
+  std::string Connection(headerValue(Headers, "Connection"));
+  std::erase_if(Headers, [&](const HttpHeader &H) {
+    return isHopHeader(H.Name, Connection);
+  });
+  return Headers;
+}
+
+} // namespace
+
+std::optional<ReportedLoad> readLoad(std::string_view Text) {
+  std::array<unsigned, 3> Figures{};
+  const char *At = Text.data();
+  const char *End = At + Text.size();
+  for (unsigned &F : Figures) {
+    auto [Next, Error] = std::from_chars(At, End, F);
+    if (Error != std::errc())
+      return std::nullopt;
+    At = Next < End ? Next + 1 : End;
+  }
+  return ReportedLoad{Figures[0], Figures[1], Figures[2]};
+}
+
+SendResult readReply(const HeaderNames &Names, UpstreamReply Reply,
+                     bool KeepHeaders) {
+  SendResult R;
+  if (Reply.How != CallEnd::Answered) {
+    R.How = Reply.How == CallEnd::NotSent ? SendEnd::NotSent : SendEnd::Lost;
+    return R;
+  }
+  R.Load = readLoad(headerValue(Reply.Headers, Names.Load));
+  R.WrongReplica = Reply.Status == MisdirectedRequest;
+  bool Rejected =
+      R.WrongReplica || !headerValue(Reply.Headers, Names.NotRun).empty();
+  if (Rejected) {
+    R.How = SendEnd::Rejected;
+    return R;
+  }
+  R.How = SendEnd::Answered;
+  ReplicaReply Out;
+  Out.Status = Reply.Status;
+  Out.Signature = std::string(headerValue(Reply.Headers, Names.Signature));
+  Out.Encoded = isEncoded(Reply.Headers);
+  Out.Body = std::move(Reply.Body);
+  if (KeepHeaders)
+    Out.Headers = passedOn(std::move(Reply.Headers));
+  R.Reply = std::move(Out);
+  return R;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/RequestDesk.cpp
@@ -0,0 +1,329 @@
+//===- RequestDesk.cpp ----------------------------------------------------===//
+#include "front/RequestDesk.h"
+
+#include "front/ReplyReading.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace shallot {
+
+namespace {
+
+/// A caller without a configuration to serve it comes back after this.
+constexpr Duration NotReadyRetry = Millis(300);
+/// A request that may run only once is not sent on a connection that was quiet
+/// for longer: the replica may be closing it at that moment, and whether it ran
+/// would be unknown.
+constexpr Duration MostIdleForOnce = Millis(1500);
+constexpr Duration MostIdle = Seconds(60);
+constexpr Duration LongestDeadline = Seconds(300);
+
+std::optional<Duration> readDeadline(std::string_view Text) {
+  double Ms = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+  if (Error != std::errc() || Ms < 0)
+    return std::nullopt;
+  return std::min<Duration>(fromMillisF(Ms), LongestDeadline);
+}
+
+/// "search.example" of "Search.Example:80".
+std::string hostOf(std::string_view Value) {
+  std::string Host(Value.substr(0, Value.find(':')));
+  std::ranges::transform(Host, Host.begin(), [](char C) {
+    return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
+  });
+  return Host;
+}
+
+CallerReply ownReply(const OwnAnswer &A, std::string Id) {
+  ServerReply P = problemReply(A.Code, A.Why, std::move(Id));
+  CallerReply R;
+  R.Status = P.Status;
+  R.Headers = std::move(P.Headers);
+  R.Headers.push_back({"Content-Type", std::move(P.ContentType)});
+  // A fraction of a second: a whole one is more than most callers have left.
+  if (A.RetryAfter > Duration(0))
+    R.Headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", toMillisF(A.RetryAfter) / 1000)});
+  R.Body = std::move(P.Body);
+  return R;
+}
+
+std::string_view outcomeOf(const ForwardAnswer &A) {
+  if (const auto *M = std::get_if<MergedAnswer>(&A))
+    return M->Missing == 0 ? "complete" : "partial";
+  if (const auto *P = std::get_if<PassedAnswer>(&A))
+    return P->Reply.success() ? "complete" : "replica_failure";
+  return effectText(infoOf(std::get<OwnAnswer>(A).Code).Effect);
+}
+
+} // namespace
+
+struct RequestDesk::Impl {
+  /// One request on its way.
+  struct Job {
+    Job(ExchangePtr E, ForwardAsk Ask) : E(std::move(E)), Run(std::move(Ask)) {}
+
+    ExchangePtr E;
+    ForwardRun Run;
+    std::string Id;
+    std::string Head; ///< Method, target and headers for every send.
+    bool HasBody = false;
+    std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
+    TimerQueue::Key Timer = 0;
+    Instant TimerAt = Instant::max();
+  };
+  using JobPtr = std::shared_ptr<Job>;
+
+  Impl(EventLoop &Loop, TimerQueue &Timers, HeaderNames Names,
+       ReplicaBook &Book, ForwardRules Rules, Random &Rng, Metrics &Meter)
+      : Timers(Timers), Names(std::move(Names)),
+        Pool(Loop, Timers, {}), Shared{Book, Budgets, Work, Rng, Rules},
+        Meter(Meter) {}
+
+  void handle(const ExchangePtr &E);
+  void refuse(const ExchangePtr &E, const OwnAnswer &A);
+  std::string headFor(const CallerRequest &R) const;
+  void apply(const JobPtr &J, RunOutput Out);
+  void send(const JobPtr &J, const StartSend &S);
+  void answer(const JobPtr &J, ForwardAnswer A);
+  void schedule(const JobPtr &J);
+  void note(const Job &J, const ForwardAnswer &A);
+  void tryResting();
+
+  TimerQueue &Timers;
+  HeaderNames Names;
+  UpstreamPool Pool;
+  BudgetMap Budgets;
+  WorkBook Work;
+  ForwardShared Shared;
+  Metrics &Meter;
+  std::shared_ptr<const ServingConfig> Config;
+  std::unordered_set<JobPtr> Jobs;
+  std::size_t Unanswered = 0;
+};
+
+void RequestDesk::Impl::refuse(const ExchangePtr &E, const OwnAnswer &A) {
+  std::string Id(headerValue(E->request().Headers, Names.RequestId));
+  logEvent(LogLevel::Info, "request_refused",
+           {{"id", Id},
+            {"code", codeLabel(A.Code)},
+            {"why", A.Why},
+            {"config", Config ? std::to_string(Config->version()) : "none"}});
+  Meter.count("shallot_forward_refused_total", {{"code", codeLabel(A.Code)}});
+  E->reply(ownReply(A, std::move(Id)));
+}
+
+std::string RequestDesk::Impl::headFor(const CallerRequest &R) const {
+  std::string_view Connection = headerValue(R.Headers, "Connection");
+  HttpHeaders Kept;
+  for (const HttpHeader &H : R.Headers) {
+    bool Ours = sameHeaderName(H.Name, Names.Deadline) ||
+                sameHeaderName(H.Name, Names.Wanted) ||
+                sameHeaderName(H.Name, "Expect");
+    if (!Ours && !isHopHeader(H.Name, Connection))
+      Kept.push_back(H);
+  }
+  return requestHead(R.Method, R.Target, Kept);
+}
+
+void RequestDesk::Impl::handle(const ExchangePtr &E) {
+  const CallerRequest &R = E->request();
+  if (!Config) {
+    refuse(E, {ResultCode::NotReady, NotReadyRetry,
+               "this daemon has no configuration yet"});
+    return;
+  }
+  std::string Host = hostOf(headerValue(R.Headers, "Host"));
+  const Route *Way = Config->match(Host, R.path());
+  if (!Way) {
+    refuse(E, {ResultCode::NoRoute, {}, Host + std::string(R.path())});
+    return;
+  }
+  ForwardAsk Ask;
+  Ask.Config = Config;
+  Ask.Way = Way;
+  Ask.Arrived = R.Arrived;
+  Ask.CallerWaits = readDeadline(headerValue(R.Headers, Names.Deadline))
+                        .value_or(Way->Timeout);
+  auto J = std::make_shared<Job>(E, std::move(Ask));
+  J->Id = std::string(headerValue(R.Headers, Names.RequestId));
+  J->Head = headFor(R);
+  J->HasBody = !R.Body.empty() || R.Method == "POST" || R.Method == "PUT" ||
+               R.Method == "PATCH";
+  Jobs.insert(J);
+  ++Unanswered;
+  E->whenGone([this, Weak = std::weak_ptr(J)] {
+    JobPtr J = Weak.lock();
+    if (!J || J->Run.answered())
+      return;
+    --Unanswered;
+    Meter.count("shallot_forward_gone_total");
+    apply(J, J->Run.callerGone(Timers.now()));
+  });
+  apply(J, J->Run.begin(Shared, Timers.now()));
+}
+
+void RequestDesk::Impl::apply(const JobPtr &J, RunOutput Out) {
+  for (unsigned Send : Out.Drop)
+    Pool.drop(std::exchange(J->Calls[Send], 0));
+  for (const StartSend &S : Out.Start)
+    send(J, S);
+  if (Out.Answer)
+    answer(J, std::move(*Out.Answer));
+  schedule(J);
+}
+
+void RequestDesk::Impl::send(const JobPtr &J, const StartSend &S) {
+  const CallerRequest &R = J->E->request();
+  UpstreamRequest U;
+  U.To = S.To->entry().At;
+  HttpHeaders Extra = {{Names.Deadline, std::to_string(toMillis(S.TimeLeft))},
+                       {Names.Wanted, S.To->entry().Id.str()}};
+  U.Bytes = requestText(J->Head, Extra, R.Body, J->HasBody);
+  U.ToHead = R.Method == "HEAD";
+  U.EchoName = Names.RequestId;
+  U.EchoValue = J->Id;
+  bool Once = J->Run.ask().Way->Kind == Repetition::AtMostOnce;
+  U.MostIdle = Once ? MostIdleForOnce : MostIdle;
+  bool KeepHeaders = J->Run.ask().Way->fanOut() == nullptr;
+  auto Done = [this, J, Send = S.Send, KeepHeaders](UpstreamReply Reply) {
+    J->Calls[Send] = 0;
+    SendResult Result = readReply(Names, std::move(Reply), KeepHeaders);
+    apply(J, J->Run.replied(Shared, Send, std::move(Result), Timers.now()));
+  };
+  if (J->Calls.size() <= S.Send)
+    J->Calls.resize(S.Send + 1, 0);
+  J->Calls[S.Send] = Pool.send(std::move(U), std::move(Done));
+}
+
+void RequestDesk::Impl::answer(const JobPtr &J, ForwardAnswer A) {
+  --Unanswered;
+  note(*J, A);
+  CallerReply Reply;
+  if (auto *M = std::get_if<MergedAnswer>(&A)) {
+    std::string Signatures;
+    for (const std::string &S : M->Signatures) {
+      Signatures += Signatures.empty() ? "" : ", ";
+      Signatures += S;
+    }
+    Reply.Headers.push_back({Names.Signatures, std::move(Signatures)});
+    if (M->Missing > 0)
+      Reply.Headers.push_back({Names.Missing, std::to_string(M->Missing)});
+    Reply.Body = std::move(M->Records);
+  } else if (auto *P = std::get_if<PassedAnswer>(&A)) {
+    Reply.Status = P->Reply.Status;
+    Reply.Headers = std::move(P->Reply.Headers);
+    Reply.Body = std::move(P->Reply.Body);
+  } else {
+    Reply = ownReply(std::get<OwnAnswer>(A), J->Id);
+  }
+  J->E->reply(std::move(Reply));
+}
+
+void RequestDesk::Impl::note(const Job &J, const ForwardAnswer &A) {
+  const ForwardAsk &Ask = J.Run.ask();
+  Duration Took = Timers.now() - Ask.Arrived;
+  std::string Outcome(outcomeOf(A));
+  Meter.count("shallot_forward_answers_total",
+              {{"route", Ask.Way->Name}, {"outcome", Outcome}});
+  Meter.latency("shallot_forward_seconds", {{"route", Ask.Way->Name}}, Took);
+  const RunStory &S = J.Run.story();
+  if (Outcome == "complete" && Took <= Ask.Way->Objective)
+    return;
+  const auto *Own = std::get_if<OwnAnswer>(&A);
+  const auto *Passed = std::get_if<PassedAnswer>(&A);
+  logEvent(LogLevel::Info, "request",
+           {{"id", J.Id},
+            {"route", Ask.Way->Name},
+            {"config", std::to_string(Ask.Config->version())},
+            {"outcome", Outcome},
+            {"code", Own ? codeLabel(Own->Code) : ""},
+            {"status", Passed ? std::to_string(Passed->Reply.Status) : ""},
+            {"why", Own ? Own->Why : ""},
+            {"took_ms", fmt::format("{:.1f}", toMillisF(Took))},
+            {"waits_ms", std::to_string(toMillis(Ask.CallerWaits))},
+            {"parts", fmt::format("{}/{}", S.PartsIn, S.Parts)},
+            {"sends", std::to_string(S.Sends)},
+            {"hedges", std::to_string(S.Hedges)},
+            {"retries", std::to_string(S.Retries)},
+            {"rejected", std::to_string(S.Rejected)},
+            {"lost", std::to_string(S.Lost)},
+            {"not_sent", std::to_string(S.NotSent)},
+            {"no_budget", std::to_string(S.BudgetRefusals)},
+            {"no_room", std::to_string(S.Waits)}});
+}
+
+void RequestDesk::Impl::schedule(const JobPtr &J) {
+  if (J->Run.done()) {
+    Timers.cancel(J->Timer);
+    J->TimerAt = Instant::max();
+    Jobs.erase(J);
+    return;
+  }
+  Instant Next = J->Run.nextTick();
+  // One that is set too early finds nothing to do and is set again; that is
+  // cheaper than moving it at each reply.
+  if (J->Timer != 0 && J->TimerAt <= Next)
+    return;
+  Timers.cancel(J->Timer);
+  J->TimerAt = Next;
+  J->Timer = Timers.at(Next, [this, Weak = std::weak_ptr(J)] {
+    JobPtr J = Weak.lock();
+    if (!J)
+      return;
+    J->Timer = 0;
+    apply(J, J->Run.tick(Shared, Timers.now()));
+  });
+}
+
+void RequestDesk::Impl::tryResting() {
+  for (const ReplicaPtr &R : Shared.Book.dueTrials(Timers.now()))
+    Pool.tryConnect(R->entry().At, [this, R](bool Worked) {
+      logEvent(LogLevel::Info, "replica_tried",
+               {{"replica", R->entry().Id.str()},
+                {"service", R->entry().Service.str()},
+                {"works", Worked ? "yes" : "no"}});
+      R->trialEnded(Worked, Timers.now());
+    });
+}
+
+RequestDesk::RequestDesk(EventLoop &Loop, TimerQueue &Timers, HeaderNames Names,
+                         ReplicaBook &Book, ForwardRules Rules, Random &Rng,
+                         Metrics &Meter)
+    : I(std::make_unique<Impl>(Loop, Timers, std::move(Names), Book, Rules, Rng,
+                               Meter)) {}
+
+RequestDesk::~RequestDesk() = default;
+
+void RequestDesk::install(std::shared_ptr<const ServingConfig> Config) {
+  I->Config = std::move(Config);
+  // Services that no route names any more have no budget to keep.
+  std::erase_if(I->Budgets, [&](const auto &Item) {
+    return !I->Config->services().contains(Item.first);
+  });
+}
+
+const std::shared_ptr<const ServingConfig> &RequestDesk::config() const {
+  return I->Config;
+}
+
+void RequestDesk::handle(const ExchangePtr &E) { I->handle(E); }
+
+void RequestDesk::tick() {
+  I->tryResting();
+  I->Shared.Book.expire(I->Timers.now());
+}
+
+void RequestDesk::closeIdleConnections() { I->Pool.closeIdle(); }
+
+std::size_t RequestDesk::inFlight() const { return I->Unanswered; }
+
+const UpstreamPoolCounters &RequestDesk::connectionCounters() const {
+  return I->Pool.counters();
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/http1/CallerServer.cpp
@@ -0,0 +1,386 @@
+//===- CallerServer.cpp ---------------------------------------------------===//
+#include "http1/CallerServer.h"
+
+#include "http1/MessageReader.h"
+#include "http1/MessageText.h"
+#include "http1/StreamSocket.h"
+
+#include <asio/ip/address.hpp>
+#include <asio/post.hpp>
+#include <poll.h>
+#include <unordered_set>
+
+namespace shallot {
+
+namespace {
+
+using internal::Message;
+using internal::MessageKind;
+using internal::MessageLimits;
+using internal::MessageReader;
+using internal::ReadState;
+using internal::StreamEnd;
+using internal::StreamSocket;
+
+/// Bytes of further requests that are kept while one is being answered.
+constexpr std::size_t MaxAheadBytes = 64 << 10;
+/// stopAccepting() takes what is in the kernel's queue, for at most this many
+/// turns of the loop.
+constexpr int MostAcceptTurns = 1000;
+/// How long a connection that was answered with an error may still send: a
+/// close with unread bytes would reset it, and the reset overtakes the answer.
+constexpr Duration LingerTime = Millis(500);
+/// A caller that takes no bytes of its answer for this long is given up.
+constexpr Duration WriteTimeout = Seconds(15);
+/// Above the callers' idle timeout, so that the last moment in which a caller
+/// may use a connection is not the moment in which it is closed.
+constexpr Duration IdleSlack = Seconds(1);
+constexpr int ListenBacklog = 1024;
+
+CallerReply ownReply(ResultCode Code, std::string_view Detail) {
+  ServerReply P = problemReply(Code, std::string(Detail));
+  CallerReply R;
+  R.Status = P.Status;
+  R.Headers = std::move(P.Headers);
+  R.Headers.push_back({"Content-Type", std::move(P.ContentType)});
+  R.Body = std::move(P.Body);
+  R.Close = true;
+  return R;
+}
+
+MessageLimits limitsOf(const CallerServerOptions &O) {
+  return {O.MaxHeaderBytes, O.MaxBodyBytes};
+}
+
+class Connection;
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+} // namespace
+
+std::string_view CallerRequest::path() const {
+  return std::string_view(Target).substr(0, Target.find('?'));
+}
+
+struct CallerServer::Impl : std::enable_shared_from_this<CallerServer::Impl> {
+  Impl(EventLoop &Loop, TimerQueue &Timers, CallerServerOptions O, Handler H)
+      : Loop(Loop), Timers(Timers), Options(O), OnRequest(std::move(H)),
+        Acceptor(Loop.context()) {}
+
+  void listen(const Endpoint &At);
+  void accept();
+  void acceptRest(int TurnsLeft);
+
+  EventLoop &Loop;
+  TimerQueue &Timers;
+  CallerServerOptions Options;
+  Handler OnRequest;
+  asio::ip::tcp::acceptor Acceptor;
+  std::unordered_set<ConnectionPtr> Open;
+  std::size_t InFlight = 0;
+  bool Closing = false;
+  bool Stopping = false;
+};
+
+namespace {
+
+/// One caller's connection. It reads on while it answers.
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(std::shared_ptr<CallerServer::Impl> S, asio::ip::tcp::socket Sock)
+      : S(std::move(S)),
+        Socket(std::make_shared<StreamSocket>(this->S->Loop, std::move(Sock))),
+        Reader(MessageKind::Request, limitsOf(this->S->Options)) {}
+
+  void start();
+  void answer(const CallerReply &Reply);
+  void gone();
+  void closeNow();
+  bool idle() const {
+    return !Current && Reader.state() == ReadState::Waiting && Ahead.empty() &&
+           Socket->unsent() == 0;
+  }
+
+private:
+  class Turn;
+
+  void data(std::string_view Bytes);
+  void parse(std::string_view Bytes);
+  void handle();
+  void refuse(ResultCode Code, std::string_view Detail);
+  void wait(Duration D, ResultCode OnTimeout);
+  void timedOut(ResultCode Code);
+  void afterReply(bool Close);
+
+  std::shared_ptr<CallerServer::Impl> S;
+  std::shared_ptr<StreamSocket> Socket;
+  MessageReader Reader;
+  std::string Ahead; ///< Bytes behind the request that is being answered.
+  std::shared_ptr<Turn> Current;
+  bool CloseBehind = false; ///< The caller wants it so.
+  bool Draining = false;    ///< An error was sent; what comes is dropped.
+  bool SawContinue = false;
+  TimerQueue::Key Timer = 0;
+};
+
+class Connection::Turn : public Exchange {
+public:
+  Turn(CallerRequest Request, ConnectionPtr C,
+       std::shared_ptr<CallerServer::Impl> S)
+      : Request(std::move(Request)), C(std::move(C)), S(std::move(S)) {
+    ++this->S->InFlight;
+  }
+  // Only a lack of memory can throw here, and that ends the process anyway.
+  // NOLINTNEXTLINE(bugprone-exception-escape)
+  ~Turn() override {
+    // A handler that lost it must not leave the caller waiting.
+    if (C)
+      reply(ownReply(ResultCode::Internal, "the handler gave no answer"));
+    --S->InFlight;
+  }
+
+  const CallerRequest &request() const override { return Request; }
+  void reply(CallerReply Reply) override {
+    OnGone = nullptr;
+    if (auto To = std::exchange(C, nullptr))
+      To->answer(Reply);
+  }
+  void whenGone(std::function<void()> Fn) override { OnGone = std::move(Fn); }
+  void callerGone() {
+    C = nullptr;
+    if (auto Fn = std::exchange(OnGone, nullptr))
+      Fn();
+  }
+
+private:
+  CallerRequest Request;
+  ConnectionPtr C;
+  std::shared_ptr<CallerServer::Impl> S;
+  std::function<void()> OnGone;
+};
+
+void Connection::start() {
+  auto Self = shared_from_this();
+  Socket->read([Self](std::string_view Bytes) { Self->data(Bytes); },
+               [Self](StreamEnd) { Self->gone(); });
+  wait(S->Options.IdleTimeout + IdleSlack, ResultCode::Ok);
+}
+
+void Connection::wait(Duration D, ResultCode OnTimeout) {
+  S->Timers.cancel(Timer);
+  Timer = S->Timers.after(D, [Weak = weak_from_this(), OnTimeout] {
+    if (auto Self = Weak.lock())
+      Self->timedOut(OnTimeout);
+  });
+}
+
+void Connection::timedOut(ResultCode Code) {
+  Timer = 0;
+  if (Code == ResultCode::Ok || Draining)
+    closeNow();
+  else
+    refuse(Code, "send the whole request within the time limit");
+}
+
+void Connection::data(std::string_view Bytes) {
+  if (Draining)
+    return;
+  if (!Current) {
+    parse(Bytes);
+    return;
+  }
+  Ahead.append(Bytes);
+  if (Ahead.size() > MaxAheadBytes)
+    gone();
+}
+
+void Connection::parse(std::string_view Bytes) {
+  ReadState Before = Reader.state();
+  std::size_t Used = Reader.feed(Bytes);
+  switch (Reader.state()) {
+  case ReadState::Whole:
+    Ahead.assign(Bytes.substr(Used));
+    handle();
+    return;
+  case ReadState::Malformed:
+    refuse(ResultCode::MalformedHttp,
+           "the bytes do not form an HTTP/1.1 request");
+    return;
+  case ReadState::HeadersTooLarge:
+    refuse(ResultCode::HeaderTooLarge, "send fewer or shorter header fields");
+    return;
+  case ReadState::BodyTooLarge:
+    refuse(ResultCode::BodyTooLarge, "send a smaller body");
+    return;
+  case ReadState::Headers:
+    if (Before == ReadState::Waiting)
+      wait(S->Options.HeaderTimeout, ResultCode::HalfRequest);
+    return;
+  case ReadState::Body:
+    wait(S->Options.IdleTimeout, ResultCode::HalfRequest);
+    if (!SawContinue &&
+        !headerValue(Reader.soFar().Headers, "Expect").empty()) {
+      SawContinue = true;
+      Socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return;
+  case ReadState::Waiting:
+    return;
+  }
+}
+
+void Connection::handle() {
+  S->Timers.cancel(Timer);
+  SawContinue = false;
+  Message M = Reader.take();
+  Reader.setLimits(limitsOf(S->Options));
+  CloseBehind = !M.KeepAlive;
+  CallerRequest R;
+  R.Method = std::move(M.Method);
+  R.Target = std::move(M.Target);
+  R.Headers = std::move(M.Headers);
+  R.Body = std::move(M.Body);
+  R.Arrived = S->Timers.now();
+  Current = std::make_shared<Turn>(std::move(R), shared_from_this(), S);
+  S->OnRequest(Current);
+}
+
+void Connection::answer(const CallerReply &Reply) {
+  bool Close = Reply.Close || CloseBehind || S->Closing;
+  bool ToHead = Current && Current->request().Method == "HEAD";
+  Current = nullptr;
+  Socket->write(
+      replyText(Reply.Status, Reply.Headers, Reply.Body, Close, !ToHead));
+  wait(WriteTimeout, ResultCode::Ok);
+  auto Self = shared_from_this();
+  Socket->whenSent([Self, Close] { Self->afterReply(Close); });
+}
+
+void Connection::afterReply(bool Close) {
+  if (!Socket->open())
+    return;
+  if (Close) {
+    Draining = true;
+    Socket->closeSending();
+    wait(LingerTime, ResultCode::Ok);
+    return;
+  }
+  wait(S->Options.IdleTimeout + IdleSlack, ResultCode::Ok);
+  if (Ahead.empty())
+    return;
+  // Not from within the handler of the request before.
+  asio::post(S->Loop.context(), [Self = shared_from_this()] {
+    if (Self->Current || !Self->Socket->open())
+      return;
+    std::string Bytes = std::exchange(Self->Ahead, {});
+    Self->parse(Bytes);
+  });
+}
+
+void Connection::refuse(ResultCode Code, std::string_view Detail) {
+  answer(ownReply(Code, Detail));
+}
+
+void Connection::gone() {
+  auto Self = shared_from_this();
+  closeNow();
+  if (auto T = std::exchange(Current, nullptr))
+    T->callerGone();
+}
+
+void Connection::closeNow() {
+  S->Timers.cancel(Timer);
+  Socket->close();
+  S->Open.erase(shared_from_this());
+}
+
+} // namespace
+
+void CallerServer::Impl::listen(const Endpoint &At) {
+  asio::ip::tcp::endpoint Local(asio::ip::make_address(At.Ip), At.Port);
+  Acceptor.open(Local.protocol());
+  Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.bind(Local);
+  Acceptor.listen(ListenBacklog);
+  accept();
+}
+
+void CallerServer::Impl::accept() {
+  Acceptor.async_accept([Weak = weak_from_this()](const asio::error_code &E,
+                                                  asio::ip::tcp::socket Sock) {
+    auto Self = Weak.lock();
+    if (!Self || E == asio::error::operation_aborted)
+      return;
+    // Above the limit the connection is closed at once: a caller that is not
+    // read tries another daemon.
+    if (!E && Self->Open.size() < Self->Options.MaxConnections) {
+      auto C = std::make_shared<Connection>(Self, std::move(Sock));
+      Self->Open.insert(C);
+      C->start();
+    }
+    if (Self->Acceptor.is_open() && !Self->Stopping)
+      Self->accept();
+  });
+}
+
+/// Callers whose connections the kernel has already taken believe that they are
+/// connected: closing the listening socket now would reset them.
+void CallerServer::Impl::acceptRest(int TurnsLeft) {
+  pollfd Queue{Acceptor.native_handle(), POLLIN, 0};
+  if (TurnsLeft == 0 || ::poll(&Queue, 1, 0) <= 0) {
+    Stopping = true;
+    asio::error_code Ignored;
+    Acceptor.close(Ignored);
+    return;
+  }
+  asio::post(Loop.context(), [Weak = weak_from_this(), TurnsLeft] {
+    if (auto Self = Weak.lock())
+      Self->acceptRest(TurnsLeft - 1);
+  });
+}
+
+Result<std::unique_ptr<CallerServer>>
+CallerServer::open(EventLoop &Loop, TimerQueue &Timers, const Endpoint &At,
+                   CallerServerOptions Options, Handler OnRequest) {
+  auto I = std::make_shared<Impl>(Loop, Timers, Options, std::move(OnRequest));
+  try {
+    I->listen(At);
+  } catch (const std::exception &Failed) {
+    return fail(ResultCode::AddressInUse,
+                "cannot listen on " + At.str() + ": " + Failed.what());
+  }
+  return std::unique_ptr<CallerServer>(new CallerServer(std::move(I)));
+}
+
+CallerServer::~CallerServer() {
+  asio::error_code Ignored;
+  I->Stopping = true;
+  I->Acceptor.close(Ignored);
+  auto Open = I->Open;
+  for (const ConnectionPtr &C : Open)
+    C->gone();
+}
+
+void CallerServer::setOptions(CallerServerOptions Options) {
+  I->Options = Options;
+}
+
+void CallerServer::closeAfterReply() { I->Closing = true; }
+
+void CallerServer::stopAccepting() {
+  if (I->Acceptor.is_open())
+    I->acceptRest(MostAcceptTurns);
+}
+
+std::size_t CallerServer::closeIdle() {
+  auto Open = I->Open;
+  for (const ConnectionPtr &C : Open)
+    if (C->idle())
+      C->closeNow();
+  return I->Open.size();
+}
+
+std::size_t CallerServer::connections() const { return I->Open.size(); }
+
+std::size_t CallerServer::inFlight() const { return I->InFlight; }
+
+} // namespace shallot
--- /dev/null
+++ b/packages/http1/UpstreamPool.h
@@ -0,0 +1,96 @@
+//===- UpstreamPool.h - Kept connections to replicas ------------*- C++ -*-===//
+//
+// Sends one request on one connection at a time and says exactly how it ended:
+//
+//   NotSent   no byte left this process
+//   Lost      bytes left and no whole reply came; the request may have run
+//   Answered  a whole reply came, and it names this request
+//
+// It never sends anything again by itself. What comes on a connection that
+// waits for nothing (a second reply, bytes behind a reply) belongs to no
+// request: the connection is closed and the bytes are dropped.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_HTTP1_UPSTREAMPOOL_H
+#define SHALLOTSHIFT_HTTP1_UPSTREAMPOOL_H
+
+#include "http1/TimerQueue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace shallot {
+
+/// A request's bytes, and how to recognise its reply.
+struct UpstreamRequest {
+  Endpoint To;
+  std::string Bytes;
+  bool ToHead = false; ///< The method is HEAD: the reply has no body.
+  /// Header that a reply repeats, and the value that it must have then.
+  std::string EchoName;
+  std::string EchoValue;
+  /// A kept connection is used only if something came on it this lately. The
+  /// other end may close an idle one at any moment, and a request that crosses
+  /// the close may or may not have run.
+  Duration MostIdle = Seconds(60);
+};
+
+enum class CallEnd : std::uint8_t { NotSent, Lost, Answered };
+
+struct UpstreamReply {
+  CallEnd How = CallEnd::Lost;
+  int Status = 0;
+  HttpHeaders Headers;
+  std::string Body;
+  std::string_view Why; ///< For logs: "reset", "closed early", "bad bytes", ..
+};
+
+struct UpstreamPoolOptions {
+  Duration ConnectTimeout = Millis(250);
+  std::size_t MaxReplyBytes = 16 << 20;
+  /// Idle connections that are kept over all replicas.
+  std::size_t MaxIdle = 1500;
+
+  friend bool operator==(const UpstreamPoolOptions &,
+                         const UpstreamPoolOptions &) = default;
+};
+
+struct UpstreamPoolCounters {
+  std::uint64_t Opened = 0;
+  std::uint64_t Reused = 0;
+  std::uint64_t Stray = 0; ///< Bytes that belonged to no request.
+};
+
+class UpstreamPool {
+public:
+  using Callback = std::function<void(UpstreamReply)>;
+  using CallId = std::uint64_t;
+
+  UpstreamPool(EventLoop &Loop, TimerQueue &Timers, UpstreamPoolOptions O);
+  ~UpstreamPool();
+  UpstreamPool(const UpstreamPool &) = delete;
+  UpstreamPool &operator=(const UpstreamPool &) = delete;
+
+  /// \p Done is called once, never before this returns, unless the call is
+  /// dropped.
+  CallId send(UpstreamRequest Request, Callback Done);
+  /// Nobody waits for it: its connection is closed, so that the replica stops.
+  void drop(CallId Id);
+  /// Opens a connection and keeps it if it works.
+  void tryConnect(const Endpoint &To, std::function<void(bool)> Done);
+  /// Closes every idle connection: after this process was suspended, or when
+  /// the paths may have forgotten them.
+  void closeIdle();
+  std::size_t idle() const;
+  const UpstreamPoolCounters &counters() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> I;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_HTTP1_UPSTREAMPOOL_H
--- a/packages/net/HttpTypes.h
+++ b/packages/net/HttpTypes.h
@@ -10,18 +10,6 @@
 
 namespace shallot {
 
-struct HttpHeader {
-  std::string Name;
-  std::string Value;
-
-  friend bool operator==(const HttpHeader &, const HttpHeader &) = default;
-};
-
-using HttpHeaders = std::vector<HttpHeader>;
-
-/// The value of header \p Name (any case), or an empty string.
-std::string_view headerValue(const HttpHeaders &Headers, std::string_view Name);
-
 /// Whether a library may send a request again by itself.
 enum class Repeat : std::uint8_t {
   Idempotent,
--- a/packages/net/TcpOptions.cpp
+++ b/packages/net/TcpOptions.cpp
@@ -5,7 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace shallot::internal {
+namespace shallot {
 
 namespace {
 
@@ -25,4 +25,4 @@
   setInt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UnackedMillis);
 }
 
-} // namespace shallot::internal
+} // namespace shallot
--- a/packages/net/TcpOptions.h
+++ b/packages/net/TcpOptions.h
@@ -4,13 +4,11 @@
 // nobody: both ends see an open connection on which nothing comes. The kernel
 // can notice, where it is asked to.
 //
-// This header is not for other packages.
-//
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_NET_TCPOPTIONS_H
 #define SHALLOTSHIFT_NET_TCPOPTIONS_H
 
-namespace shallot::internal {
+namespace shallot {
 
 /// Sends probes on a connection that is quiet for this long, in seconds.
 inline constexpr int KeepAliveIdleSeconds = 5;
@@ -25,6 +23,6 @@
 /// a middle box still acknowledges; there the transfer's own timeout decides.
 void noticeLostPeer(int Fd);
 
-} // namespace shallot::internal
+} // namespace shallot
 
 #endif // SHALLOTSHIFT_NET_TCPOPTIONS_H
--- a/packages/net/include/shallotshift/net.h
+++ b/packages/net/include/shallotshift/net.h
@@ -13,5 +13,6 @@
 #include "net/HttpServer.h"
 #include "net/HttpTypes.h"
 #include "net/Problem.h"
+#include "net/TcpOptions.h"
 
 #endif // SHALLOTSHIFT_NET_H
--- a/packages/platform/Backoff.cpp
+++ b/packages/store/Backoff.cpp
@@ -1,4 +1,4 @@
-#include "platform/Backoff.h"
+#include "store/Backoff.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/platform/Backoff.h
+++ b/packages/store/Backoff.h
@@ -6,8 +6,8 @@
 // rate that the last interval bounds.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_PLATFORM_BACKOFF_H
-#define SHALLOTSHIFT_PLATFORM_BACKOFF_H
+#ifndef SHALLOTSHIFT_STORE_BACKOFF_H
+#define SHALLOTSHIFT_STORE_BACKOFF_H
 
 #include "shallotshift/base.h"
 
@@ -33,4 +33,4 @@
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_PLATFORM_BACKOFF_H
+#endif // SHALLOTSHIFT_STORE_BACKOFF_H
--- a/packages/platform/ChangeRules.cpp
+++ b/packages/store/ChangeRules.cpp
@@ -1,4 +1,4 @@
-#include "platform/ChangeRules.h"
+#include "store/ChangeRules.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/packages/platform/ChangeWriter.h
+++ b/packages/store/ChangeWriter.h
@@ -18,12 +18,12 @@
 // the configuration is as before, and the same change can be made again.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_PLATFORM_CHANGEWRITER_H
-#define SHALLOTSHIFT_PLATFORM_CHANGEWRITER_H
+#ifndef SHALLOTSHIFT_STORE_CHANGEWRITER_H
+#define SHALLOTSHIFT_STORE_CHANGEWRITER_H
 
-#include "platform/Backoff.h"
-#include "platform/ChangeRules.h"
-#include "platform/ConfigReader.h"
+#include "store/Backoff.h"
+#include "store/ChangeRules.h"
+#include "store/ConfigReader.h"
 
 #include <deque>
 #include <fmt/format.h>
@@ -60,11 +60,11 @@
 
 namespace internal {
 
-template <PlatformStore Store, TimerSource Time>
+template <ObjectStore Store, TimerSource Time>
 class ChangeRun : public std::enable_shared_from_this<ChangeRun<Store, Time>> {
 public:
   ChangeRun(Store &S, Time &T, std::uint64_t Seed, ChangeLimits Limits,
-            ChangeRequest Request, PlatformCallback<ChangeOutcome> OnDone)
+            ChangeRequest Request, StoreCallback<ChangeOutcome> OnDone)
       : S(S), T(T), Rng(Seed), Limits(Limits), Request(std::move(Request)),
         OnDone(std::move(OnDone)),
         Wait(Limits.FirstBackoff, Limits.MostBackoff),
@@ -270,7 +270,7 @@
   Random Rng;
   ChangeLimits Limits;
   ChangeRequest Request;
-  PlatformCallback<ChangeOutcome> OnDone;
+  StoreCallback<ChangeOutcome> OnDone;
   Backoff Wait;
   Instant Deadline;
 
@@ -294,10 +294,9 @@
 /// Makes the change in \p S; store and clock must outlive it. Fails with what
 /// the edit and the checks say, LostRace, ChangeUnknown, or the store's error
 /// with the promise that nothing was applied.
-template <PlatformStore Store, TimerSource Time>
+template <ObjectStore Store, TimerSource Time>
 void writeChange(Store &S, Time &T, std::uint64_t Seed, ChangeLimits Limits,
-                 ChangeRequest Request,
-                 PlatformCallback<ChangeOutcome> OnDone) {
+                 ChangeRequest Request, StoreCallback<ChangeOutcome> OnDone) {
   std::make_shared<internal::ChangeRun<Store, Time>>(
       S, T, Seed, Limits, std::move(Request), std::move(OnDone))
       ->readHead();
@@ -305,4 +304,4 @@
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_PLATFORM_CHANGEWRITER_H
+#endif // SHALLOTSHIFT_STORE_CHANGEWRITER_H
--- a/packages/platform/ConfigReader.cpp
+++ b/packages/store/ConfigReader.cpp
@@ -1,4 +1,4 @@
-#include "platform/ConfigReader.h"
+#include "store/ConfigReader.h"
 
 #include <fmt/format.h>
 #include <set>
--- a/packages/platform/ConfigReader.h
+++ b/packages/store/ConfigReader.h
@@ -6,11 +6,11 @@
 // exchanged one is never taken in.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_PLATFORM_CONFIGREADER_H
-#define SHALLOTSHIFT_PLATFORM_CONFIGREADER_H
+#ifndef SHALLOTSHIFT_STORE_CONFIGREADER_H
+#define SHALLOTSHIFT_STORE_CONFIGREADER_H
 
-#include "platform/PlatformStore.h"
 #include "shallotshift/model.h"
+#include "store/ObjectStore.h"
 
 #include <map>
 #include <memory>
@@ -59,11 +59,11 @@
 
 namespace internal {
 
-template <PlatformStore Store>
+template <ObjectStore Store>
 class ConfigRead : public std::enable_shared_from_this<ConfigRead<Store>> {
 public:
   ConfigRead(Store &S, ConfigPtr Known, std::shared_ptr<BlobCache> Cache,
-             PlatformCallback<StoredConfig> OnDone)
+             StoreCallback<StoredConfig> OnDone)
       : S(S), Known(std::move(Known)), Cache(std::move(Cache)),
         OnDone(std::move(OnDone)) {}
 
@@ -143,7 +143,7 @@
   Store &S;
   ConfigPtr Known;
   std::shared_ptr<BlobCache> Cache;
-  PlatformCallback<StoredConfig> OnDone;
+  StoreCallback<StoredConfig> OnDone;
   std::unique_ptr<ConfigAssembly> Assembly;
   std::uint64_t HeadVersion = 0;
   std::size_t Next = 0;
@@ -155,9 +155,9 @@
 /// Reads the configuration in \p S; the store must outlive the read. Fails with
 /// the store's errors, ContentMismatch and what decoding says; \p Cache then
 /// keeps what was read.
-template <PlatformStore Store>
+template <ObjectStore Store>
 void readConfig(
-    Store &S, ConfigPtr Known, PlatformCallback<StoredConfig> OnDone,
+    Store &S, ConfigPtr Known, StoreCallback<StoredConfig> OnDone,
     std::shared_ptr<BlobCache> Cache = std::make_shared<BlobCache>()) {
   std::make_shared<internal::ConfigRead<Store>>(
       S, std::move(Known), std::move(Cache), std::move(OnDone))
@@ -166,4 +166,4 @@
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_PLATFORM_CONFIGREADER_H
+#endif // SHALLOTSHIFT_STORE_CONFIGREADER_H
--- a/packages/platform/HostList.cpp
+++ b/packages/store/HostList.cpp
@@ -1,4 +1,4 @@
-#include "platform/HostList.h"
+#include "store/HostList.h"
 
 #include "shallotshift/model.h"
 
--- a/packages/platform/HostList.h
+++ b/packages/store/HostList.h
@@ -5,8 +5,8 @@
 // host is well.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_PLATFORM_HOSTLIST_H
-#define SHALLOTSHIFT_PLATFORM_HOSTLIST_H
+#ifndef SHALLOTSHIFT_STORE_HOSTLIST_H
+#define SHALLOTSHIFT_STORE_HOSTLIST_H
 
 #include "shallotshift/base.h"
 
@@ -53,4 +53,4 @@
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_PLATFORM_HOSTLIST_H
+#endif // SHALLOTSHIFT_STORE_HOSTLIST_H
--- /dev/null
+++ b/packages/store/KindWatch.h
@@ -0,0 +1,203 @@
+//===- KindWatch.h - All objects of a kind, as they change ------*- C++ -*-===//
+//
+// Lists the objects of one kind and then watches them. What it promises to its
+// owner, whatever the store does:
+//
+//   - an object never goes back to an older revision;
+//   - nothing is missed: after a lost reply or a cut watch it watches on from
+//     the last revision that it has seen, and lists anew when the store has
+//     forgotten that history;
+//   - a list of several pages that changes between the pages is made whole by
+//     watching from the revision of the first page;
+//   - the owner is told when the store stops and begins to answer, because the
+//     absence of an object means less right after an outage.
+//
+//   KindWatch<Client, EventLoop> W(Client, Loop, "replicas", Options, Rng, {
+//       .All = [](std::vector<KindObject> Now) { ... },
+//       .Changed = [](const KindChange &C) { ... }});
+//   W.start();
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_STORE_KINDWATCH_H
+#define SHALLOTSHIFT_STORE_KINDWATCH_H
+
+#include "store/Backoff.h"
+#include "store/ObjectStore.h"
+
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace shallot {
+
+struct KindWatchOptions {
+  /// One watch call waits this long for a change. The call also shows that the
+  /// store still answers: a connection that fell silent is noticed after it.
+  Duration Wait = Seconds(6);
+  /// Waits after a failure. Each call is paid for, also in an outage.
+  Duration FirstBackoff = Millis(150);
+  Duration MostBackoff = Millis(900);
+  /// Changes that come in a row are taken together.
+  Duration Pause = Millis(30);
+
+  friend bool operator==(const KindWatchOptions &,
+                         const KindWatchOptions &) = default;
+};
+
+struct KindWatchHooks {
+  /// Everything there is. Called after each list.
+  std::function<void(std::vector<KindObject>)> All;
+  std::function<void(const KindChange &)> Changed;
+  /// The store stopped answering us; why.
+  std::function<void(const Error &)> Away;
+  /// It answers again.
+  std::function<void()> Back;
+};
+
+template <KindStore Store, TimerSource Time> class KindWatch {
+public:
+  KindWatch(Store &S, Time &T, std::string Kind, KindWatchOptions O,
+            Random &Rng, KindWatchHooks H)
+      : S(S), T(T), Kind(std::move(Kind)), Options(O), Rng(Rng),
+        Hooks(std::move(H)), Wait(O.FirstBackoff, O.MostBackoff) {}
+  KindWatch(const KindWatch &) = delete;
+  KindWatch &operator=(const KindWatch &) = delete;
+
+  void start() { list(); }
+  /// True once a whole list has been seen.
+  bool listed() const { return Listed; }
+  /// False from a failed call to the next one that works.
+  bool storeAnswers() const { return !Failing; }
+  std::uint64_t revision() const { return Revision; }
+  /// When the store last answered a call.
+  Instant heardAt() const { return HeardAt; }
+
+private:
+  /// Objects that were removed and are remembered, so that an older state of
+  /// them is known as old. A reply that late is longer gone.
+  static constexpr std::size_t MaxRemembered = 20000;
+
+  template <typename F> auto guarded(F Fn) {
+    return [Weak = std::weak_ptr(Alive), Fn = std::move(Fn)](auto &&...Args) {
+      if (!Weak.expired())
+        Fn(std::forward<decltype(Args)>(Args)...);
+    };
+  }
+
+  void list() {
+    Pages.clear();
+    FirstPage = true;
+    nextPage({});
+  }
+
+  void nextPage(const std::string &After) {
+    S.list(Kind, After, guarded([this](Attempt<KindPage> Page) {
+             if (!Page)
+               return failed(Page.error(), [this] { list(); });
+             answered();
+             takePage(std::move(*Page));
+           }));
+  }
+
+  void takePage(KindPage Page) {
+    if (std::exchange(FirstPage, false))
+      ListRevision = Page.Revision;
+    std::string Last;
+    for (KindObject &O : Page.Objects) {
+      Last = O.Name;
+      Pages.push_back(std::move(O));
+    }
+    if (Page.More && !Last.empty()) {
+      nextPage(Last);
+      return;
+    }
+    takeList();
+  }
+
+  void takeList() {
+    // A store that is behind itself would take everything back.
+    if (ListRevision < Revision) {
+      again([this] { list(); });
+      return;
+    }
+    Revision = ListRevision;
+    Seen.clear();
+    for (const KindObject &O : Pages)
+      Seen[O.Name] = O.Revision;
+    Listed = true;
+    Hooks.All(std::exchange(Pages, {}));
+    watch();
+  }
+
+  void watch() {
+    S.watchKind(Kind, Revision, Options.Wait,
+                guarded([this](Attempt<KindChanges> Got) {
+                  if (!Got) {
+                    if (Got.error().Code == ResultCode::PlatformHistoryGone) {
+                      answered();
+                      return list();
+                    }
+                    return failed(Got.error(), [this] { watch(); });
+                  }
+                  answered();
+                  takeChanges(*Got);
+                }));
+  }
+
+  void takeChanges(const KindChanges &Got) {
+    for (const KindChange &C : Got.Changes)
+      take(C);
+    Revision = std::max(Revision, Got.Revision);
+    if (Got.Changes.empty())
+      return watch();
+    T.after(Options.Pause, guarded([this] { watch(); }));
+  }
+
+  void take(const KindChange &C) {
+    std::uint64_t &Known = Seen[C.Object.Name];
+    if (C.Object.Revision < Known)
+      return;
+    Known = C.Object.Revision;
+    if (Seen.size() > MaxRemembered)
+      Seen.clear();
+    Hooks.Changed(C);
+  }
+
+  void answered() {
+    HeardAt = T.now();
+    Wait.reset();
+    if (std::exchange(Failing, false))
+      Hooks.Back();
+  }
+
+  template <typename F> void failed(const Error &Why, F Next) {
+    if (!std::exchange(Failing, true))
+      Hooks.Away(Why);
+    again(std::move(Next));
+  }
+
+  template <typename F> void again(F Next) {
+    T.after(Wait.next(Rng), guarded(std::move(Next)));
+  }
+
+  Store &S;
+  Time &T;
+  std::string Kind;
+  KindWatchOptions Options;
+  Random &Rng;
+  KindWatchHooks Hooks;
+  Backoff Wait;
+  std::vector<KindObject> Pages;
+  bool FirstPage = true;
+  std::uint64_t ListRevision = 0;
+  std::uint64_t Revision = 0;
+  std::map<std::string, std::uint64_t> Seen;
+  bool Listed = false;
+  bool Failing = false;
+  Instant HeardAt{};
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_STORE_KINDWATCH_H
--- a/packages/platform/PlatformStore.h
+++ b/packages/store/ObjectStore.h
@@ -1,6 +1,6 @@
-//===- PlatformStore.h - What the platform's store offers -------*- C++ -*-===//
+//===- ObjectStore.h - What the platform's store offers -------*- C++ -*-===//
 //
-// Versioned objects with conditional updates. PlatformClient is the store over
+// Versioned objects with conditional updates. StoreClient is the store over
 // HTTP; tests pass a fake. Callbacks are called exactly once and never before
 // the call that asked for them has returned.
 //
@@ -9,16 +9,18 @@
 // have been done, or may yet be; read the object to find out.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_PLATFORM_PLATFORMSTORE_H
-#define SHALLOTSHIFT_PLATFORM_PLATFORMSTORE_H
+#ifndef SHALLOTSHIFT_STORE_OBJECTSTORE_H
+#define SHALLOTSHIFT_STORE_OBJECTSTORE_H
 
 #include "shallotshift/base.h"
 
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace shallot {
 
@@ -49,20 +51,58 @@
   std::optional<std::uint64_t> Version;
 };
 
-template <typename T> using PlatformCallback = std::function<void(Attempt<T>)>;
+template <typename T> using StoreCallback = std::function<void(Attempt<T>)>;
 
 /// A store: read() gives the object, write() its new version.
 template <typename S>
-concept PlatformStore = requires(S &Store, std::string Path, std::string Value,
-                                 Precondition If,
-                                 PlatformCallback<StoredObject> OnRead,
-                                 PlatformCallback<std::uint64_t> OnWrite,
-                                 PlatformCallback<Done> OnRemove) {
+concept ObjectStore = requires(S &Store, std::string Path, std::string Value,
+                               Precondition If,
+                               StoreCallback<StoredObject> OnRead,
+                               StoreCallback<std::uint64_t> OnWrite,
+                               StoreCallback<Done> OnRemove) {
   Store.read(Path, OnRead);
   Store.write(Path, Value, If, OnWrite);
   Store.remove(Path, If, OnRemove);
 };
 
+/// One object of a kind, as a list or a watch shows it.
+struct KindObject {
+  std::string Name;
+  std::uint64_t Revision = 0; ///< Of its last change; grows over the store.
+  nlohmann::json Content;
+
+  friend bool operator==(const KindObject &, const KindObject &) = default;
+};
+
+/// A part of the objects of a kind, by name.
+struct KindPage {
+  std::vector<KindObject> Objects;
+  bool More = false;          ///< Ask again, after the last one's name.
+  std::uint64_t Revision = 0; ///< The store's, when the page was made.
+};
+
+struct KindChange {
+  KindObject Object;
+  bool Removed = false;
+};
+
+/// What changed after a revision; empty when the wait ran out.
+struct KindChanges {
+  std::vector<KindChange> Changes;
+  std::uint64_t Revision = 0; ///< To watch on from.
+};
+
+/// A store whose objects have kinds that can be listed and watched. A watch
+/// fails with PlatformHistoryGone when its revision is too old.
+template <typename S>
+concept KindStore = requires(S &Store, std::string Kind, std::string After,
+                             std::uint64_t Revision, Duration Wait,
+                             StoreCallback<KindPage> OnPage,
+                             StoreCallback<KindChanges> OnChanges) {
+  Store.list(Kind, After, OnPage);
+  Store.watchKind(Kind, Revision, Wait, OnChanges);
+};
+
 /// A clock with timers, such as EventLoop.
 template <typename T>
 concept TimerSource = requires(T &Time, Duration D, std::function<void()> Fn) {
@@ -85,4 +125,4 @@
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_PLATFORM_PLATFORMSTORE_H
+#endif // SHALLOTSHIFT_STORE_OBJECTSTORE_H
--- a/packages/platform/PlatformClient.cpp
+++ b/packages/store/StoreClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/PlatformClient.h"
+#include "store/StoreClient.h"
 
 #include "shallotshift/model.h"
 
@@ -98,8 +98,8 @@
 
 } // namespace
 
-struct PlatformClient::Impl : std::enable_shared_from_this<Impl> {
-  Impl(EventLoop &Loop, HttpClient &Http, PlatformSettings Settings)
+struct StoreClient::Impl : std::enable_shared_from_this<Impl> {
+  Impl(EventLoop &Loop, HttpClient &Http, StoreSettings Settings)
       : Loop(Loop), Http(Http), Settings(std::move(Settings)) {}
 
   CallId start(Call C) {
@@ -243,34 +243,32 @@
 
   EventLoop &Loop;
   HttpClient &Http;
-  PlatformSettings Settings;
-  PlatformCounters Counters;
+  StoreSettings Settings;
+  StoreCounters Counters;
   std::map<CallId, Call> Calls;
   std::size_t WatchCount = 0;
   std::size_t Current = 0; ///< The endpoint in use.
   CallId LastId = 0;
 };
 
-PlatformClient::PlatformClient(std::shared_ptr<Impl> I) : I(std::move(I)) {}
+StoreClient::StoreClient(std::shared_ptr<Impl> I) : I(std::move(I)) {}
 
-Result<std::unique_ptr<PlatformClient>>
-PlatformClient::make(EventLoop &Loop, HttpClient &Http,
-                     PlatformSettings Settings) {
+Result<std::unique_ptr<StoreClient>>
+StoreClient::make(EventLoop &Loop, HttpClient &Http, StoreSettings Settings) {
   if (Settings.Endpoints.empty())
     return fail(ResultCode::SettingsInvalid,
                 "the platform has no endpoint, needed is at least one");
-  return std::unique_ptr<PlatformClient>(new PlatformClient(
-      std::make_shared<Impl>(Loop, Http, std::move(Settings))));
+  return std::unique_ptr<StoreClient>(
+      new StoreClient(std::make_shared<Impl>(Loop, Http, std::move(Settings))));
 }
 
-PlatformClient::~PlatformClient() {
+StoreClient::~StoreClient() {
   for (const auto &[Id, C] : I->Calls)
     I->Http.cancel(C.Transfer);
 }
 
-PlatformClient::CallId
-PlatformClient::read(const std::string &Path,
-                     PlatformCallback<StoredObject> OnDone) {
+StoreClient::CallId StoreClient::read(const std::string &Path,
+                                      StoreCallback<StoredObject> OnDone) {
   Call C = I->prepare(CallKind::Read, "GET", "/objects/" + Path);
   C.OnDone = [OnDone = std::move(OnDone)](Attempt<HttpReply> Reply) {
     if (!Reply)
@@ -280,9 +278,9 @@
   return I->start(std::move(C));
 }
 
-PlatformClient::CallId
-PlatformClient::write(const std::string &Path, std::string Value,
-                      Precondition If, PlatformCallback<std::uint64_t> OnDone) {
+StoreClient::CallId StoreClient::write(const std::string &Path,
+                                       std::string Value, Precondition If,
+                                       StoreCallback<std::uint64_t> OnDone) {
   Call C = I->prepare(CallKind::Write, "PUT", "/objects/" + Path);
   C.Request.Headers = conditionHeaders(If);
   C.Request.Body = std::move(Value);
@@ -303,9 +301,9 @@
   return ++I->LastId;
 }
 
-PlatformClient::CallId PlatformClient::remove(const std::string &Path,
-                                              Precondition If,
-                                              PlatformCallback<Done> OnDone) {
+StoreClient::CallId StoreClient::remove(const std::string &Path,
+                                        Precondition If,
+                                        StoreCallback<Done> OnDone) {
   Call C = I->prepare(CallKind::Remove, "DELETE", "/objects/" + Path);
   C.Request.Headers = conditionHeaders(If);
   C.OnDone = [OnDone = std::move(OnDone)](const Attempt<HttpReply> &Reply) {
@@ -316,10 +314,9 @@
   return I->start(std::move(C));
 }
 
-PlatformClient::CallId
-PlatformClient::watch(const std::string &Path, std::uint64_t After,
-                      Duration Wait,
-                      PlatformCallback<std::optional<StoredObject>> OnDone) {
+StoreClient::CallId
+StoreClient::watch(const std::string &Path, std::uint64_t After, Duration Wait,
+                   StoreCallback<std::optional<StoredObject>> OnDone) {
   Call C = I->prepareWatch(CallKind::Watch, "/objects/" + Path, After, Wait);
   C.OnDone = [After, OnDone = std::move(OnDone)](Attempt<HttpReply> Reply) {
     if (!Reply)
@@ -337,9 +334,9 @@
   return I->start(std::move(C));
 }
 
-PlatformClient::CallId
-PlatformClient::hosts(std::uint64_t After, Duration Wait,
-                      PlatformCallback<std::optional<HostList>> OnDone) {
+StoreClient::CallId
+StoreClient::hosts(std::uint64_t After, Duration Wait,
+                   StoreCallback<std::optional<HostList>> OnDone) {
   Call C = I->prepareWatch(CallKind::Hosts, "/hosts", After, Wait);
   C.OnDone = [After,
               OnDone = std::move(OnDone)](const Attempt<HttpReply> &Reply) {
@@ -357,7 +354,7 @@
   return I->start(std::move(C));
 }
 
-void PlatformClient::cancel(CallId Id) {
+void StoreClient::cancel(CallId Id) {
   auto It = I->Calls.find(Id);
   if (It == I->Calls.end())
     return;
@@ -367,8 +364,8 @@
   I->Calls.erase(It);
 }
 
-const PlatformCounters &PlatformClient::counters() const { return I->Counters; }
+const StoreCounters &StoreClient::counters() const { return I->Counters; }
 
-std::size_t PlatformClient::inFlight() const { return I->Calls.size(); }
+std::size_t StoreClient::inFlight() const { return I->Calls.size(); }
 
 } // namespace shallot
--- a/packages/platform/PlatformClient.h
+++ b/packages/store/StoreClient.h
@@ -1,4 +1,4 @@
-//===- PlatformClient.h - The platform over HTTP ----------------*- C++ -*-===//
+//===- StoreClient.h - The platform over HTTP ----------------*- C++ -*-===//
 //
 // The platform's object service and host list. Its endpoints are tried in turn
 // and the one that last worked is kept. A read goes on to the next endpoint
@@ -9,19 +9,19 @@
 // what the call is worth.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_PLATFORM_PLATFORMCLIENT_H
-#define SHALLOTSHIFT_PLATFORM_PLATFORMCLIENT_H
+#ifndef SHALLOTSHIFT_STORE_STORECLIENT_H
+#define SHALLOTSHIFT_STORE_STORECLIENT_H
 
-#include "platform/HostList.h"
-#include "platform/PlatformStore.h"
 #include "shallotshift/net.h"
+#include "store/HostList.h"
+#include "store/ObjectStore.h"
 
 #include <memory>
 #include <vector>
 
 namespace shallot {
 
-struct PlatformSettings {
+struct StoreSettings {
   /// Endpoints of the service, the preferred ones first. At least one.
   std::vector<Endpoint> Endpoints;
   /// One try of one call. The service answers in milliseconds; a second is an
@@ -36,7 +36,7 @@
 };
 
 /// What was sent, by kind; each try counts, as it does in the platform.
-struct PlatformCounters {
+struct StoreCounters {
   std::uint64_t Reads = 0;
   std::uint64_t Writes = 0;
   std::uint64_t Removes = 0;
@@ -49,53 +49,53 @@
   std::uint64_t sent() const {
     return Reads + Writes + Removes + Watches + HostReads;
   }
-  friend bool operator==(const PlatformCounters &,
-                         const PlatformCounters &) = default;
+  friend bool operator==(const StoreCounters &,
+                         const StoreCounters &) = default;
 };
 
-class PlatformClient {
+class StoreClient {
 public:
   using CallId = std::uint64_t;
 
   /// Fails with SettingsInvalid when there is no endpoint. \p Loop and \p Http
   /// must outlive the client.
-  static Result<std::unique_ptr<PlatformClient>>
-  make(EventLoop &Loop, HttpClient &Http, PlatformSettings Settings);
+  static Result<std::unique_ptr<StoreClient>>
+  make(EventLoop &Loop, HttpClient &Http, StoreSettings Settings);
   /// Drops what is in flight; no callback is called any more.
-  ~PlatformClient();
-  PlatformClient(const PlatformClient &) = delete;
-  PlatformClient &operator=(const PlatformClient &) = delete;
+  ~StoreClient();
+  StoreClient(const StoreClient &) = delete;
+  StoreClient &operator=(const StoreClient &) = delete;
 
-  CallId read(const std::string &Path, PlatformCallback<StoredObject> OnDone);
+  CallId read(const std::string &Path, StoreCallback<StoredObject> OnDone);
   /// Gives the new version.
   CallId write(const std::string &Path, std::string Value, Precondition If,
-               PlatformCallback<std::uint64_t> OnDone);
+               StoreCallback<std::uint64_t> OnDone);
   CallId remove(const std::string &Path, Precondition If,
-                PlatformCallback<Done> OnDone);
+                StoreCallback<Done> OnDone);
   /// Waits up to \p Wait for a version above \p After; nothing: there was none.
   /// With \p After 0 an absent object is waited for; with another it was
   /// removed, which is PlatformNotFound at once.
   CallId watch(const std::string &Path, std::uint64_t After, Duration Wait,
-               PlatformCallback<std::optional<StoredObject>> OnDone);
+               StoreCallback<std::optional<StoredObject>> OnDone);
   /// The hosts, once their version is above \p After; nothing: it was not.
   CallId hosts(std::uint64_t After, Duration Wait,
-               PlatformCallback<std::optional<HostList>> OnDone);
+               StoreCallback<std::optional<HostList>> OnDone);
 
   /// Drops a call; its callback will not be called. A write may have taken
   /// effect.
   void cancel(CallId Id);
 
-  const PlatformCounters &counters() const;
+  const StoreCounters &counters() const;
   std::size_t inFlight() const;
 
 private:
   struct Impl;
-  explicit PlatformClient(std::shared_ptr<Impl> I);
+  explicit StoreClient(std::shared_ptr<Impl> I);
   std::shared_ptr<Impl> I;
 };
 
-static_assert(PlatformStore<PlatformClient>);
+static_assert(ObjectStore<StoreClient>);
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_PLATFORM_PLATFORMCLIENT_H
+#endif // SHALLOTSHIFT_STORE_STORECLIENT_H
--- a/packages/daemon/Main.cpp
+++ b/programs/ShallotshiftdMain.cpp
@@ -1,6 +1,8 @@
 // The program shallotshiftd: reads its options and settings, then serves until
 // it is told to stop.
 #include "shallotshift/daemon.h"
+#include "shallotshift/front.h"
+#include "shallotshift/platform.h"
 
 #include <cstdio>
 #include <fmt/core.h>
@@ -15,6 +17,14 @@
   return infoOf(E.Code).ExitCode;
 }
 
+int checkFront(const std::string &Path) {
+  auto Set = attempt([&] { return FrontSettings::load(Path); });
+  if (!Set)
+    return failWith(Set.error());
+  fmt::print("{}: the settings of {} are good\n", Path, Set->Host.str());
+  return 0;
+}
+
 int serve(const Settings &Set) {
   setLogLevel(Set.Level);
   setLogHost(Set.Host.str());
@@ -44,6 +54,10 @@
     fmt::print("shallotshiftd {}\n", SHALLOT_VERSION);
     return 0;
   }
+  if (O->What == Options::Action::Front)
+    return servePlatform(O->SettingsPath);
+  if (O->What == Options::Action::CheckFront)
+    return checkFront(O->SettingsPath);
   auto Set = attempt([&] { return Settings::load(O->SettingsPath); });
   if (!Set)
     return failWith(Set.error());
--- a/tests/ChangeFixture.h
+++ b/tests/ChangeFixture.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "ConfigFixture.h"
-#include "FakePlatformStore.h"
+#include "FakeObjectStore.h"
 
 namespace shallot::test {
 
@@ -38,7 +38,7 @@
 
 /// A store that holds generation 1.
 struct Configured {
-  FakePlatformStore Store;
+  FakeObjectStore Store;
 
   Configured() {
     ChangeRequest R;
@@ -54,7 +54,7 @@
 };
 
 /// A script that lets the \p Nth head swap meet \p F.
-inline FakePlatformStore::Script onHeadSwap(Fault F, unsigned Nth = 1) {
+inline FakeObjectStore::Script onHeadSwap(Fault F, unsigned Nth = 1) {
   auto Seen = std::make_shared<unsigned>(0);
   return [F, Nth, Seen](const FakeCall &C) {
     bool Swap = C.IsWrite && C.Path == HeadPath;
--- a/tests/FakePlatformStore.h
+++ b/tests/FakeObjectStore.h
@@ -1,9 +1,9 @@
 // A store in memory with virtual time and scripted losses. A call takes a
 // millisecond each way; one whose request or reply is lost is reported as
-// PlatformDown after a second, as PlatformClient does.
+// PlatformDown after a second, as StoreClient does.
 #pragma once
 
-#include "shallotshift/platform.h"
+#include "shallotshift/store.h"
 
 #include <functional>
 #include <map>
@@ -27,7 +27,7 @@
   unsigned Number = 0; ///< Of the calls so far.
 };
 
-class FakePlatformStore {
+class FakeObjectStore {
 public:
   using Script = std::function<Fault(const FakeCall &)>;
 
@@ -52,7 +52,7 @@
   }
 
   void read(const std::string &Path,
-            const PlatformCallback<StoredObject> &OnDone) {
+            const StoreCallback<StoredObject> &OnDone) {
     Fault F = OnCall({false, Path, ++Calls});
     if (F == Fault::LostRequest || F == Fault::LostReply || F == Fault::Late)
       return failLater(OnDone, ResultCode::PlatformDown, Timeout);
@@ -69,7 +69,7 @@
   }
 
   void write(const std::string &Path, const std::string &Value, Precondition If,
-             const PlatformCallback<std::uint64_t> &OnDone) {
+             const StoreCallback<std::uint64_t> &OnDone) {
     Fault F = OnCall({true, Path, ++Calls});
     if (F == Fault::LostRequest)
       return failLater(OnDone, ResultCode::PlatformDown, Timeout);
@@ -89,7 +89,7 @@
   }
 
   void remove(const std::string &Path, Precondition,
-              const PlatformCallback<Done> &OnDone) {
+              const StoreCallback<Done> &OnDone) {
     Objects.erase(Path);
     after(Way, [OnDone] { OnDone(Done{}); });
   }
@@ -110,7 +110,7 @@
   }
 
   template <typename T>
-  void failLater(PlatformCallback<T> OnDone, ResultCode Code, Duration D) {
+  void failLater(StoreCallback<T> OnDone, ResultCode Code, Duration D) {
     after(D, [OnDone, Code] { OnDone(Error{Code, "the fake store"}); });
   }
 
@@ -131,13 +131,13 @@
   std::uint64_t LastVersion = 0;
 };
 
-static_assert(PlatformStore<FakePlatformStore>);
-static_assert(TimerSource<FakePlatformStore>);
+static_assert(ObjectStore<FakeObjectStore>);
+static_assert(TimerSource<FakeObjectStore>);
 
 /// The outcome of one change, once its callback was called.
 using Ending = std::shared_ptr<std::optional<Attempt<ChangeOutcome>>>;
 
-inline Ending begin(FakePlatformStore &S, ChangeRequest Request,
+inline Ending begin(FakeObjectStore &S, ChangeRequest Request,
                     std::uint64_t Seed = 1) {
   auto End = std::make_shared<std::optional<Attempt<ChangeOutcome>>>();
   writeChange(S, S, Seed, {}, std::move(Request),
@@ -146,7 +146,7 @@
 }
 
 /// The configuration that the store holds, read without faults.
-inline ConfigPtr storedConfig(FakePlatformStore &S) {
+inline ConfigPtr storedConfig(FakeObjectStore &S) {
   auto Script =
       std::exchange(S.OnCall, [](const FakeCall &) { return Fault::None; });
   ConfigPtr Config;
--- a/tests/correctness/BackoffIsSpread.cpp
+++ b/tests/correctness/BackoffIsSpread.cpp
@@ -1,6 +1,6 @@
 // Waits grow, stay under their ceiling, and are spread, so that daemons which
 // lost the platform together do not come back together.
-#include "shallotshift/platform.h"
+#include "shallotshift/store.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/tests/error/HostListsAreRead.cpp
+++ b/tests/error/HostListsAreRead.cpp
@@ -1,6 +1,6 @@
 // The platform's host list is read leniently: one entry that makes no sense
 // must not hide the others, and what is no list at all is an error.
-#include "shallotshift/platform.h"
+#include "shallotshift/store.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/failure/ChangeSurvivesLostReplies.cpp
+++ b/tests/failure/ChangeSurvivesLostReplies.cpp
@@ -66,7 +66,7 @@
 }
 
 TEST_CASE("the first configuration of all survives a lost reply") {
-  FakePlatformStore Store;
+  FakeObjectStore Store;
   Store.OnCall = onHeadSwap(Fault::LostReply);
   auto End = begin(Store, applying("c1", {presetFields("ordinary")}));
   Store.run();
--- a/tests/failure/PlatformCallsFail.cpp
+++ b/tests/failure/StoreCallsFail.cpp
@@ -3,7 +3,7 @@
 // been done" after a lost write. A write is never sent twice by the client, and
 // an endpoint that fails is left for the next one.
 #include "NetFixture.h"
-#include "shallotshift/platform.h"
+#include "shallotshift/store.h"
 
 using namespace shallot;
 
@@ -43,12 +43,12 @@
     });
   }
 
-  std::unique_ptr<PlatformClient> client(std::vector<Endpoint> Endpoints) {
-    PlatformSettings S;
+  std::unique_ptr<StoreClient> client(std::vector<Endpoint> Endpoints) {
+    StoreSettings S;
     S.Endpoints = std::move(Endpoints);
     S.CallTimeout = Millis(200);
     S.MaxCallsInFlight = 2;
-    auto C = attempt([&] { return PlatformClient::make(Loop, Http, S); });
+    auto C = attempt([&] { return StoreClient::make(Loop, Http, S); });
     REQUIRE(C);
     return std::move(*C);
   }
@@ -58,14 +58,13 @@
     return *Got;
   }
 
-  Attempt<StoredObject> read(PlatformClient &C,
-                             const std::string &Path = "a/b") {
+  Attempt<StoredObject> read(StoreClient &C, const std::string &Path = "a/b") {
     std::optional<Attempt<StoredObject>> Got;
     C.read(Path, [&](const Attempt<StoredObject> &A) { Got = A; });
     return await(Got);
   }
 
-  Attempt<std::uint64_t> write(PlatformClient &C, Precondition If,
+  Attempt<std::uint64_t> write(StoreClient &C, Precondition If,
                                std::string Value = "v") {
     std::optional<Attempt<std::uint64_t>> Got;
     C.write("a/b", std::move(Value), If,
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -122,7 +122,7 @@
         self.start("upstreams", self.build / "standins/upstream-standin",
                    "--listen", UPSTREAMS, "--config", self.calm_upstreams())
         for n in range(1, 7):
-            self.start(f"entry-{n}", self.build / "packages/daemon/shallotshiftd",
+            self.start(f"entry-{n}", self.build / "programs/shallotshiftd",
                        "--settings", self.example(f"entry-{n}.json"))
         until("stand-ins", 10, lambda: call(PLATFORM, "GET", "/control/counters"))
         for entry in ENTRIES:
--- a/tests/platform.cmake
+++ b/tests/store.cmake
@@ -1,10 +1,10 @@
-shallot_test(platform_failure PACKAGES platform LABELS failure
+shallot_test(store_failure PACKAGES store LABELS failure
   SOURCES TestMain.cpp failure/ChangeSurvivesLostReplies.cpp
           failure/ChangesRace.cpp failure/ChangeMeetsOutage.cpp
-          failure/PlatformCallsFail.cpp)
-shallot_test(platform_correctness PACKAGES platform LABELS correctness
+          failure/StoreCallsFail.cpp)
+shallot_test(store_correctness PACKAGES store LABELS correctness
   SOURCES TestMain.cpp correctness/BackoffIsSpread.cpp)
-shallot_test(platform_error PACKAGES platform LABELS error
+shallot_test(store_error PACKAGES store LABELS error
   SOURCES TestMain.cpp error/HostListsAreRead.cpp)
 
 # Bytes are exact, so the full size judges in CI.
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -77,7 +77,7 @@
 start banlangd "$WORK/banlangd.log" "$BIN/standins/upstream-standin" \
   --listen $BANLANGD_UPSTREAMS --config examples/banlangd/upstreams.json
 for N in 1 2 3 4 5 6; do
-  start "entry-$N" "$WORK/entry-$N.log" "$BIN/packages/daemon/shallotshiftd" \
+  start "entry-$N" "$WORK/entry-$N.log" "$BIN/programs/shallotshiftd" \
     --settings "examples/both/entry-$N.json"
 done
 wait_for 10 "http://$PLATFORM/control/counters" || die "no platform stand-in"
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -159,7 +159,7 @@
                        lambda e=entry: call(e, "GET", "/livez")[0] == 200)
 
     def start_daemon(self, n):
-        self.spawn(f"entry-{n}", self.build / "packages/daemon/shallotshiftd",
+        self.spawn(f"entry-{n}", self.build / "programs/shallotshiftd",
                    "--settings", self.settings(n))
 
     def signal(self, n, what):
--- a/tutorial/lesson_06_fleet.sh
+++ b/tutorial/lesson_06_fleet.sh
@@ -66,7 +66,7 @@
     --listen "$NET.202:7400" --config "$(example banlangd/upstreams.json)"
   for N in 1 2 3 4 5 6; do
     start "entry-$N" "$WORK/log" \
-      "$SHALLOT_BUILD/packages/daemon/shallotshiftd" \
+      "$SHALLOT_BUILD/programs/shallotshiftd" \
       --settings "$(example "both/entry-$N.json")"
   done
   for N in 1 2 3 4 5 6; do
