front, store: one daemon a region watches the store, the others ask it

Change: KindCache keeps what a watch has seen, FeedServer passes it on in the store's revisions, FeedSources names whom to ask: the first of the region asks the store, the others ask it, then a second, another region's first, the store. A source without word from the store for 2.2 s is of no use and says so at once. Ruled out: gossiping the objects (a configuration is 10 KB and more, a datagram 1 KB); a longer wait at the store (a silent connection would hide a change for longer than it may take).

--- /dev/null
+++ b/packages/front/FeedServer.h
@@ -0,0 +1,60 @@
+//===- FeedServer.h - Passes the store's words on to peers ------*- C++ -*-===//
+//
+// Answers peers from what this daemon has seen (KindCache). A watch waits for a
+// change, but no longer than this daemon itself has word from the store: one
+// that lost the store says so at once, so that its peers go elsewhere.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_FEEDSERVER_H
+#define SHALLOTSHIFT_FRONT_FEEDSERVER_H
+
+#include "front/FeedWire.h"
+#include "shallotshift/http1.h"
+
+#include <list>
+#include <map>
+
+namespace shallot {
+
+/// What a FeedServer knows of one kind.
+struct FeedView {
+  const KindCache *Cache = nullptr;
+  bool Listed = false;
+};
+
+class FeedServer {
+public:
+  using ViewFn = std::function<FeedView(const std::string &Kind)>;
+  /// How long ago the store last answered somebody whose word reached us.
+  using AgeFn = std::function<Duration()>;
+
+  FeedServer(TimerQueue &Timers, ViewFn View, AgeFn Age)
+      : Timers(Timers), View(std::move(View)), Age(std::move(Age)) {}
+
+  void handle(const ServerRequest &R, const Responder &A);
+  /// \p Kind has moved on: answers those who wait for it.
+  void advanced(const std::string &Kind);
+  /// To be called a few times a second: answers those who have waited enough,
+  /// and everyone when there is no recent word from the store.
+  void tick();
+  std::size_t waiting() const { return Waiting.size(); }
+
+private:
+  struct Waiter {
+    FeedQuestion Question;
+    Responder Answer;
+    Instant Until;
+  };
+
+  /// Sends the changes since the question, if there are any or \p Anyway.
+  bool tryAnswer(const FeedQuestion &Q, const Responder &A, bool Anyway) const;
+
+  TimerQueue &Timers;
+  ViewFn View;
+  AgeFn Age;
+  std::list<Waiter> Waiting;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_FEEDSERVER_H
--- /dev/null
+++ b/packages/front/FeedSources.cpp
@@ -0,0 +1,106 @@
+//===- FeedSources.cpp ----------------------------------------------------===//
+#include "front/FeedSources.h"
+
+#include <algorithm>
+#include <set>
+
+namespace shallot {
+
+namespace {
+
+/// How long a source that failed is left alone. The store's is longer: a fleet
+/// of 60 that all ask it through an outage of 9 s at these times makes about
+/// 200 calls, where asking on at 0.5 s would make 1,000.
+constexpr Duration FirstPeerRest = Millis(700);
+constexpr Duration LongestPeerRest = Millis(2500);
+constexpr Duration FirstStoreRest = Millis(900);
+constexpr Duration LongestStoreRest = Millis(3500);
+
+/// A daemon that has just started hears from its first peer within a round
+/// trip; before this it would ask the store itself only because it knows nobody.
+constexpr Duration StartPatience = Millis(900);
+
+/// How many of the own region are asked before other regions.
+constexpr std::size_t OwnRegionSources = 2;
+
+std::uint64_t rankOf(const Member &M) {
+  return hash64(M.Id.Host.str(), hash64(M.Reg.str()));
+}
+
+bool mayServe(const Member &M) {
+  return M.State == MemberState::Alive || M.State == MemberState::Starting;
+}
+
+const HostId &nameOf(const FeedSource &S) {
+  static const HostId Store;
+  return S.Peer ? S.Peer->Id.Host : Store;
+}
+
+} // namespace
+
+void FeedSources::update(const FleetView &View) {
+  std::map<Region, std::vector<Member>> ByRegion;
+  for (const Member &M : View.Members)
+    if (mayServe(M) || M.Id.Host == Self)
+      ByRegion[M.Reg].push_back(M);
+  for (auto &[Reg, List] : ByRegion)
+    std::ranges::sort(List, std::greater<>(), rankOf);
+  Peers.clear();
+  std::vector<Member> &Own = ByRegion[Here];
+  First = Own.empty() || Own.front().Id.Host == Self;
+  for (const Member &M : Own)
+    if (M.Id.Host != Self && Peers.size() < OwnRegionSources)
+      Peers.push_back(M);
+  for (const auto &[Reg, List] : ByRegion)
+    if (Reg != Here && !List.empty())
+      Peers.push_back(List.front());
+}
+
+bool FeedSources::usable(const FeedSource &S, Instant Now) const {
+  auto Found = Failures.find(nameOf(S));
+  return Found == Failures.end() || Found->second.Until <= Now;
+}
+
+FeedSource FeedSources::next(bool Listed, Instant Now) const {
+  const FeedSource Store;
+  if (First && usable(Store, Now))
+    return Store;
+  FeedSource Soonest = Store;
+  Instant SoonestAt = Instant::max();
+  for (const Member &M : Peers) {
+    FeedSource S{M};
+    if (usable(S, Now))
+      return S;
+    Instant Until = Failures.at(M.Id.Host).Until;
+    if (Until < SoonestAt) {
+      SoonestAt = Until;
+      Soonest = S;
+    }
+  }
+  bool Patient = !Listed && Now < StartedAt + StartPatience && !Peers.empty();
+  if (!Patient && usable(Store, Now))
+    return Store;
+  // Everyone has failed lately.
+  return Soonest;
+}
+
+void FeedSources::worked(const FeedSource &S) { Failures.erase(nameOf(S)); }
+
+void FeedSources::failed(const FeedSource &S, Random &Rng, Instant Now) {
+  Bad &B = Failures[nameOf(S)];
+  Duration Least = S.direct() ? FirstStoreRest : FirstPeerRest;
+  Duration Most = S.direct() ? LongestStoreRest : LongestPeerRest;
+  B.For = std::clamp(B.For * 2, Least, Most);
+  // Spread, so that a fleet that lost its sources at one moment does not come
+  // to the store at one moment.
+  B.Until = Now + fromMillisF(toMillisF(B.For) * (0.75 + 0.5 * uniform01(Rng)));
+}
+
+bool FeedSources::lost(const FeedSource &S) const {
+  if (S.direct())
+    return false;
+  return std::ranges::none_of(
+      Peers, [&](const Member &M) { return M.Id == S.Peer->Id; });
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/FeedSources.h
@@ -0,0 +1,74 @@
+//===- FeedSources.h - Whom to ask for what the store holds -----*- C++ -*-===//
+//
+// Every call to the store is paid for, and its rates do not grow with the fleet,
+// so one daemon in each region watches the store and the others of the region
+// watch that one. Nobody elects it: each daemon ranks the members that it sees,
+// and the first of its region asks the store. Two daemons that see different
+// members may both ask; that costs a few calls and nothing else.
+//
+// What a daemon does when its source is of no use (dead, silent, or itself
+// without word from the store): the second of its region, then the first of
+// another, then the store itself. A source that failed is left alone for a
+// while, longer each time, so that an outage of the store does not make the
+// whole fleet ask it.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_FEEDSOURCES_H
+#define SHALLOTSHIFT_FRONT_FEEDSOURCES_H
+
+#include "shallotshift/base.h"
+#include "shallotshift/forward.h"
+
+#include <map>
+#include <optional>
+
+namespace shallot {
+
+/// Where a call goes: the store, or a peer that passes its words on.
+struct FeedSource {
+  std::optional<Member> Peer;
+
+  bool direct() const { return !Peer; }
+  friend bool operator==(const FeedSource &, const FeedSource &) = default;
+};
+
+/// A source whose last word from the store is older than this is of no use: a
+/// change must be in force everywhere within 3 s or more, and the store's
+/// watchers have its word once a second.
+inline constexpr Duration MostFeedAge = Millis(2200);
+
+class FeedSources {
+public:
+  FeedSources(HostId Self, Region Here, Instant Now)
+      : Self(std::move(Self)), Here(std::move(Here)), StartedAt(Now) {}
+
+  void update(const FleetView &View);
+  /// The source for the next call. \p Listed: something was read before. Until
+  /// then a daemon that has just started gives its peers a moment.
+  FeedSource next(bool Listed, Instant Now) const;
+  void worked(const FeedSource &S);
+  void failed(const FeedSource &S, Random &Rng, Instant Now);
+  /// True when \p S may no longer answer: its daemon left or is suspected.
+  bool lost(const FeedSource &S) const;
+  /// This daemon asks the store on behalf of its region.
+  bool watchesStore() const { return First; }
+
+private:
+  struct Bad {
+    Duration For{};
+    Instant Until{};
+  };
+
+  bool usable(const FeedSource &S, Instant Now) const;
+
+  HostId Self;
+  Region Here;
+  Instant StartedAt;
+  std::vector<Member> Peers; ///< In the order in which they are asked.
+  bool First = true;         ///< Of its region.
+  std::map<HostId, Bad> Failures; ///< The empty name is the store.
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_FEEDSOURCES_H
--- /dev/null
+++ b/packages/front/FeedWire.cpp
@@ -0,0 +1,160 @@
+//===- FeedWire.cpp -------------------------------------------------------===//
+#include "front/FeedWire.h"
+
+#include "shallotshift/model.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace shallot {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view PathStart = "/feed/";
+constexpr std::uint64_t LongestWaitMs = 30000;
+/// A whole page of registrations is about 100 KB; a configuration with
+/// thousands of routes is a few MB.
+constexpr JsonLimits ReplyLimits{16 << 20, 16};
+
+std::optional<std::string> parameter(std::string_view Query,
+                                     std::string_view Key) {
+  while (!Query.empty()) {
+    std::size_t End = std::min(Query.find('&'), Query.size());
+    std::string_view Pair = Query.substr(0, End);
+    std::size_t Equals = Pair.find('=');
+    if (Equals != std::string_view::npos && Pair.substr(0, Equals) == Key)
+      return std::string(Pair.substr(Equals + 1));
+    Query.remove_prefix(std::min(End + 1, Query.size()));
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t> numberIn(const std::optional<std::string> &Text) {
+  std::uint64_t Value = 0;
+  if (!Text)
+    return std::nullopt;
+  const char *End = Text->data() + Text->size();
+  auto [At, Error] = std::from_chars(Text->data(), End, Value);
+  if (Error != std::errc() || At != End)
+    return std::nullopt;
+  return Value;
+}
+
+Json objectJson(const KindObject &O) {
+  return {{"name", O.Name}, {"revision", O.Revision}, {"content", O.Content}};
+}
+
+Result<KindObject> readObject(const Json &Doc) {
+  BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "object"));
+  KindObject O;
+  BOOST_LEAF_ASSIGN(O.Name, F.string("name"));
+  BOOST_LEAF_ASSIGN(O.Revision, F.integer("revision", 0, UINT64_MAX));
+  if (!Doc.contains("content"))
+    return fail(ResultCode::MissingField, "object: content");
+  O.Content = Doc["content"];
+  return O;
+}
+
+Result<Duration> readAge(JsonFields &F) {
+  BOOST_LEAF_AUTO(Ms, F.number("age_ms", 0, 1e12));
+  return fromMillisF(Ms);
+}
+
+Result<KindPage> pageIn(const std::string &Body) {
+  BOOST_LEAF_AUTO(Doc, parseJson(Body, "a page", ReplyLimits));
+  BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "page"));
+  KindPage P;
+  BOOST_LEAF_AUTO(Objects, F.array("objects"));
+  for (const Json &Item : *Objects) {
+    BOOST_LEAF_AUTO(O, readObject(Item));
+    P.Objects.push_back(std::move(O));
+  }
+  BOOST_LEAF_ASSIGN(P.More, F.boolean("more"));
+  BOOST_LEAF_ASSIGN(P.Revision, F.integer("revision", 0, UINT64_MAX));
+  BOOST_LEAF_ASSIGN(P.Age, readAge(F));
+  return P;
+}
+
+Result<KindChanges> changesIn(const std::string &Body) {
+  BOOST_LEAF_AUTO(Doc, parseJson(Body, "changes", ReplyLimits));
+  BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "changes"));
+  KindChanges C;
+  BOOST_LEAF_AUTO(List, F.array("changes"));
+  for (const Json &Item : *List) {
+    BOOST_LEAF_AUTO(I, JsonFields::open(Item, "change"));
+    BOOST_LEAF_AUTO(ObjectDoc, I.object("object"));
+    KindChange One;
+    BOOST_LEAF_ASSIGN(One.Object, readObject(*ObjectDoc));
+    BOOST_LEAF_ASSIGN(One.Removed, I.boolean("removed"));
+    C.Changes.push_back(std::move(One));
+  }
+  BOOST_LEAF_ASSIGN(C.Revision, F.integer("revision", 0, UINT64_MAX));
+  BOOST_LEAF_ASSIGN(C.Age, readAge(F));
+  return C;
+}
+
+template <typename T>
+Attempt<T> readBody(const HttpReply &R, Result<T> (*Read)(const std::string &)) {
+  if (!R.arrived())
+    return Error{ResultCode::PeerUnreachable, codeLabel(R.Failure)};
+  if (R.Status == infoOf(ResultCode::PlatformHistoryGone).HttpStatus)
+    return Error{ResultCode::PlatformHistoryGone, "the peer keeps less"};
+  if (R.Status != 200)
+    return Error{ResultCode::PeerUnreachable, fmt::format("status {}", R.Status)};
+  auto Found = attempt([&] { return Read(R.Body); });
+  if (!Found)
+    return Error{ResultCode::PeerBadMessage, Found.error().Detail};
+  return std::move(*Found);
+}
+
+} // namespace
+
+std::string feedTarget(const FeedQuestion &Q) {
+  if (Q.Since)
+    return fmt::format("{}{}?since={}&wait_ms={}", PathStart, Q.Kind, *Q.Since,
+                       toMillis(Q.Wait));
+  return fmt::format("{}{}?after={}", PathStart, Q.Kind, Q.After);
+}
+
+std::optional<FeedQuestion> readFeedQuestion(std::string_view Path,
+                                             std::string_view Query) {
+  if (!Path.starts_with(PathStart))
+    return std::nullopt;
+  FeedQuestion Q;
+  Q.Kind = std::string(Path.substr(PathStart.size()));
+  Q.After = parameter(Query, "after").value_or("");
+  Q.Since = numberIn(parameter(Query, "since"));
+  auto WaitMs = numberIn(parameter(Query, "wait_ms")).value_or(0);
+  Q.Wait = Millis(std::min(WaitMs, LongestWaitMs));
+  return Q;
+}
+
+std::string writePage(const KindPage &P) {
+  Json Doc{{"objects", Json::array()},
+           {"more", P.More},
+           {"revision", P.Revision},
+           {"age_ms", toMillisF(P.Age)}};
+  for (const KindObject &O : P.Objects)
+    Doc["objects"].push_back(objectJson(O));
+  return Doc.dump();
+}
+
+std::string writeChanges(const KindChanges &C) {
+  Json Doc{{"changes", Json::array()},
+           {"revision", C.Revision},
+           {"age_ms", toMillisF(C.Age)}};
+  for (const KindChange &One : C.Changes)
+    Doc["changes"].push_back(
+        {{"object", objectJson(One.Object)}, {"removed", One.Removed}});
+  return Doc.dump();
+}
+
+Attempt<KindPage> readPage(const HttpReply &R) { return readBody(R, &pageIn); }
+
+Attempt<KindChanges> readChanges(const HttpReply &R) {
+  return readBody(R, &changesIn);
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/FeedWire.h
@@ -0,0 +1,41 @@
+//===- FeedWire.h - What daemons tell each other of the store ---*- C++ -*-===//
+//
+// GET /feed/KIND?after=NAME            a page of the objects
+// GET /feed/KIND?since=REV&wait_ms=N   changes after REV, as soon as there are
+//
+// JSON, because the objects are JSON in the store and are passed on as they
+// are. 503: nothing was read yet; 410: that history is not kept, list anew.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_FEEDWIRE_H
+#define SHALLOTSHIFT_FRONT_FEEDWIRE_H
+
+#include "shallotshift/net.h"
+#include "shallotshift/store.h"
+
+namespace shallot {
+
+struct FeedQuestion {
+  std::string Kind;
+  std::string After;                  ///< Of a list.
+  std::optional<std::uint64_t> Since; ///< Of a watch.
+  Duration Wait{};
+
+  friend bool operator==(const FeedQuestion &, const FeedQuestion &) = default;
+};
+
+/// Path and query of \p Q.
+std::string feedTarget(const FeedQuestion &Q);
+/// Nothing when the request is no question of this form.
+std::optional<FeedQuestion> readFeedQuestion(std::string_view Path,
+                                             std::string_view Query);
+
+std::string writePage(const KindPage &P);
+std::string writeChanges(const KindChanges &C);
+/// Fail with PlatformBadReply, or with what the reply's status says.
+Attempt<KindPage> readPage(const HttpReply &R);
+Attempt<KindChanges> readChanges(const HttpReply &R);
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_FEEDWIRE_H
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -87,6 +87,9 @@
   std::unique_ptr<HttpServer> Directory;
   std::unique_ptr<HttpServer> Readiness;
   std::unique_ptr<HttpServer> Scrapes;
+  std::unique_ptr<HttpServer> Peers;
+  HttpServer::Handler OnPeer;
+  std::function<void()> OnFleet;
   bool Listed = false;
   bool Leaving = false;
   Instant LeavingSince;
@@ -117,6 +120,13 @@
   BOOST_LEAF_ASSIGN(
       Scrapes, Serve(Set.Metrics, [this](const ServerRequest &,
                                          const Responder &A) { scrape(A); }));
+  BOOST_LEAF_ASSIGN(Peers, Serve(Set.Peers, [this](const ServerRequest &R,
+                                                   const Responder &A) {
+                      if (OnPeer)
+                        OnPeer(R, A);
+                      else
+                        A.reply(problemReply(ResultCode::NotReady, "starting"));
+                    }));
   return {};
 }
 
@@ -134,8 +144,11 @@
 }
 
 void FrontDaemon::Impl::fleetChanged() {
-  if (Fleet)
-    Book.setSharing(Fleet->sharing());
+  if (!Fleet)
+    return;
+  Book.setSharing(Fleet->sharing());
+  if (OnFleet)
+    OnFleet();
 }
 
 bool FrontDaemon::Impl::ready() const {
@@ -280,6 +293,21 @@
     I->becomeReady();
 }
 
+void FrontDaemon::servePeers(HttpServer::Handler Fn) {
+  I->OnPeer = std::move(Fn);
+}
+
+void FrontDaemon::onFleetChanged(std::function<void()> Fn) {
+  I->OnFleet = std::move(Fn);
+  I->OnFleet();
+}
+
+const FleetView &FrontDaemon::view() const { return I->Fleet->view(); }
+
+const FrontSettings &FrontDaemon::settings() const { return I->Set; }
+
+TimerQueue &FrontDaemon::timers() { return I->Timers; }
+
 Metrics &FrontDaemon::metrics() { return I->Meter; }
 
 Random &FrontDaemon::random() { return I->Rng; }
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -63,6 +63,13 @@
   ReplicaBook &replicas();
   /// The replicas were listed once, so that their absence means something.
   void replicasListed();
+  /// Answers what peers ask.
+  void servePeers(HttpServer::Handler Fn);
+  /// \p Fn is called at once and whenever view() has changed.
+  void onFleetChanged(std::function<void()> Fn);
+  const FleetView &view() const;
+  const FrontSettings &settings() const;
+  TimerQueue &timers();
   Metrics &metrics();
   Random &random();
   /// Stops in order; \p Gone is called when the process may end.
--- /dev/null
+++ b/packages/front/RelayedStore.h
@@ -0,0 +1,122 @@
+//===- RelayedStore.h - The store, or a peer that watches it ----*- C++ -*-===//
+//
+// Stands between a KindWatch and the store: each call goes to the source that
+// FeedSources names at that moment. Revisions are the store's everywhere, so a
+// change of source loses nothing.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_RELAYEDSTORE_H
+#define SHALLOTSHIFT_FRONT_RELAYEDSTORE_H
+
+#include "front/FeedSources.h"
+#include "front/FeedWire.h"
+#include "shallotshift/telemetry.h"
+
+#include <set>
+
+namespace shallot {
+
+/// How long a peer may hold a question. It answers changes at once, says when
+/// it loses the store, and membership says when it is lost itself; this only
+/// bounds what all of these miss.
+inline constexpr Duration PeerWait = Seconds(4);
+inline constexpr Duration PeerSlack = Millis(700);
+inline constexpr Duration PeerListTimeout = Millis(800);
+
+template <KindStore Store> class RelayedStore {
+public:
+  RelayedStore(EventLoop &Loop, HttpClient &Http, Store &S, FeedSources &From,
+               Random &Rng)
+      : Loop(Loop), Http(Http), S(S), From(From), Rng(Rng) {}
+
+  void list(const std::string &Kind, const std::string &After,
+            StoreCallback<KindPage> OnDone) {
+    FeedSource Source = choose(Kind, false);
+    auto Done = [this, Kind, Source,
+                 OnDone = std::move(OnDone)](Attempt<KindPage> P) {
+      judge(Source, P);
+      if (P && !P->More)
+        Listed.insert(Kind);
+      OnDone(std::move(P));
+    };
+    if (Source.direct())
+      return S.list(Kind, After, std::move(Done));
+    FeedQuestion Q;
+    Q.Kind = Kind;
+    Q.After = After;
+    ask(Source, Q, PeerListTimeout,
+        [Done = std::move(Done)](const HttpReply &R) { Done(readPage(R)); });
+  }
+
+  void watchKind(const std::string &Kind, std::uint64_t Revision, Duration Wait,
+                 StoreCallback<KindChanges> OnDone) {
+    FeedSource Source = choose(Kind, true);
+    auto Done = [this, Source,
+                 OnDone = std::move(OnDone)](Attempt<KindChanges> C) {
+      bool Fresh = judge(Source, C);
+      // Nothing new from a peer that has no word itself is no answer.
+      if (C && !Fresh && C->Changes.empty())
+        OnDone(Error{ResultCode::PeerUnreachable, "the peer lost the store"});
+      else
+        OnDone(std::move(C));
+    };
+    if (Source.direct())
+      return S.watchKind(Kind, Revision, Wait, std::move(Done));
+    FeedQuestion Q;
+    Q.Kind = Kind;
+    Q.Since = Revision;
+    Q.Wait = PeerWait;
+    ask(Source, Q, PeerWait + PeerSlack,
+        [Done = std::move(Done)](const HttpReply &R) { Done(readChanges(R)); });
+  }
+
+  /// The source that \p Kind was last asked of can no longer be relied on.
+  bool lost(const std::string &Kind) const {
+    auto Found = Last.find(Kind);
+    return Found != Last.end() && From.lost(Found->second);
+  }
+
+private:
+  FeedSource choose(const std::string &Kind, bool WasListed) {
+    FeedSource Source =
+        From.next(WasListed || Listed.contains(Kind), Loop.now());
+    auto [At, New] = Last.try_emplace(Kind, Source);
+    if (New || At->second != Source)
+      logEvent(LogLevel::Info, "feed_source",
+               {{"kind", Kind},
+                {"from", Source.direct() ? "store" : Source.Peer->Id.str()}});
+    At->second = Source;
+    return Source;
+  }
+
+  template <typename T> bool judge(const FeedSource &Source, Attempt<T> &Got) {
+    bool Told = !Got && Got.error().Code == ResultCode::PlatformHistoryGone;
+    bool Fresh = Told || (Got && Got->Age <= MostFeedAge);
+    if (Fresh)
+      From.worked(Source);
+    else
+      From.failed(Source, Rng, Loop.now());
+    return Fresh;
+  }
+
+  void ask(const FeedSource &Source, const FeedQuestion &Q, Duration Timeout,
+           HttpClient::Callback Done) {
+    HttpRequest R;
+    R.To = Source.Peer->Rpc;
+    R.Path = feedTarget(Q);
+    R.Timeout = Timeout;
+    Http.send(std::move(R), std::move(Done));
+  }
+
+  EventLoop &Loop;
+  HttpClient &Http;
+  Store &S;
+  FeedSources &From;
+  Random &Rng;
+  std::set<std::string> Listed;
+  std::map<std::string, FeedSource> Last; ///< By kind.
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_RELAYEDSTORE_H
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -1,7 +1,8 @@
 //===- ServingFeed.h - From the store to the daemon -------------*- C++ -*-===//
 //
 // Watches the configuration and the replicas' registrations in the store and
-// hands them to a FrontDaemon. What the objects look like is the deployment's:
+// hands them to a FrontDaemon, directly or through a peer, and passes them on to
+// peers. What the objects look like is the deployment's:
 // it gives the two functions that read them. An object that cannot be read is
 // logged and left out; the configuration in force stays.
 //
@@ -9,7 +10,9 @@
 #ifndef SHALLOTSHIFT_FRONT_SERVINGFEED_H
 #define SHALLOTSHIFT_FRONT_SERVINGFEED_H
 
+#include "front/FeedServer.h"
 #include "front/FrontDaemon.h"
+#include "front/RelayedStore.h"
 #include "shallotshift/store.h"
 
 #include <string>
@@ -24,28 +27,75 @@
   std::function<Result<ReplicaEntry>(const KindObject &)> ReadReplica;
 };
 
-/// A change of the configuration must be in force everywhere within seconds, so
-/// its watch is asked anew sooner: a connection that fell silent costs at most
-/// this and the call's slack.
-inline constexpr Duration ConfigWatchWait = Seconds(3);
+/// A daemon that watches the store has its word this often; others rely on it
+/// (MostFeedAge). A connection that fell silent is noticed after this and the
+/// call's slack, and then the other watch is renewed as well.
+inline constexpr Duration ConfigWatchWait = Seconds(1);
+inline constexpr Duration ReplicaWatchWait = Seconds(4);
+
+/// A daemon that has just started waits this long for word from a peer before
+/// it asks anyone: until then it knows nobody but itself and the store.
+inline constexpr Duration FirstPeersWait = Millis(250);
 
 template <KindStore Store> class ServingFeed {
 public:
-  ServingFeed(EventLoop &Loop, Store &S, FrontDaemon &D, ServingForms F)
+  ServingFeed(EventLoop &Loop, HttpClient &Http, Store &S, FrontDaemon &D,
+              ServingForms F)
       : Loop(Loop), D(D), Forms(std::move(F)),
-        Configs(S, Loop, Forms.ConfigKind, configOptions(), D.random(),
-                configHooks()),
-        Replicas(S, Loop, Forms.ReplicaKind, {}, D.random(), replicaHooks()) {}
+        Sources(D.settings().Host, D.settings().Here.Reg, Loop.now()),
+        Relayed(Loop, Http, S, Sources, D.random()),
+        Configs(Relayed, Loop, Forms.ConfigKind, options(ConfigWatchWait),
+                D.random(), configHooks()),
+        Replicas(Relayed, Loop, Forms.ReplicaKind, options(ReplicaWatchWait),
+                 D.random(), replicaHooks()),
+        Server(
+            D.timers(), [this](const std::string &Kind) { return view(Kind); },
+            [this] { return age(); }) {}
 
   void start() {
-    Configs.start();
-    Replicas.start();
+    D.onFleetChanged([this] { fleetChanged(); });
+    D.servePeers([this](const ServerRequest &R, const Responder &A) {
+      Server.handle(R, A);
+    });
+    tick();
+    Loop.after(FirstPeersWait, [this] {
+      Configs.start();
+      Replicas.start();
+    });
   }
 
 private:
-  static KindWatchOptions configOptions() {
+  FeedView view(const std::string &Kind) const {
+    if (Kind == Forms.ConfigKind)
+      return {&Configs.cache(), Configs.listed()};
+    if (Kind == Forms.ReplicaKind)
+      return {&Replicas.cache(), Replicas.listed()};
+    return {};
+  }
+
+  Duration age() const {
+    return Loop.now() - std::max(Configs.heardAt(), Replicas.heardAt());
+  }
+
+  void tick() {
+    Server.tick();
+    Loop.after(FeedTick, [this] { tick(); });
+  }
+
+  void fleetChanged() {
+    Sources.update(D.view());
+    if (Relayed.lost(Forms.ConfigKind))
+      Configs.renew();
+    if (Relayed.lost(Forms.ReplicaKind))
+      Replicas.renew();
+  }
+
+  /// How often peers that wait are looked at.
+  static constexpr Duration FeedTick = Millis(100);
+
+  static KindWatchOptions options(Duration Wait) {
     KindWatchOptions O;
-    O.Wait = ConfigWatchWait;
+    O.Wait = Wait;
     return O;
   }
 
@@ -59,8 +109,14 @@
       if (!C.Removed)
         takeConfig(C.Object);
     };
-    H.Away = [](const Error &Why) { logAway("config", Why); };
+    H.Away = [this](const Error &Why) {
+      logAway("config", Why);
+      // Its sibling's call may hang on the same loss without saying so.
+      if (Replicas.listed() && Replicas.storeAnswers())
+        Replicas.renew();
+    };
     H.Back = [] { logBack("config"); };
+    H.Advanced = [this] { Server.advanced(Forms.ConfigKind); };
     return H;
   }
 
@@ -76,6 +132,7 @@
       logBack("replicas");
       D.replicas().storeBack(Loop.now());
     };
+    H.Advanced = [this] { Server.advanced(Forms.ReplicaKind); };
     return H;
   }
 
@@ -150,8 +207,11 @@
   EventLoop &Loop;
   FrontDaemon &D;
   ServingForms Forms;
-  KindWatch<Store, EventLoop> Configs;
-  KindWatch<Store, EventLoop> Replicas;
+  FeedSources Sources;
+  RelayedStore<Store> Relayed;
+  KindWatch<RelayedStore<Store>, EventLoop> Configs;
+  KindWatch<RelayedStore<Store>, EventLoop> Replicas;
+  FeedServer Server;
 };
 
 } // namespace shallot
--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -22,6 +22,7 @@
 #define SHALLOTSHIFT_STORE_KINDWATCH_H
 
 #include "store/Backoff.h"
+#include "store/KindCache.h"
 #include "store/ObjectStore.h"
 
 #include <map>
@@ -52,6 +53,8 @@
   std::function<void(const Error &)> Away;
   /// It answers again.
   std::function<void()> Back;
+  /// An answer has been taken in; cache() and heardAt() are up to date.
+  std::function<void()> Advanced;
 };
 
 template <KindStore Store, TimerSource Time> class KindWatch {
@@ -68,18 +71,32 @@
   bool listed() const { return Listed; }
   /// False from a failed call to the next one that works.
   bool storeAnswers() const { return !Failing; }
-  std::uint64_t revision() const { return Revision; }
-  /// When the store last answered a call.
+  std::uint64_t revision() const { return Cache.revision(); }
+  /// What has been seen, to be passed on.
+  const KindCache &cache() const { return Cache; }
+  /// The last moment of which it is known that the store answered somebody
+  /// whose word reached us.
   Instant heardAt() const { return HeardAt; }
+  /// Asks at once, without waiting for the call that is out: whoever it was
+  /// sent to is no longer to be relied on.
+  void renew() {
+    ++Call;
+    if (Listed)
+      watch();
+    else
+      list();
+  }
 
 private:
   /// Objects that were removed and are remembered, so that an older state of
   /// them is known as old. A reply that late is longer gone.
   static constexpr std::size_t MaxRemembered = 20000;
 
+  /// \p Fn, unless this object is gone or renew() was called meanwhile.
   template <typename F> auto guarded(F Fn) {
-    return [Weak = std::weak_ptr(Alive), Fn = std::move(Fn)](auto &&...Args) {
-      if (!Weak.expired())
+    return [this, Weak = std::weak_ptr(Alive), Mine = Call,
+            Fn = std::move(Fn)](auto &&...Args) {
+      if (!Weak.expired() && Mine == Call)
         Fn(std::forward<decltype(Args)>(Args)...);
     };
   }
@@ -94,7 +111,7 @@
     S.list(Kind, After, guarded([this](Attempt<KindPage> Page) {
              if (!Page)
                return failed(Page.error(), [this] { list(); });
-             answered();
+             answered(Page->Age);
              takePage(std::move(*Page));
            }));
   }
@@ -116,38 +133,38 @@
 
   void takeList() {
     // A store that is behind itself would take everything back.
-    if (ListRevision < Revision) {
+    if (ListRevision < Cache.revision()) {
       again([this] { list(); });
       return;
     }
-    Revision = ListRevision;
+    Cache.replaceAll(Pages, ListRevision);
     Seen.clear();
     for (const KindObject &O : Pages)
       Seen[O.Name] = O.Revision;
     Listed = true;
     Hooks.All(std::exchange(Pages, {}));
+    Hooks.Advanced();
     watch();
   }
 
   void watch() {
-    S.watchKind(Kind, Revision, Options.Wait,
+    S.watchKind(Kind, Cache.revision(), Options.Wait,
                 guarded([this](Attempt<KindChanges> Got) {
-                  if (!Got) {
-                    if (Got.error().Code == ResultCode::PlatformHistoryGone) {
-                      answered();
-                      return list();
-                    }
-                    return failed(Got.error(), [this] { watch(); });
+                  if (Got) {
+                    answered(Got->Age);
+                    return takeChanges(*Got);
                   }
-                  answered();
-                  takeChanges(*Got);
+                  if (Got.error().Code == ResultCode::PlatformHistoryGone)
+                    return list();
+                  failed(Got.error(), [this] { watch(); });
                 }));
   }
 
   void takeChanges(const KindChanges &Got) {
     for (const KindChange &C : Got.Changes)
       take(C);
-    Revision = std::max(Revision, Got.Revision);
+    Cache.advance(Got.Revision);
+    Hooks.Advanced();
     if (Got.Changes.empty())
       return watch();
     T.after(Options.Pause, guarded([this] { watch(); }));
@@ -160,11 +177,12 @@
     Known = C.Object.Revision;
     if (Seen.size() > MaxRemembered)
       Seen.clear();
+    Cache.apply(C);
     Hooks.Changed(C);
   }
 
-  void answered() {
-    HeardAt = T.now();
+  void answered(Duration Age) {
+    HeardAt = std::max(HeardAt, T.now() - Age);
     Wait.reset();
     if (std::exchange(Failing, false))
       Hooks.Back();
@@ -190,7 +208,8 @@
   std::vector<KindObject> Pages;
   bool FirstPage = true;
   std::uint64_t ListRevision = 0;
-  std::uint64_t Revision = 0;
+  KindCache Cache;
+  std::uint64_t Call = 0; ///< Grows with renew().
   std::map<std::string, std::uint64_t> Seen;
   bool Listed = false;
   bool Failing = false;
--- a/packages/store/ObjectStore.h
+++ b/packages/store/ObjectStore.h
@@ -79,6 +79,8 @@
   std::vector<KindObject> Objects;
   bool More = false;          ///< Ask again, after the last one's name.
   std::uint64_t Revision = 0; ///< The store's, when the page was made.
+  /// How long ago whoever answered last had word from the store itself.
+  Duration Age{};
 };
 
 struct KindChange {
@@ -90,6 +92,7 @@
 struct KindChanges {
   std::vector<KindChange> Changes;
   std::uint64_t Revision = 0; ///< To watch on from.
+  Duration Age{};             ///< As in KindPage.
 };
 
 /// A store whose objects have kinds that can be listed and watched. A watch
--- a/packages/store/include/shallotshift/store.h
+++ b/packages/store/include/shallotshift/store.h
@@ -14,6 +14,7 @@
 #include "store/ChangeWriter.h"
 #include "store/ConfigReader.h"
 #include "store/HostList.h"
+#include "store/KindCache.h"
 #include "store/KindWatch.h"
 #include "store/ObjectStore.h"
 #include "store/StoreClient.h"
