--- a/packages/base/Member.h
+++ b/packages/base/Member.h
@@ -34,6 +34,8 @@
   Endpoint Gossip; ///< UDP, membership.
   Endpoint Rpc;    ///< Cap'n Proto RPC, relay and configuration.
   MemberState State = MemberState::Starting;
+  /// What its host gives it, in thousandths of a core; 0: not said.
+  std::uint32_t Capacity = 0;
 
   friend auto operator<=>(const Member &, const Member &) = default;
 };
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -55,7 +55,8 @@
               Set.Callers,
               Set.Gossip,
               Set.Peers,
-              State};
+              State,
+              static_cast<std::uint32_t>(Set.Cores * 1000)};
   return Membership::make(membershipOptions(), std::move(Self),
                           gossipSeeds(Set), Rng, Loop.now());
 }
--- a/packages/front/FrontSettings.cpp
+++ b/packages/front/FrontSettings.cpp
@@ -14,6 +14,7 @@
 /// Beyond an hour a bound is a mistake in its unit.
 constexpr double MostSeconds = 3600;
 constexpr double MostRetries = 1e6;
+constexpr double MostCores = 4096;
 
 Result<Endpoint> endpoint(JsonFields &F, std::string_view Key) {
   BOOST_LEAF_AUTO(Text, F.string(Key));
@@ -67,6 +68,9 @@
   BOOST_LEAF_ASSIGN(S.Retries.Window, seconds(F, "retry_window_s"));
   BOOST_LEAF_ASSIGN(S.Retries.Constant,
                     F.number("retry_constant", 0, MostRetries));
+  BOOST_LEAF_AUTO(Share, F.number("cpu_share", 0, 1));
+  BOOST_LEAF_AUTO(Cores, F.number("cores", 0, MostCores));
+  S.Cores = Share * Cores;
   if (S.Retries.Window < Seconds(1))
     return fail(ResultCode::OutOfRange, "retry_window_s: at least 1");
   return {};
--- a/packages/front/FrontSettings.h
+++ b/packages/front/FrontSettings.h
@@ -11,6 +11,7 @@
 //    "store": "10.200.1.7:8229", "seeds": ["10.0.0.2:8224"],
 //    "zones": {"dkh-hall-1": "darkhan"},
 //    "stop_grace_s": 6, "drain_ms": 3000, "entry_validity_s": 5,
+//    "cpu_share": 0.25, "cores": 1,
 //    "retry_ratio": 0.2, "retry_window_s": 10, "retry_constant": 52}
 //
 //===----------------------------------------------------------------------===//
@@ -43,6 +44,7 @@
   Duration LeavingServes{}; ///< A leaving replica serves on for this long.
   Duration EntryValidity{}; ///< The longest that callers keep an address.
   RetryAllowance Retries;
+  double Cores = 0; ///< What this host gives the process, in cores.
 
   friend bool operator==(const FrontSettings &,
                          const FrontSettings &) = default;
--- a/packages/peer/GossipCodec.cpp
+++ b/packages/peer/GossipCodec.cpp
@@ -1,6 +1,6 @@
 #include "peer/GossipCodec.h"
 
-#include "peer/Peer.capnp.h"
+#include "peer/generated/Peer.capnp.h"
 
 #include <arpa/inet.h>
 #include <capnp/serialize.h>
@@ -59,6 +59,7 @@
   To.setState(static_cast<std::uint8_t>(U.Who.State));
   To.setThought(static_cast<std::uint8_t>(U.Thought));
   To.setVersion(U.Version);
+  To.setCapacity(U.Who.Capacity);
   if (!U.Accuser.empty())
     To.setAccuser(text(U.Accuser.str()));
 }
@@ -73,6 +74,7 @@
   U.Who.Rpc = endpoint(From.getRpcIp(), From.getRpcPort());
   U.Who.State = checked(From.getState(), MemberState::Left);
   U.Version = From.getVersion();
+  U.Who.Capacity = From.getCapacity();
   U.Thought = checked(From.getThought(), Health::Failed);
   U.Accuser = HostId(name(From.getAccuser()));
   return U;
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -120,6 +120,7 @@
   thought @11 :UInt8;
   version @12 :UInt64;
   accuser @13 :Text;
+  capacity @14 :UInt32;
 }
 
 struct Gossip {
--- a/packages/peer/PeerCodec.h
+++ b/packages/peer/PeerCodec.h
@@ -8,7 +8,7 @@
 #ifndef SHALLOTSHIFT_PEER_PEERCODEC_H
 #define SHALLOTSHIFT_PEER_PEERCODEC_H
 
-#include "peer/Peer.capnp.h"
+#include "peer/generated/Peer.capnp.h"
 #include "peer/PeerTypes.h"
 
 namespace shallot::internal {
