forward: slowness moves in steps, and a burst behind a pause counts once

Cause: an average of answer times took one answer behind a pause of 150 ms for a replica fourteen times too slow, and kept the near replica from its callers for two of the 3.6 s until its next pause. Change: the slowness of a replica moves by steps; answers are counted from the answer before them, so that only the first of a burst looks late. With it the tests of package forward, and ForwardWorld, which replays troubles in virtual time. Conclusion: kept; dark replicas are found a little later, pauses cost less.

--- a/packages/forward/Replica.cpp
+++ b/packages/forward/Replica.cpp
@@ -22,10 +22,15 @@
 constexpr double SameRegionPriceMs = 2;
 constexpr double OtherRegionPriceMs = 15;
 
-/// Weight of the newest answer in the slowness; four answers move it most of
-/// the way.
-constexpr double SlownessWeight = 0.3;
-/// One answer counts as at most this much slower than usual.
+/// How far one answer moves the slowness: little when it is about as expected,
+/// more when it is off by two or more. Steps and not an average: a pause of
+/// 150 ms makes one answer fourteen times too late, and an average would keep
+/// the replica from its callers for two of the 3.6 s until its next pause (39
+/// of 100 sends then went to another region, with steps 5; ForwardWorld).
+constexpr double SmallStep = 1.08;
+constexpr double LargeStep = 1.25;
+constexpr double LargeStepRatio = 2;
+constexpr double LeastSlowness = 0.7;
 constexpr double MostSlowness = 20;
 /// Without answers slowness and failures are forgotten by half in this time,
 /// so that a replica that recovered is found again.
@@ -115,25 +120,33 @@
   FailureAt = Now;
 }
 
+/// Behind a pause the answers come in a burst; only the first of them was held
+/// up by more than its own work. Counted from the answer before it, the others
+/// show that the replica is as quick as ever.
+void Replica::noteAnswer(Instant Started, Duration Work, Instant Now) {
+  Instant From = std::max(Started + roundTrip(), LastAnswer);
+  double Ratio = toMillisF(Now - From) / std::max(1.0, toMillisF(Work));
+  double Seen = slowness(Now);
+  bool Far = Ratio > Seen * LargeStepRatio || Ratio < Seen / LargeStepRatio;
+  double Step = Far ? LargeStep : SmallStep;
+  Seen *= Ratio > Seen ? Step : 1 / Step;
+  SlownessSeen = std::clamp(Seen, LeastSlowness, MostSlowness);
+  SlownessAt = Now;
+  LastAnswer = Now;
+}
+
 void Replica::sendEnded(Instant Started, SendEnd How, Duration Work,
                         Instant Now) {
   auto At = std::ranges::find(Open, Started);
   if (At != Open.end())
     Open.erase(At);
   switch (How) {
-  case SendEnd::Answered: {
-    double Took = toMillisF(Now - Started - roundTrip());
-    double Ratio =
-        std::clamp(Took / std::max(1.0, toMillisF(Work)), 0.5, MostSlowness);
-    double Before = slowness(Now);
-    SlownessSeen = Before + SlownessWeight * (Ratio - Before);
-    SlownessAt = Now;
-    LastAnswer = Now;
+  case SendEnd::Answered:
+    noteAnswer(Started, Work, Now);
     LostInARow = 0;
     RestTime = Duration(0);
     noteFailure(0, Now);
     return;
-  }
   case SendEnd::Rejected:
     LastAnswer = Now;
     noteFailure(1, Now);
--- a/packages/forward/Replica.h
+++ b/packages/forward/Replica.h
@@ -92,11 +92,11 @@
   /// A trial connection should be opened now; answers true once for each rest.
   bool takeTrial(Instant Now);
   void trialEnded(bool Worked, Instant Now);
-  /// Other copies of the process share this replica's evidence no longer: all
-  /// kept connections are doubtful after this process was suspended.
+  /// Answers against the usual time; 1 is as usual.
   double slowness(Instant Now) const;
 
 private:
+  void noteAnswer(Instant Started, Duration Work, Instant Now);
   void rest(Instant Now);
   double failureRate(Instant Now) const;
   void noteFailure(double Outcome, Instant Now);
--- /dev/null
+++ b/tests/ForwardWorld.cpp
@@ -0,0 +1,222 @@
+//===- ForwardWorld.cpp ---------------------------------------------------===//
+#include "ForwardWorld.h"
+
+#include <stdexcept>
+
+namespace shallot::test {
+
+namespace {
+
+/// A connection to a dark host ends after the pool's connect timeout.
+constexpr Duration ConnectTimeout = Millis(120);
+
+ServingConfig makeConfig(const WorldShape &Shape) {
+  ShardFanOut Fan;
+  std::vector<ServiceInfo> Services;
+  for (unsigned S = 0; S < Shape.Shards; ++S) {
+    ServiceName Name("shard-" + std::to_string(S));
+    Fan.Shards.push_back(Name);
+    Services.push_back({Name, Shape.MaxConnections});
+  }
+  Fan.MostRecords = 5;
+  Fan.LeastShare = Shape.LeastShare;
+  Route R;
+  R.Name = "search";
+  R.Host = "search.example";
+  R.PathPrefix = "/";
+  R.Kind = Shape.Kind;
+  R.Timeout = fromMillisF(Shape.DeadlineMs);
+  R.Objective = fromMillisF(Shape.ObjectiveMs);
+  R.MaxAttempts = Shape.MaxAttempts;
+  if (Shape.Shards > 1)
+    R.Target = Fan;
+  else
+    R.Target = Fan.Shards.front();
+  auto C = attempt(
+      [&] { return ServingConfig::make(1, {R}, Services, CallerLimits()); });
+  if (!C)
+    throw std::runtime_error(C.error().Detail);
+  return *C;
+}
+
+Place placeOf(unsigned Zone) {
+  std::string Name = std::to_string(Zone);
+  return {AvailabilityZone("zone-" + Name), Region("region-" + Name)};
+}
+
+} // namespace
+
+ForwardWorld::ForwardWorld(WorldShape S, std::uint64_t Seed)
+    : Shape(S), Rng(Seed), Config(std::make_shared<ServingConfig>(makeConfig(S))),
+      Extras(S.Shards), Firsts(S.Shards) {
+  std::vector<ReplicaEntry> Entries;
+  for (unsigned Shard = 0; Shard < S.Shards; ++Shard)
+    for (unsigned Zone = 0; Zone < S.Zones; ++Zone) {
+      auto R = std::make_unique<ModelReplica>();
+      R->Id = UpstreamId("r" + std::to_string(Shard) + "-" +
+                         std::to_string(Zone));
+      R->Shard = Shard;
+      R->Zone = Zone;
+      R->PausePhase = fromMillisF(uniform01(Rng) * S.PauseEveryMs);
+      Place P = placeOf(Zone);
+      Entries.push_back({R->Id, ServiceName("shard-" + std::to_string(Shard)),
+                         {"10.0.0.1", 1}, P.Zone, P.Reg, S.Slots, false, {}});
+      Replicas.push_back(std::move(R));
+    }
+  for (unsigned Zone = 0; Zone < S.Zones; ++Zone)
+    for (unsigned D = 0; D < S.DaemonsPerZone; ++D) {
+      auto One = std::make_unique<Daemon>(placeOf(Zone), Rng());
+      One->Zone = Zone;
+      One->Shared.Rules.Retries = S.Retries;
+      One->Book.setSharing({S.DaemonsPerZone, S.DaemonsPerZone * (S.Zones - 1)});
+      One->Book.replaceAll(Entries, Now);
+      Daemons.push_back(std::move(One));
+    }
+  for (unsigned Zone = 0; Zone < S.Zones; ++Zone)
+    at(Now, [this, Zone] { query(Zone); });
+}
+
+void ForwardWorld::runUntil(Duration Until) {
+  Instant End = Instant(Seconds(1000)) + Until;
+  while (!Events.empty() && Events.begin()->first <= End) {
+    auto First = Events.begin();
+    Now = First->first;
+    auto Fn = std::move(First->second);
+    Events.erase(First);
+    Fn();
+  }
+  Now = End;
+}
+
+double ForwardWorld::workMs() {
+  // Box-Muller; the mean of the log-normal is WorkMs.
+  double U = std::max(1e-12, uniform01(Rng));
+  double Z = std::sqrt(-2 * std::log(U)) * std::cos(6.283185307 * uniform01(Rng));
+  double S = Shape.WorkSpread;
+  return Shape.WorkMs * std::exp(S * Z - S * S / 2);
+}
+
+void ForwardWorld::query(unsigned Zone) {
+  double Gap = -std::log(std::max(1e-12, uniform01(Rng))) * 1000 /
+               Shape.QueriesPerSecond;
+  at(Now + fromMillisF(Gap), [this, Zone] { query(Zone); });
+  unsigned D = Zone * Shape.DaemonsPerZone +
+               static_cast<unsigned>(below(Rng, Shape.DaemonsPerZone));
+  ForwardAsk A;
+  A.Config = Config;
+  A.Way = &Config->routes().front();
+  A.Arrived = Now;
+  A.CallerWaits = A.Way->Timeout;
+  auto J = std::make_shared<Job>(std::move(A));
+  J->Home = D;
+  J->Began = Now;
+  ++Figures.Asked;
+  apply(J, J->Run.begin(Daemons[D]->Shared, Now));
+}
+
+void ForwardWorld::apply(const std::shared_ptr<Job> &J, RunOutput Out) {
+  for (unsigned Send : Out.Drop)
+    J->Works[Send]->Dropped = true;
+  for (const StartSend &S : Out.Start)
+    start(J, S);
+  if (Out.Answer) {
+    double Took = toMillisF(Now - J->Began);
+    double Share = 0;
+    if (const auto *M = std::get_if<MergedAnswer>(&*Out.Answer))
+      Share = 1 - double(M->Missing) / Shape.Shards;
+    else if (const auto *P = std::get_if<PassedAnswer>(&*Out.Answer))
+      Share = P->Reply.success() ? 1 : 0;
+    bool InTime = Took <= Shape.ObjectiveMs;
+    ++(Share == 0 ? Figures.Failed : InTime ? Figures.InTime : Figures.Late);
+    Figures.Credit += Share * Share * (InTime ? 1 : 0.1);
+  }
+  if (J->Run.done())
+    return;
+  at(std::max(J->Run.nextTick(), Now + Micros(1)), [this, J] {
+    if (!J->Run.done() && J->Run.nextTick() <= Now)
+      apply(J, J->Run.tick(Daemons[J->Home]->Shared, Now));
+  });
+}
+
+void ForwardWorld::start(const std::shared_ptr<Job> &J, const StartSend &S) {
+  ModelReplica *R = nullptr;
+  for (auto &One : Replicas)
+    if (One->Id == S.To->entry().Id)
+      R = One.get();
+  unsigned Home = Daemons[J->Home]->Zone;
+  Duration Way = way(Home, R->Zone);
+  Figures.FarSends += Home != R->Zone;
+  auto W = std::make_shared<Work>();
+  W->Ms = workMs();
+  J->Works[S.Send] = W;
+  W->Done = [this, J, Send = S.Send, Way, W](SendEnd How) {
+    at(Now + Way, [this, J, Send, How, W] {
+      if (W->Dropped)
+        return;
+      SendResult Result;
+      Result.How = How;
+      if (How == SendEnd::Answered) {
+        ReplicaReply Reply;
+        Reply.Status = 200;
+        Reply.Signature = "s";
+        Reply.Body = std::string(RecordBytes, 'r');
+        Result.Reply = Reply;
+      }
+      apply(J, J->Run.replied(Daemons[J->Home]->Shared, Send,
+                              std::move(Result), Now));
+    });
+  };
+  if (R->What.Refuse) {
+    at(Now + Way, [W] { W->Done(SendEnd::NotSent); });
+    return;
+  }
+  if (R->What.Dark) {
+    at(Now + ConnectTimeout, [W] { W->Done(SendEnd::NotSent); });
+    return;
+  }
+  at(Now + Way, [this, J, R, W] {
+    bool First = J->SendsOfShard[R->Shard]++ == 0;
+    ++(First ? Figures.FirstSends : Figures.ExtraSends);
+    (First ? Firsts : Extras)[R->Shard].push_back(Now);
+    arrive(*R, W);
+  });
+}
+
+void ForwardWorld::arrive(ModelReplica &R, const std::shared_ptr<Work> &W) {
+  bool Full = R.Running >= Shape.Slots && R.Queue.size() >= Shape.QueueLimit;
+  if (Full || uniform01(Rng) < R.What.Shed) {
+    W->Done(SendEnd::Rejected);
+    return;
+  }
+  R.Queue.push_back(W);
+  pump(R);
+}
+
+Instant ForwardWorld::awake(const ModelReplica &R, Instant From) const {
+  if (Shape.PauseEveryMs <= 0)
+    return From;
+  Duration Period = fromMillisF(Shape.PauseEveryMs);
+  Duration Into = (From.time_since_epoch() + R.PausePhase) % Period;
+  Duration Length = fromMillisF(Shape.PauseMs);
+  return Into < Length ? From + (Length - Into) : From;
+}
+
+void ForwardWorld::pump(ModelReplica &R) {
+  while (R.Running < Shape.Slots && !R.Queue.empty()) {
+    auto W = R.Queue.front();
+    R.Queue.pop_front();
+    if (W->Dropped)
+      continue;
+    ++R.Running;
+    Instant End = awake(R, Now) + fromMillisF(W->Ms * R.What.Slow);
+    bool Lost = uniform01(Rng) < R.What.Lose;
+    at(End, [this, &R, W, Lost] {
+      --R.Running;
+      if (!W->Dropped)
+        W->Done(Lost ? SendEnd::Lost : SendEnd::Answered);
+      pump(R);
+    });
+  }
+}
+
+} // namespace shallot::test
--- /dev/null
+++ b/tests/ForwardWorld.h
@@ -0,0 +1,144 @@
+//===- ForwardWorld.h - Shards with troubles, in virtual time ---*- C++ -*-===//
+//
+// Daemons that drive ForwardRun against modelled replicas: slots, a queue,
+// pauses, and troubles that a test switches on. No sockets, no clock; a seed
+// repeats a run exactly.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_TESTS_FORWARDWORLD_H
+#define SHALLOTSHIFT_TESTS_FORWARDWORLD_H
+
+#include "shallotshift/forward.h"
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace shallot::test {
+
+struct WorldShape {
+  unsigned Shards = 10;
+  unsigned Zones = 3;          ///< One replica of each shard in each.
+  unsigned DaemonsPerZone = 1;
+  unsigned Slots = 2;
+  unsigned QueueLimit = 12;
+  unsigned MaxConnections = 25;
+  double QueriesPerSecond = 60; ///< In each zone.
+  double WorkMs = 11;
+  double WorkSpread = 0.35;     ///< Of a log-normal.
+  double PauseMs = 150;
+  double PauseEveryMs = 3600;   ///< 0: none.
+  double ObjectiveMs = 120;
+  double DeadlineMs = 800;
+  double LeastShare = 0.89;
+  unsigned MaxAttempts = 2;
+  Repetition Kind = Repetition::Idempotent;
+  RetryAllowance Retries{0.2, 52, Seconds(10)};
+};
+
+/// What is wrong with a replica now.
+struct Trouble {
+  double Slow = 1;    ///< Work takes this many times as long.
+  double Lose = 0;    ///< Part of the replies that are lost after the work.
+  double Shed = 0;    ///< Part of the requests that are rejected at once.
+  bool Dark = false;  ///< Neither connections nor requests are answered.
+  bool Refuse = false; ///< Connections are refused at once.
+};
+
+/// Counts over a span of time.
+struct WorldFigures {
+  unsigned Asked = 0;
+  unsigned InTime = 0; ///< A success within the objective.
+  unsigned Late = 0;
+  unsigned Failed = 0;
+  double Credit = 0;   ///< The square of the share in time, a tenth if late.
+  unsigned FirstSends = 0;
+  unsigned ExtraSends = 0;
+  unsigned FarSends = 0;
+
+  double worth() const { return Asked == 0 ? 0 : Credit / Asked; }
+};
+
+class ForwardWorld {
+public:
+  ForwardWorld(WorldShape Shape, std::uint64_t Seed);
+
+  /// Runs the clock on to \p Until, with queries coming in.
+  void runUntil(Duration Until);
+  Instant now() const { return Now; }
+  /// Trouble of the replica of \p Shard in \p Zone, from now on.
+  Trouble &trouble(unsigned Shard, unsigned Zone) {
+    return Replicas[Shard * Shape.Zones + Zone]->What;
+  }
+  /// The figures since the last call.
+  WorldFigures takeFigures() { return std::exchange(Figures, {}); }
+  /// Arrivals beyond the first of each request, with their times, by shard.
+  const std::vector<std::vector<Instant>> &extras() const { return Extras; }
+  const std::vector<std::vector<Instant>> &firsts() const { return Firsts; }
+  ReplicaBook &book(unsigned Daemon) { return Daemons[Daemon]->Book; }
+
+private:
+  struct Work {
+    std::function<void(SendEnd)> Done;
+    double Ms = 0;
+    bool Dropped = false;
+  };
+  struct ModelReplica {
+    UpstreamId Id;
+    unsigned Shard = 0;
+    unsigned Zone = 0;
+    unsigned Running = 0;
+    std::deque<std::shared_ptr<Work>> Queue;
+    Duration PausePhase{};
+    Trouble What;
+  };
+  struct Daemon {
+    Daemon(Place Here, std::uint64_t Seed)
+        : Book(Here, {}), Rng(Seed), Shared{Book, Budgets, Works, Rng, {}} {}
+    unsigned Zone = 0;
+    ReplicaBook Book;
+    BudgetMap Budgets;
+    WorkBook Works;
+    Random Rng;
+    ForwardShared Shared;
+  };
+  struct Job {
+    Job(ForwardAsk A) : Run(std::move(A)) {}
+    ForwardRun Run;
+    unsigned Home = 0;
+    Instant Began;
+    std::map<unsigned, std::shared_ptr<Work>> Works;
+    std::map<unsigned, unsigned> SendsOfShard;
+  };
+
+  void at(Instant When, std::function<void()> Fn) {
+    Events.emplace(When, std::move(Fn));
+  }
+  void query(unsigned Zone);
+  void apply(const std::shared_ptr<Job> &J, RunOutput Out);
+  void start(const std::shared_ptr<Job> &J, const StartSend &S);
+  void arrive(ModelReplica &R, const std::shared_ptr<Work> &W);
+  void pump(ModelReplica &R);
+  Instant awake(const ModelReplica &R, Instant From) const;
+  double workMs();
+  Duration way(unsigned ZoneA, unsigned ZoneB) const {
+    return ZoneA == ZoneB ? Micros(100) : Millis(8);
+  }
+
+  WorldShape Shape;
+  Random Rng;
+  Instant Now{Seconds(1000)};
+  std::multimap<Instant, std::function<void()>> Events;
+  std::shared_ptr<const ServingConfig> Config;
+  std::vector<std::unique_ptr<ModelReplica>> Replicas;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  std::vector<std::vector<Instant>> Extras;
+  std::vector<std::vector<Instant>> Firsts;
+  WorldFigures Figures;
+};
+
+} // namespace shallot::test
+
+#endif // SHALLOTSHIFT_TESTS_FORWARDWORLD_H
--- /dev/null
+++ b/tests/error/ServingConfigIsChecked.cpp
@@ -0,0 +1,67 @@
+// A configuration that cannot be served is refused, and the route is named.
+#include "shallotshift/forward.h"
+
+#include <doctest/doctest.h>
+#include <functional>
+
+using namespace shallot;
+
+namespace {
+
+Route good() {
+  Route R;
+  R.Name = "lanes";
+  R.Host = "a.example";
+  R.PathPrefix = "/x/";
+  R.Timeout = Millis(800);
+  R.Objective = Millis(100);
+  R.Target = ServiceName("s");
+  return R;
+}
+
+Error errorOf(const std::function<void(Route &)> &Spoil) {
+  Route R = good();
+  Spoil(R);
+  auto C = attempt([&] {
+    return ServingConfig::make(1, {R}, {{ServiceName("s"), 5}}, CallerLimits());
+  });
+  return C.error();
+}
+
+} // namespace
+
+TEST_CASE("each mistake is named with its route") {
+  CHECK(errorOf([](Route &) {}).Code == ResultCode::Ok);
+  const std::vector<std::pair<std::function<void(Route &)>, std::string>>
+      Mistakes = {
+          {[](Route &R) { R.Host.clear(); }, "route lanes: name a host"},
+          {[](Route &R) { R.PathPrefix = "x/"; },
+           "route lanes: the prefix \"x/\" must begin and end with a slash"},
+          {[](Route &R) { R.PathPrefix = "/x"; },
+           "route lanes: the prefix \"/x\" must begin and end with a slash"},
+          {[](Route &R) { R.Timeout = Duration(0); },
+           "route lanes: timeout and objective must be above 0"},
+          {[](Route &R) { R.MaxAttempts = 0; },
+           "route lanes: allow at least one attempt"},
+          {[](Route &R) { R.Target = ServiceName("t"); },
+           "route lanes: service t is not listed"},
+          {[](Route &R) { R.Target = WeightedSplit(); },
+           "route lanes: name at least one service"},
+          {[](Route &R) { R.Target = WeightedSplit{{ServiceName("s"), 0}}; },
+           "route lanes: the weights add up to 0"},
+          {[](Route &R) { R.Target = WeightedSplit{{ServiceName("s"), -1}}; },
+           "route lanes: a weight is below 0"},
+          {[](Route &R) {
+             R.Target = ShardFanOut{{ServiceName("s"), ServiceName("s")}, 5, 1};
+             R.Kind = Repetition::Idempotent;
+           },
+           "route lanes: a shard is named twice"},
+          {[](Route &R) { R.Target = ShardFanOut{{ServiceName("s")}, 5, 1}; },
+           "route lanes: a fan-out must be idempotent"},
+      };
+  for (const auto &[Spoil, Text] : Mistakes) {
+    Error E = errorOf(Spoil);
+    CHECK(E.Code == ResultCode::ConfigInvalid);
+    CHECK(E.Detail == Text);
+  }
+}
--- /dev/null
+++ b/tests/failure/ActionsAreForwardedOnce.cpp
@@ -0,0 +1,91 @@
+// What the caller sees: an action whose reply is lost ends "unknown", never "not
+// run" and never twice. What happens: the request leaves, then the connection
+// breaks, or the caller's time runs out, or the replica says that it did not run
+// it. Only in the last case, or when nothing left, may it be sent again.
+#include "ForwardFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+
+namespace {
+
+struct ActionFixture : ForwardFixture {
+  ActionFixture() {
+    add("near", "a", "here");
+    add("far", "a", "there");
+  }
+  ForwardRun action() {
+    return run(route(ServiceName("a"), Repetition::AtMostOnce));
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ActionFixture, "a lost reply is not sent again") {
+  ForwardRun R = action();
+  RunOutput Out = R.begin(Shared, Now);
+  REQUIRE(Out.Start.size() == 1);
+  Out = R.replied(Shared, 0, ended(SendEnd::Lost), Now + Millis(5));
+  CHECK(Out.Start.empty());
+  CHECK(own(Out).Code == ResultCode::OutcomeUnknown);
+  CHECK_FALSE(provesNotRun(own(Out).Code));
+}
+
+TEST_CASE_FIXTURE(ActionFixture, "silence is no reason to send it again") {
+  ForwardRun R = action();
+  R.begin(Shared, Now);
+  RunOutput Out = tickUntil(R, Now + Seconds(2));
+  CHECK(Out.Start.empty());
+  CHECK(own(Out).Code == ResultCode::OutcomeUnknown);
+}
+
+TEST_CASE_FIXTURE(ActionFixture, "one that was rejected is sent elsewhere") {
+  ForwardRun R = action();
+  RunOutput Out = R.begin(Shared, Now);
+  ReplicaPtr First = Out.Start.front().To;
+  Out = R.replied(Shared, 0, ended(SendEnd::Rejected), Now + Millis(2));
+  REQUIRE(Out.Start.size() == 1);
+  CHECK(Out.Start.front().To != First);
+  Out = R.replied(Shared, 1, answered(), Now + Millis(9));
+  REQUIRE(Out.Answer);
+  CHECK(std::get<PassedAnswer>(*Out.Answer).Reply.Body == "body");
+}
+
+TEST_CASE_FIXTURE(ActionFixture, "one that never left is sent elsewhere") {
+  ForwardRun R = action();
+  R.begin(Shared, Now);
+  RunOutput Out = R.replied(Shared, 0, ended(SendEnd::NotSent), Now + Millis(1));
+  CHECK(Out.Start.size() == 1);
+}
+
+TEST_CASE_FIXTURE(ActionFixture,
+                  "when every replica rejected it, it has not run") {
+  ForwardRun R = action();
+  R.begin(Shared, Now);
+  R.replied(Shared, 0, ended(SendEnd::Rejected), Now + Millis(2));
+  R.replied(Shared, 1, ended(SendEnd::Rejected), Now + Millis(4));
+  RunOutput Out;
+  for (unsigned Send = 2; Send < 6 && !R.answered(); ++Send)
+    Out = R.replied(Shared, Send, ended(SendEnd::Rejected), Now + Millis(6));
+  CHECK(provesNotRun(own(Out).Code));
+  CHECK(own(Out).RetryAfter > Duration(0));
+}
+
+TEST_CASE_FIXTURE(ActionFixture, "a caller that leaves does not stop it") {
+  ForwardRun R = action();
+  R.begin(Shared, Now);
+  CHECK(R.callerGone(Now + Millis(10)).Drop.empty());
+  CHECK(tickUntil(R, Now + Millis(500)).Drop.empty());
+}
+
+TEST_CASE_FIXTURE(ActionFixture, "a failure of the replica is passed on as it is") {
+  ForwardRun R = action();
+  R.begin(Shared, Now);
+  RunOutput Out =
+      R.replied(Shared, 0, answered("no", 500), Now + Millis(5));
+  CHECK(Out.Start.empty());
+  REQUIRE(Out.Answer);
+  CHECK(std::get<PassedAnswer>(*Out.Answer).Reply.Status == 500);
+}
--- /dev/null
+++ b/tests/failure/DeadReplicasRest.cpp
@@ -0,0 +1,97 @@
+// What callers see: one replica refuses connections, or takes requests and
+// answers nothing; after a few of them nobody is sent there. What happens: it
+// rests and is tried with a connection that costs no caller; when that works it
+// is used again, and one more loss sends it back to rest. A pause is neither.
+#include "ForwardFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+
+namespace {
+
+struct ReplicaFixture {
+  Instant Now{Seconds(1000)};
+  Replica R{{UpstreamId("r"), ServiceName("a"), {"10.0.0.1", 1},
+             AvailabilityZone("z"), Region("z"), 2, false, {}},
+            Distance::SameZone, Now};
+  Duration Work = Millis(10);
+
+  void send(SendEnd How, Duration Took) {
+    Instant Started = Now;
+    R.sendStarted(Now);
+    Now += Took;
+    R.sendEnded(Started, How, Work, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ReplicaFixture, "a refused connection sends it to rest") {
+  send(SendEnd::NotSent, Millis(1));
+  CHECK(R.resting());
+  CHECK_FALSE(R.takeTrial(Now));
+  Now += Millis(250);
+  CHECK(R.takeTrial(Now));
+  CHECK_FALSE(R.takeTrial(Now));
+  R.trialEnded(true, Now);
+  CHECK_FALSE(R.resting());
+}
+
+TEST_CASE_FIXTURE(ReplicaFixture, "rests grow while trials fail, up to a bound") {
+  send(SendEnd::NotSent, Millis(1));
+  Duration Longest{};
+  for (int I = 0; I < 8; ++I) {
+    Instant From = Now;
+    while (!R.takeTrial(Now))
+      Now += Millis(10);
+    Longest = std::max(Longest, Now - From);
+    R.trialEnded(false, Now);
+  }
+  CHECK(Longest >= Seconds(2));
+  CHECK(Longest <= Seconds(4));
+}
+
+TEST_CASE_FIXTURE(ReplicaFixture, "losses in a row do, one alone does not") {
+  send(SendEnd::Lost, Millis(5));
+  send(SendEnd::Answered, Millis(10));
+  send(SendEnd::Lost, Millis(5));
+  send(SendEnd::Lost, Millis(5));
+  CHECK_FALSE(R.resting());
+  send(SendEnd::Lost, Millis(5));
+  CHECK(R.resting());
+}
+
+TEST_CASE_FIXTURE(ReplicaFixture, "sends that outlast every pause count as lost") {
+  for (int I = 0; I < 3; ++I)
+    send(SendEnd::Abandoned, Millis(400));
+  CHECK(R.resting());
+}
+
+TEST_CASE_FIXTURE(ReplicaFixture, "sends abandoned within a pause do not") {
+  for (int I = 0; I < 9; ++I)
+    send(SendEnd::Abandoned, Millis(150));
+  CHECK_FALSE(R.resting());
+}
+
+TEST_CASE_FIXTURE(ReplicaFixture, "a paused replica looks slow until it answers") {
+  Duration Usual = R.predicted(Work, Now);
+  Instant Started = Now;
+  R.sendStarted(Now);
+  Now += Millis(60);
+  CHECK(R.stuck(Work, Now));
+  CHECK(R.predicted(Work, Now) > Usual + Millis(100));
+  Now += Millis(90);
+  R.sendEnded(Started, SendEnd::Answered, Work, Now);
+  CHECK_FALSE(R.stuck(Work, Now));
+  // One late answer is forgotten within seconds.
+  CHECK(R.predicted(Work, Now + Seconds(5)) < Usual + Millis(10));
+}
+
+TEST_CASE_FIXTURE(ReplicaFixture, "quick failures do not make it look quick") {
+  Duration Usual = R.predicted(Work, Now);
+  for (int I = 0; I < 10; ++I)
+    send(SendEnd::Rejected, Millis(1));
+  CHECK(R.predicted(Work, Now) > Usual + Millis(50));
+}
--- /dev/null
+++ b/tests/forward.cmake
@@ -0,0 +1,12 @@
+shallot_test(forward_correctness PACKAGES forward LABELS correctness
+  SOURCES TestMain.cpp correctness/RecordsAreMerged.cpp
+          correctness/RoutesMatchLongestPrefix.cpp)
+shallot_test(forward_failure PACKAGES forward LABELS failure
+  SOURCES TestMain.cpp failure/ActionsAreForwardedOnce.cpp
+          failure/DeadReplicasRest.cpp failure/PartsAreMissing.cpp
+          failure/RetryBudgetHoldsInEveryWindow.cpp
+          failure/VanishedReplicasStandIn.cpp)
+shallot_test(forward_error PACKAGES forward LABELS error
+  SOURCES TestMain.cpp error/ServingConfigIsChecked.cpp)
+shallot_test(forward_performance PACKAGES forward LABELS performance
+  SOURCES TestMain.cpp ForwardWorld.cpp performance/ForwardUnderTrouble.cpp)
--- /dev/null
+++ b/tests/performance/ForwardUnderTrouble.cpp
@@ -0,0 +1,140 @@
+// Replays loads with troubles in virtual time and judges what callers get: the
+// mean credit of a query (the square of the share of its parts that are in, a
+// tenth when it is late), over seeds, and the bound on extra sends. The figures
+// repeat exactly, so the bounds are close below what is measured; each case says
+// what it measured.
+#include "ForwardWorld.h"
+
+#include <cstdio>
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 5;
+
+struct Outcome {
+  double Worth = 0;
+  double Extra = 0; ///< Extra sends against first sends.
+};
+
+using Prepare = void (*)(ForwardWorld &);
+
+/// Four seconds to learn, then the trouble; figures of \p For after \p Settle.
+Outcome replay(const char *Name, WorldShape Shape, Prepare Trouble,
+               Duration Settle, Duration For) {
+  WorldFigures Sum;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    ForwardWorld W(Shape, Seed);
+    W.runUntil(Seconds(4));
+    Trouble(W);
+    W.runUntil(Seconds(4) + Settle);
+    W.takeFigures();
+    W.runUntil(Seconds(4) + Settle + For);
+    WorldFigures F = W.takeFigures();
+    Sum.Asked += F.Asked;
+    Sum.Credit += F.Credit;
+    Sum.FirstSends += F.FirstSends;
+    Sum.ExtraSends += F.ExtraSends;
+  }
+  Outcome O{Sum.worth(), double(Sum.ExtraSends) / Sum.FirstSends};
+  std::printf("%-40s worth %.4f  extra %.4f\n", Name, O.Worth, O.Extra);
+  return O;
+}
+
+void nothing(ForwardWorld &) {}
+
+/// One of three replicas of every third shard, as "across" troubles fall.
+void eachThird(ForwardWorld &W, const Trouble &T) {
+  for (unsigned Shard = 0; Shard < 10; Shard += 3)
+    W.trouble(Shard, Shard % 3) = T;
+}
+
+} // namespace
+
+TEST_CASE("pauses cost a hedge, not the answer") {
+  Outcome Hedged = replay("pauses", {}, nothing, Duration(0), Seconds(10));
+  WorldShape Alone;
+  Alone.MaxAttempts = 1;
+  Outcome Bare = replay("pauses, no second send", Alone, nothing, Duration(0),
+                        Seconds(10));
+  CHECK(Hedged.Worth > 0.985);
+  CHECK(Hedged.Worth > Bare.Worth + 0.02);
+  CHECK(Hedged.Extra < 0.12);
+}
+
+TEST_CASE("slow replicas lose their load within a second") {
+  Outcome O = replay(
+      "slow x8", {},
+      [](ForwardWorld &W) {
+        Trouble T;
+        T.Slow = 8;
+        eachThird(W, T);
+      },
+      Seconds(1), Seconds(6));
+  CHECK(O.Worth > 0.97);
+  CHECK(O.Extra < 0.2);
+}
+
+TEST_CASE("dark replicas are found and left alone") {
+  Outcome O = replay(
+      "dark", {},
+      [](ForwardWorld &W) {
+        Trouble T;
+        T.Dark = true;
+        eachThird(W, T);
+      },
+      Seconds(1), Seconds(6));
+  CHECK(O.Worth > 0.97);
+}
+
+TEST_CASE("replicas that shed lose their load to those that do not") {
+  Outcome O = replay(
+      "shed 0.6", {},
+      [](ForwardWorld &W) {
+        Trouble T;
+        T.Shed = 0.6;
+        eachThird(W, T);
+      },
+      Seconds(1), Seconds(6));
+  CHECK(O.Worth > 0.97);
+}
+
+TEST_CASE("lost replies stay within the retry budget") {
+  Outcome O = replay(
+      "lost replies 0.4", {},
+      [](ForwardWorld &W) {
+        Trouble T;
+        T.Lose = 0.4;
+        eachThird(W, T);
+      },
+      Seconds(1), Seconds(6));
+  CHECK(O.Worth > 0.95);
+  CHECK(O.Extra < 0.2);
+}
+
+TEST_CASE("when everything fails the extra sends stay bounded") {
+  WorldShape Shape;
+  ForwardWorld W(Shape, 3);
+  W.runUntil(Seconds(4));
+  for (unsigned Shard = 0; Shard < Shape.Shards; ++Shard)
+    for (unsigned Zone = 0; Zone < Shape.Zones; ++Zone)
+      W.trouble(Shard, Zone).Lose = 0.7;
+  W.runUntil(Seconds(24));
+  for (unsigned Shard = 0; Shard < Shape.Shards; ++Shard) {
+    const auto &Extras = W.extras()[Shard];
+    const auto &Firsts = W.firsts()[Shard];
+    for (std::size_t I = 0; I < Extras.size(); I += 7) {
+      Instant From = Extras[I] - Shape.Retries.Window;
+      auto Within = [&](const std::vector<Instant> &Times) {
+        return std::ranges::count_if(
+            Times, [&](Instant T) { return T > From && T <= Extras[I]; });
+      };
+      CHECK(double(Within(Extras)) <=
+            Shape.Retries.Ratio * double(Within(Firsts)) +
+                Shape.Retries.Constant);
+    }
+  }
+}
