http1: a handler that lets go of an exchange answers 500; tests of the transport

Cause: the connection held its exchange and the exchange its connection, so one that a handler forgot was never ended and its caller waited until it gave up. Change: the connection holds its exchange weakly.

--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -96,7 +96,7 @@
   void gone();
   void closeNow();
   bool idle() const {
-    return !Current && Reader.state() == ReadState::Waiting && Ahead.empty() &&
+    return !Busy && Reader.state() == ReadState::Waiting && Ahead.empty() &&
            Socket->unsent() == 0;
   }
 
@@ -115,7 +115,11 @@
   std::shared_ptr<StreamSocket> Socket;
   MessageReader Reader;
   std::string Ahead; ///< Bytes behind the request that is being answered.
-  std::shared_ptr<Turn> Current;
+  /// Held weakly: a handler that lets go of it has given no answer, and its end
+  /// says so to the caller.
+  std::weak_ptr<Turn> Current;
+  bool Busy = false;        ///< A request is being answered.
+  bool ToHead = false;      ///< Its method is HEAD.
   bool CloseBehind = false; ///< The caller wants it so.
   bool Draining = false;    ///< An error was sent; what comes is dropped.
   bool SawContinue = false;
@@ -184,7 +188,7 @@
 void Connection::data(std::string_view Bytes) {
   if (Draining)
     return;
-  if (!Current) {
+  if (!Busy) {
     parse(Bytes);
     return;
   }
@@ -240,16 +244,18 @@
   R.Headers = std::move(M.Headers);
   R.Body = std::move(M.Body);
   R.Arrived = S->Timers.now();
-  Current = std::make_shared<Turn>(std::move(R), shared_from_this(), S);
-  S->OnRequest(Current);
+  Busy = true;
+  ToHead = R.Method == "HEAD";
+  auto T = std::make_shared<Turn>(std::move(R), shared_from_this(), S);
+  Current = T;
+  S->OnRequest(std::move(T));
 }
 
 void Connection::answer(const CallerReply &Reply) {
   bool Close = Reply.Close || CloseBehind || S->Closing;
-  bool ToHead = Current && Current->request().Method == "HEAD";
-  Current = nullptr;
-  Socket->write(
-      replyText(Reply.Status, Reply.Headers, Reply.Body, Close, !ToHead));
+  Busy = false;
+  Socket->write(replyText(Reply.Status, Reply.Headers, Reply.Body, Close,
+                          !std::exchange(ToHead, false)));
   wait(WriteTimeout, ResultCode::Ok);
   auto Self = shared_from_this();
   Socket->whenSent([Self, Close] { Self->afterReply(Close); });
@@ -269,7 +275,7 @@
     return;
   // Not from within the handler of the request before.
   asio::post(S->Loop.context(), [Self = shared_from_this()] {
-    if (Self->Current || !Self->Socket->open())
+    if (Self->Busy || !Self->Socket->open())
       return;
     std::string Bytes = std::exchange(Self->Ahead, {});
     Self->parse(Bytes);
@@ -283,7 +289,7 @@
 void Connection::gone() {
   auto Self = shared_from_this();
   closeNow();
-  if (auto T = std::exchange(Current, nullptr))
+  if (auto T = Current.lock(); T && std::exchange(Busy, false))
     T->callerGone();
 }
 
--- /dev/null
+++ b/tests/failure/StrayBytesBelongToNobody.cpp
@@ -0,0 +1,156 @@
+// What must never reach a caller: bytes behind a reply, a second reply where the
+// next one is due, a reply that broke off, another request's reply. What happens:
+// a faulty replica sends these on kept connections; each is told apart as "lost",
+// or dropped with its connection, and nothing is ever sent again by itself.
+#include "NetFixture.h"
+#include "RawServer.h"
+#include "shallotshift/http1.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+
+namespace {
+
+struct PoolFixture : NetFixture {
+  TimerQueue Timers{Loop};
+  Endpoint At = freeEndpoint("127.0.0.1");
+  UpstreamPool Pool{Loop, Timers, {}};
+  std::function<RawAct(const RawRequest &)> Act = [](const RawRequest &) {
+    return RawAct::Answer;
+  };
+  RawServer Server{Loop, At, [this](const RawRequest &R) { return Act(R); }};
+
+  UpstreamRequest request(const std::string &Id = "1") {
+    UpstreamRequest R;
+    R.To = At;
+    R.Bytes = requestText(requestHead("GET", "/", {{"Id", Id}}), {}, "", false);
+    R.EchoName = "Id";
+    R.EchoValue = Id;
+    return R;
+  }
+  UpstreamReply exchange(const std::string &Id = "1") {
+    std::optional<UpstreamReply> Got;
+    Pool.send(request(Id), [&](UpstreamReply R) { Got = std::move(R); });
+    runUntil([&] { return Got.has_value(); });
+    return std::move(*Got);
+  }
+};
+
+std::string reply(const std::string &Id, const std::string &Body = "ok") {
+  return "HTTP/1.1 200 OK\r\nId: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(PoolFixture, "a whole reply keeps its connection") {
+  Server.Answer = reply("1");
+  for (int I = 0; I < 3; ++I) {
+    UpstreamReply R = exchange();
+    CHECK(R.How == CallEnd::Answered);
+    CHECK(R.Body == "ok");
+  }
+  CHECK(Server.Accepted == 1);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "bytes behind a reply close its connection") {
+  Server.Answer = reply("1") + "garbage";
+  CHECK(exchange().Body == "ok");
+  Server.Answer = reply("1", "next");
+  CHECK(exchange().Body == "next");
+  CHECK(Server.Accepted == 2);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "a second reply is not the next one's") {
+  // The second reply comes late, at the moment when the next is due.
+  Server.Answer = reply("1");
+  CHECK(exchange("1").How == CallEnd::Answered);
+  Server.Answer = reply("1", "stale") + reply("2", "mine");
+  UpstreamReply R = exchange("2");
+  CHECK(R.How == CallEnd::Lost);
+  CHECK(R.Body.empty());
+  Server.Answer = reply("3", "mine");
+  CHECK(exchange("3").Body == "mine");
+  CHECK(Pool.counters().Stray == 1);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "a reply on an idle connection is nobody's") {
+  Server.Answer = reply("1");
+  exchange();
+  CHECK(Pool.idle() == 1);
+  Server.Answer = reply("1") + reply("1");
+  exchange();
+  runFor(Millis(20));
+  CHECK(Pool.idle() == 0);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "a reply that breaks off is lost") {
+  Act = [&](const RawRequest &) { return RawAct::Close; };
+  UpstreamReply R = exchange();
+  CHECK(R.How == CallEnd::Lost);
+  CHECK(Server.Seen.size() == 1);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "bytes that are no reply are lost") {
+  Server.Answer = "this is no reply\r\n\r\n";
+  CHECK(exchange().How == CallEnd::Lost);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "a kept connection that closed is not sent on again") {
+  Server.Answer = reply("1");
+  exchange();
+  Act = [&](const RawRequest &R) {
+    return R.Number == 0 ? RawAct::Answer : RawAct::Close;
+  };
+  UpstreamReply R = exchange();
+  CHECK(R.How == CallEnd::Lost);
+  runFor(Millis(50));
+  CHECK(Server.Seen.size() == 2); // And not three: nothing repeats by itself.
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "nothing listens: not sent") {
+  Server.stopListening();
+  runFor(Millis(5));
+  CHECK(exchange().How == CallEnd::NotSent);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "a dropped call closes its connection and is silent") {
+  Act = [&](const RawRequest &) { return RawAct::Silent; };
+  bool Called = false;
+  auto Id = Pool.send(request(), [&](const UpstreamReply &) { Called = true; });
+  runUntil([&] { return Server.Seen.size() == 1; });
+  Pool.drop(Id);
+  runFor(Millis(30));
+  CHECK_FALSE(Called);
+  CHECK(Pool.idle() == 0);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "when one kept connection fell silent the others go") {
+  Server.Answer = reply("1");
+  std::vector<UpstreamReply> Got;
+  auto Keep = [&](UpstreamReply R) { Got.push_back(std::move(R)); };
+  for (int I = 0; I < 3; ++I)
+    Pool.send(request(), Keep);
+  runUntil([&] { return Got.size() == 3; });
+  CHECK(Pool.idle() == 3);
+  runFor(Millis(5));
+  Act = [&](const RawRequest &) { return RawAct::Silent; };
+  auto Id = Pool.send(request(), Keep);
+  runUntil([&] { return Server.Seen.size() == 4; });
+  Pool.drop(Id);
+  CHECK(Pool.idle() == 0);
+}
+
+TEST_CASE_FIXTURE(PoolFixture, "what may run once avoids connections quiet for long") {
+  Server.Answer = reply("1");
+  exchange();
+  runFor(Millis(60));
+  UpstreamRequest Once = request();
+  Once.MostIdle = Millis(40);
+  std::optional<UpstreamReply> Got;
+  Pool.send(std::move(Once), [&](UpstreamReply R) { Got = std::move(R); });
+  runUntil([&] { return Got.has_value(); });
+  CHECK(Server.Accepted == 2);
+}
