front: daemons tell how far they have read; a fleet that just started asks the store

The watcher of its region hung in a watch that heard nothing (store compaction) for 2.2 s, then relied on a peer that relied on it, for 2.3 s more; everyone behind waited for both. Change: every gossip message carries the configuration's version and the newest change of a replica that its sender has read; who hears of more for 0.7 s asks that sender. A watcher asks the store twice before it relies on peers. Cause (slow recovery): after a kill of all, daemons waited for each other: ready 0.5 s after their start. Now only ready peers are asked, else the store.

--- a/packages/front/FeedSources.cpp
+++ b/packages/front/FeedSources.cpp
@@ -16,10 +16,6 @@
 constexpr Duration FirstStoreRest = Millis(900);
 constexpr Duration LongestStoreRest = Millis(3500);
 
-/// A daemon that has just started hears from its first peer within a round
-/// trip; before this it would ask the store itself only because it knows nobody.
-constexpr Duration StartPatience = Millis(900);
-
 /// How many of the own region are asked before other regions.
 constexpr std::size_t OwnRegionSources = 2;
 
@@ -61,14 +57,20 @@
   return Found == Failures.end() || Found->second.Until <= Now;
 }
 
-FeedSource FeedSources::next(bool Listed, Instant Now) const {
+FeedSource FeedSources::next(bool Listed, Instant Now) {
   const FeedSource Store;
+  if (Preferred)
+    return {std::exchange(Preferred, std::nullopt)};
   if (First && usable(Store, Now))
     return Store;
   FeedSource Soonest = Store;
   Instant SoonestAt = Instant::max();
   for (const Member &M : Peers) {
     FeedSource S{M};
+    // When all have just started none has anything to say yet, and a fleet that
+    // waits for itself answers nobody.
+    if (!Listed && M.State != MemberState::Alive)
+      continue;
     if (usable(S, Now))
       return S;
     Instant Until = Failures.at(M.Id.Host).Until;
@@ -77,8 +79,7 @@
       Soonest = S;
     }
   }
-  bool Patient = !Listed && Now < StartedAt + StartPatience && !Peers.empty();
-  if (!Patient && usable(Store, Now))
+  if (usable(Store, Now))
     return Store;
   // Everyone has failed lately.
   return Soonest;
@@ -88,6 +89,11 @@
 
 void FeedSources::failed(const FeedSource &S, Random &Rng, Instant Now) {
   Bad &B = Failures[nameOf(S)];
+  // One call may be lost on the way, or with a connection that fell silent.
+  // The daemon that the others rely on asks the store again before it relies on
+  // them.
+  if (S.direct() && ++B.Times == 1)
+    return;
   Duration Least = S.direct() ? FirstStoreRest : FirstPeerRest;
   Duration Most = S.direct() ? LongestStoreRest : LongestPeerRest;
   B.For = std::clamp(B.For * 2, Least, Most);
--- a/packages/front/FeedSources.h
+++ b/packages/front/FeedSources.h
@@ -1,10 +1,10 @@
 //===- FeedSources.h - Whom to ask for what the store holds -----*- C++ -*-===//
 //
-// Every call to the store is paid for, and its rates do not grow with the fleet,
-// so one daemon in each region watches the store and the others of the region
-// watch that one. Nobody elects it: each daemon ranks the members that it sees,
-// and the first of its region asks the store. Two daemons that see different
-// members may both ask; that costs a few calls and nothing else.
+// Every call to the store is paid for, and its rates do not grow with the
+// fleet, so one daemon in each region watches the store and the others of the
+// region watch that one. Nobody elects it: each daemon ranks the members that
+// it sees, and the first of its region asks the store. Two daemons that see
+// different members may both ask; that costs a few calls and nothing else.
 //
 // What a daemon does when its source is of no use (dead, silent, or itself
 // without word from the store): the second of its region, then the first of
@@ -39,13 +39,15 @@
 
 class FeedSources {
 public:
-  FeedSources(HostId Self, Region Here, Instant Now)
-      : Self(std::move(Self)), Here(std::move(Here)), StartedAt(Now) {}
+  FeedSources(HostId Self, Region Here)
+      : Self(std::move(Self)), Here(std::move(Here)) {}
 
   void update(const FleetView &View);
-  /// The source for the next call. \p Listed: something was read before. Until
-  /// then a daemon that has just started gives its peers a moment.
-  FeedSource next(bool Listed, Instant Now) const;
+  /// The source for the next call. \p Listed: something was read before; until
+  /// then only peers that are ready are asked.
+  FeedSource next(bool Listed, Instant Now);
+  /// \p Peer is known to have more than this daemon: the next call goes there.
+  void prefer(const Member &Peer) { Preferred = Peer; }
   void worked(const FeedSource &S);
   void failed(const FeedSource &S, Random &Rng, Instant Now);
   /// True when \p S may no longer answer: its daemon left or is suspected.
@@ -55,6 +57,7 @@
 
 private:
   struct Bad {
+    unsigned Times = 0;
     Duration For{};
     Instant Until{};
   };
@@ -63,9 +66,9 @@
 
   HostId Self;
   Region Here;
-  Instant StartedAt;
-  std::vector<Member> Peers; ///< In the order in which they are asked.
-  bool First = true;         ///< Of its region.
+  std::optional<Member> Preferred;
+  std::vector<Member> Peers;      ///< In the order in which they are asked.
+  bool First = true;              ///< Of its region.
   std::map<HostId, Bad> Failures; ///< The empty name is the store.
 };
 
--- a/packages/front/FeedWire.cpp
+++ b/packages/front/FeedWire.cpp
@@ -96,13 +96,15 @@
 }
 
 template <typename T>
-Attempt<T> readBody(const HttpReply &R, Result<T> (*Read)(const std::string &)) {
+Attempt<T> readBody(const HttpReply &R,
+                    Result<T> (*Read)(const std::string &)) {
   if (!R.arrived())
     return Error{ResultCode::PeerUnreachable, codeLabel(R.Failure)};
   if (R.Status == infoOf(ResultCode::PlatformHistoryGone).HttpStatus)
     return Error{ResultCode::PlatformHistoryGone, "the peer keeps less"};
   if (R.Status != 200)
-    return Error{ResultCode::PeerUnreachable, fmt::format("status {}", R.Status)};
+    return Error{ResultCode::PeerUnreachable,
+                 fmt::format("status {}", R.Status)};
   auto Found = attempt([&] { return Read(R.Body); });
   if (!Found)
     return Error{ResultCode::PeerBadMessage, Found.error().Detail};
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -132,6 +132,7 @@
   logEvent(LogLevel::Warn, "rejoined",
            {{"incarnation", std::to_string(Incarnation + 1)}});
   Members = std::move(*M);
+  Members.setConfig(Announced.ConfigVersion, Announced.ReplicaRevision);
   OnChanged();
 }
 
@@ -148,12 +149,22 @@
   return S;
 }
 
-std::vector<Endpoint> FleetLink::peers() const {
-  std::vector<Endpoint> Found;
-  for (const Member &M : view().Members)
-    if (M.Id.Host != Set.Host && takesNewWork(M))
-      Found.push_back(M.Rpc);
-  return Found;
+void FleetLink::announce(const ReadState &S) {
+  if (S == Announced)
+    return;
+  Announced = S;
+  Members.setConfig(S.ConfigVersion, S.ReplicaRevision);
+}
+
+std::optional<PeerAhead> FleetLink::ahead(const ReadState &S) const {
+  for (const PeerConfig &P : Members.peerConfigs()) {
+    if (P.Generation <= S.ConfigVersion && P.Head <= S.ReplicaRevision)
+      continue;
+    for (const Member &M : view().Members)
+      if (M.Id == P.Who && M.State == MemberState::Alive)
+        return PeerAhead{M, {P.Generation, P.Head}};
+  }
+  return std::nullopt;
 }
 
 } // namespace shallot
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -17,6 +17,20 @@
 
 namespace shallot {
 
+/// How far a daemon has read what the store holds.
+struct ReadState {
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t ReplicaRevision = 0;
+
+  friend bool operator==(const ReadState &, const ReadState &) = default;
+};
+
+/// A peer that has read further, and how far it said.
+struct PeerAhead {
+  Member Peer;
+  ReadState Read;
+};
+
 class FleetLink {
 public:
   /// Called when view() has changed.
@@ -35,8 +49,10 @@
   const FleetView &view() const { return Members.view(); }
   /// How many daemons share the replicas' connections and the retry allowance.
   Sharing sharing() const;
-  /// Peers' addresses for HTTP, live ones.
-  std::vector<Endpoint> peers() const;
+  /// Tells the others, in every message, how far this daemon has read.
+  void announce(const ReadState &S);
+  /// A live peer that has read further than \p S, if one said so.
+  std::optional<PeerAhead> ahead(const ReadState &S) const;
 
 private:
   FleetLink(EventLoop &Loop, const FrontSettings &Set, Random &Rng,
@@ -56,6 +72,7 @@
   ChangedFn OnChanged;
   std::unique_ptr<GossipSocket> Socket;
   Instant LastTick;
+  ReadState Announced;
   std::uint64_t Superseder = 0;
 };
 
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -304,6 +304,12 @@
 
 const FleetView &FrontDaemon::view() const { return I->Fleet->view(); }
 
+FleetLink &FrontDaemon::fleet() { return *I->Fleet; }
+
+std::uint64_t FrontDaemon::configVersion() const {
+  return I->Desk.config() ? I->Desk.config()->version() : 0;
+}
+
 const FrontSettings &FrontDaemon::settings() const { return I->Set; }
 
 TimerQueue &FrontDaemon::timers() { return I->Timers; }
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -68,6 +68,9 @@
   /// \p Fn is called at once and whenever view() has changed.
   void onFleetChanged(std::function<void()> Fn);
   const FleetView &view() const;
+  FleetLink &fleet();
+  /// The version in force; 0: none yet.
+  std::uint64_t configVersion() const;
   const FrontSettings &settings() const;
   TimerQueue &timers();
   Metrics &metrics();
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -1,10 +1,10 @@
 //===- ServingFeed.h - From the store to the daemon -------------*- C++ -*-===//
 //
 // Watches the configuration and the replicas' registrations in the store and
-// hands them to a FrontDaemon, directly or through a peer, and passes them on to
-// peers. What the objects look like is the deployment's:
-// it gives the two functions that read them. An object that cannot be read is
-// logged and left out; the configuration in force stays.
+// hands them to a FrontDaemon, directly or through a peer, and passes them on
+// to peers. What the objects look like is the deployment's: it gives the two
+// functions that read them. An object that cannot be read is logged and left
+// out; the configuration in force stays.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_SERVINGFEED_H
@@ -34,15 +34,16 @@
 inline constexpr Duration ReplicaWatchWait = Seconds(4);
 
 /// A daemon that has just started waits this long for word from a peer before
-/// it asks anyone: until then it knows nobody but itself and the store.
-inline constexpr Duration FirstPeersWait = Millis(250);
+/// it asks anyone: a few round trips between regions. Until then it knows
+/// nobody but itself and the store.
+inline constexpr Duration FirstPeersWait = Millis(80);
 
 template <KindStore Store> class ServingFeed {
 public:
   ServingFeed(EventLoop &Loop, HttpClient &Http, Store &S, FrontDaemon &D,
               ServingForms F)
       : Loop(Loop), D(D), Forms(std::move(F)),
-        Sources(D.settings().Host, D.settings().Here.Reg, Loop.now()),
+        Sources(D.settings().Host, D.settings().Here.Reg),
         Relayed(Loop, Http, S, Sources, D.random()),
         Configs(Relayed, Loop, Forms.ConfigKind, options(ConfigWatchWait),
                 D.random(), configHooks()),
@@ -79,9 +80,51 @@
 
   void tick() {
     Server.tick();
+    compareWithPeers();
     Loop.after(FeedTick, [this] { tick(); });
   }
 
+  ReadState readState() const {
+    return {D.configVersion(), Replicas.cache().lastChange()};
+  }
+
+  /// The failure: the daemon that this one relies on hears nothing, and does
+  /// not know it yet. Every message of the membership says how far its sender
+  /// has read; whoever hears of more and has not got it in BehindPatience asks
+  /// that sender itself.
+  void compareWithPeers() {
+    ReadState Mine = readState();
+    D.fleet().announce(Mine);
+    Instant Now = Loop.now();
+    if (Mine != Before) {
+      Before = Mine;
+      SameSince = Now;
+      return;
+    }
+    if (!Configs.listed() || Now < SameSince + BehindPatience)
+      return;
+    SameSince = Now;
+    // A removal that one saw and the other only finds missing in a list leaves
+    // the two apart for good: each word of a peer is followed once.
+    ReadState Known{std::max(Mine.ConfigVersion, Followed.ConfigVersion),
+                    std::max(Mine.ReplicaRevision, Followed.ReplicaRevision)};
+    std::optional<PeerAhead> Ahead = D.fleet().ahead(Known);
+    if (!Ahead)
+      return;
+    Followed = {std::max(Known.ConfigVersion, Ahead->Read.ConfigVersion),
+                std::max(Known.ReplicaRevision, Ahead->Read.ReplicaRevision)};
+    logEvent(LogLevel::Info, "peer_has_read_more",
+             {{"peer", Ahead->Peer.Id.str()},
+              {"config", std::to_string(Mine.ConfigVersion)},
+              {"its_config", std::to_string(Ahead->Read.ConfigVersion)},
+              {"replicas", std::to_string(Mine.ReplicaRevision)},
+              {"its_replicas", std::to_string(Ahead->Read.ReplicaRevision)}});
+    Sources.prefer(Ahead->Peer);
+    Configs.renew();
+    Sources.prefer(Ahead->Peer);
+    Replicas.renew();
+  }
+
   void fleetChanged() {
     Sources.update(D.view());
     if (Relayed.lost(Forms.ConfigKind))
@@ -92,6 +135,8 @@
 
   /// How often peers that wait are looked at.
   static constexpr Duration FeedTick = Millis(100);
+  /// A change reaches everyone within milliseconds while all is well.
+  static constexpr Duration BehindPatience = Millis(700);
 
   static KindWatchOptions options(Duration Wait) {
     KindWatchOptions O;
@@ -212,6 +257,9 @@
   KindWatch<RelayedStore<Store>, EventLoop> Configs;
   KindWatch<RelayedStore<Store>, EventLoop> Replicas;
   FeedServer Server;
+  ReadState Before;   ///< At the last comparison.
+  ReadState Followed; ///< What peers said and was asked for.
+  Instant SameSince{};
 };
 
 } // namespace shallot
--- a/packages/peer/PeerCodec.h
+++ b/packages/peer/PeerCodec.h
@@ -8,8 +8,8 @@
 #ifndef SHALLOTSHIFT_PEER_PEERCODEC_H
 #define SHALLOTSHIFT_PEER_PEERCODEC_H
 
-#include "peer/generated/Peer.capnp.h"
 #include "peer/PeerTypes.h"
+#include "peer/generated/Peer.capnp.h"
 
 namespace shallot::internal {
 
--- a/packages/store/KindCache.cpp
+++ b/packages/store/KindCache.cpp
@@ -8,8 +8,10 @@
 void KindCache::replaceAll(const std::vector<KindObject> &Now,
                            std::uint64_t NewRevision) {
   ByName.clear();
-  for (const KindObject &O : Now)
+  for (const KindObject &O : Now) {
     ByName.emplace(O.Name, O);
+    LastChange = std::max(LastChange, O.Revision);
+  }
   Changes.clear();
   Revision = NewRevision;
   ChangesFrom = NewRevision;
@@ -21,6 +23,7 @@
   else
     ByName.insert_or_assign(C.Object.Name, C.Object);
   Changes.push_back(C);
+  LastChange = std::max(LastChange, C.Object.Revision);
   if (Changes.size() <= MaxKeptChanges)
     return;
   ChangesFrom = std::max(ChangesFrom, Changes.front().Object.Revision);
--- a/packages/store/KindCache.h
+++ b/packages/store/KindCache.h
@@ -30,6 +30,9 @@
   void advance(std::uint64_t Revision);
 
   std::uint64_t revision() const { return Revision; }
+  /// Of the newest change that was seen. revision() grows with changes of other
+  /// kinds too.
+  std::uint64_t lastChange() const { return LastChange; }
   std::size_t size() const { return ByName.size(); }
   KindPage page(const std::string &After) const;
   /// What changed after \p Since; nothing when that history is not kept.
@@ -40,6 +43,7 @@
   std::deque<KindChange> Changes; ///< By revision.
   std::uint64_t ChangesFrom = 0;  ///< Complete after this revision.
   std::uint64_t Revision = 0;
+  std::uint64_t LastChange = 0;
 };
 
 } // namespace shallot
--- /dev/null
+++ b/tests/FakeKindStore.h
@@ -0,0 +1,137 @@
+//===- FakeKindStore.h - Objects with kinds, in virtual time ----*- C++ -*-===//
+//
+// A store that keeps revisions and history, with scripted troubles: calls that
+// fail, history that is dropped, replies that are behind.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
+#define SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
+
+#include "shallotshift/store.h"
+
+#include <deque>
+#include <map>
+
+namespace shallot::test {
+
+class FakeKindStore {
+public:
+  Instant now() const { return Now; }
+  void after(Duration D, std::function<void()> Fn) {
+    Queue.emplace(Now + D, std::move(Fn));
+  }
+  void runFor(Duration D) {
+    Instant End = Now + D;
+    while (!Queue.empty() && Queue.begin()->first <= End) {
+      auto First = Queue.begin();
+      Now = First->first;
+      auto Fn = std::move(First->second);
+      Queue.erase(First);
+      Fn();
+    }
+    Now = End;
+  }
+
+  /// What goes wrong with a call; Ok: nothing.
+  std::function<ResultCode(bool Watch)> Trouble = [](bool) {
+    return ResultCode::Ok;
+  };
+  std::size_t PageSize = 3;
+  unsigned Lists = 0;
+  unsigned Watches = 0;
+
+  void put(const std::string &Name, int Value) {
+    KindObject O{Name, ++Revision, Value};
+    Objects[Name] = O;
+    History.push_back({O, false});
+    wake();
+  }
+  void remove(const std::string &Name) {
+    KindObject O = Objects.at(Name);
+    O.Revision = ++Revision;
+    Objects.erase(Name);
+    History.push_back({O, true});
+    wake();
+  }
+  /// Watches from before now fail.
+  void forgetHistory() {
+    History.clear();
+    HistoryFrom = Revision;
+  }
+  /// Runs between the pages of a list.
+  std::function<void()> BetweenPages;
+
+  void list(const std::string &, const std::string &After,
+            StoreCallback<KindPage> OnDone) {
+    ++Lists;
+    ResultCode Bad = Trouble(false);
+    if (Bad != ResultCode::Ok)
+      return after(Millis(5), [=] { OnDone(Error{Bad, "scripted"}); });
+    KindPage P;
+    P.Revision = Revision;
+    for (auto At = After.empty() ? Objects.begin() : Objects.upper_bound(After);
+         At != Objects.end(); ++At) {
+      if (P.Objects.size() == PageSize) {
+        P.More = true;
+        break;
+      }
+      P.Objects.push_back(At->second);
+    }
+    after(Millis(5), [=] { OnDone(P); });
+    if (BetweenPages)
+      BetweenPages();
+  }
+
+  void watchKind(const std::string &, std::uint64_t From, Duration Wait,
+                 StoreCallback<KindChanges> OnDone) {
+    ++Watches;
+    ResultCode Bad = Trouble(true);
+    if (Bad == ResultCode::Ok && From < HistoryFrom)
+      Bad = ResultCode::PlatformHistoryGone;
+    if (Bad != ResultCode::Ok)
+      return after(Millis(5), [=] { OnDone(Error{Bad, "scripted"}); });
+    auto W = std::make_shared<Waiter>(Waiter{From, std::move(OnDone)});
+    Waiting.push_back(W);
+    after(Millis(2), [this, W] { answer(*W, false); });
+    after(Wait, [this, W] { answer(*W, true); });
+  }
+
+private:
+  struct Waiter {
+    std::uint64_t From = 0;
+    StoreCallback<KindChanges> OnDone;
+  };
+
+  void wake() {
+    for (auto &W : Waiting)
+      after(Millis(2), [this, W] { answer(*W, false); });
+  }
+  void answer(Waiter &W, bool Anyway) {
+    if (!W.OnDone)
+      return;
+    KindChanges C;
+    C.Revision = Revision;
+    for (const KindChange &One : History)
+      if (One.Object.Revision > W.From)
+        C.Changes.push_back(One);
+    if (C.Changes.empty() && !Anyway)
+      return;
+    auto Done = std::exchange(W.OnDone, nullptr);
+    std::erase_if(Waiting, [&](const auto &P) { return P.get() == &W; });
+    Done(C);
+  }
+
+  Instant Now{Seconds(1000)};
+  std::multimap<Instant, std::function<void()>> Queue;
+  std::map<std::string, KindObject> Objects;
+  std::deque<KindChange> History;
+  std::uint64_t HistoryFrom = 0;
+  std::uint64_t Revision = 10;
+  std::vector<std::shared_ptr<Waiter>> Waiting;
+};
+
+static_assert(KindStore<FakeKindStore>);
+
+} // namespace shallot::test
+
+#endif // SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
--- /dev/null
+++ b/tests/correctness/FrontServesADeployment.cpp
@@ -0,0 +1,165 @@
+// A whole daemon among stand-ins, in the deployment's wire form: searches are
+// merged, actions forwarded as they came, changes taken up, a stop cuts off
+// nobody.
+#include "FrontBed.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+
+TEST_CASE_FIXTURE(FrontBed, "a search is merged from all shards") {
+  start();
+  HttpReply R = get("/x/1?q=%2f");
+  CHECK(R.Status == 200);
+  CHECK(R.Body == std::string(16, 'b') + std::string(16, 'a'));
+  CHECK(headerValue(R.Headers, "Part-Stamps") == "i-1.1, i-2.1");
+  CHECK(headerValue(R.Headers, "Missing-Parts").empty());
+  REQUIRE(One.Seen.size() == 1);
+  CHECK(One.Seen[0].Path == "/x/1");
+  CHECK(One.Seen[0].Query == "q=%2f");
+  CHECK(headerValue(One.Seen[0].Headers, "Request-Id") == "q-1");
+  CHECK(headerValue(One.Seen[0].Headers, "Host") == "a.example");
+  int Left = std::stoi(
+      std::string(headerValue(One.Seen[0].Headers, "Deadline-Ms")));
+  CHECK(Left <= 800);
+  CHECK(Left > 600);
+}
+
+TEST_CASE_FIXTURE(FrontBed, "a shard that fails is missing, and said to be") {
+  Two.Instead = [](const ServerRequest &, const Responder &A) {
+    ServerReply R;
+    R.Status = 500;
+    R.Headers = {{"Server-Stamp", "i-2.9"}};
+    A.reply(std::move(R));
+  };
+  start();
+  HttpReply R = get("/x/1");
+  CHECK(R.Status == 200);
+  CHECK(R.Body == std::string(16, 'a'));
+  CHECK(headerValue(R.Headers, "Part-Stamps") == "i-1.1");
+  CHECK(headerValue(R.Headers, "Missing-Parts") == "1");
+}
+
+TEST_CASE_FIXTURE(FrontBed, "an action goes as it came and its reply comes as it is") {
+  start();
+  HttpReply R = get("/p/book", "q-2", "POST", "lane 4");
+  CHECK(R.Status == 200);
+  CHECK(R.Body == std::string(16, 'p'));
+  CHECK(headerValue(R.Headers, "Server-Stamp") == "i-3.1");
+  REQUIRE(Pay.Seen.size() == 1);
+  CHECK(Pay.Seen[0].Method == "POST");
+  CHECK(Pay.Seen[0].Body == "lane 4");
+}
+
+TEST_CASE_FIXTURE(FrontBed, "refusals are honest") {
+  start();
+  CHECK(get("/none").Status == 404);
+  Store.put("servers", Pay.id(), Pay.registration("p", "draining"));
+  runFor(Millis(100));
+  HttpReply R = get("/p/book", "q-3", "POST", "lane 4");
+  CHECK(R.Status == 503);
+  CHECK_FALSE(headerValue(R.Headers, "Retry-After").empty());
+  CHECK(Pay.Seen.empty());
+}
+
+TEST_CASE_FIXTURE(FrontBed, "an address that another replica has is not run there") {
+  start();
+  nlohmann::json Moved = Pay.registration("p");
+  Moved["address"] = One.at().str();
+  Store.put("servers", Pay.id(), Moved);
+  runFor(Millis(100));
+  HttpReply R = get("/p/book", "q-4", "POST", "lane 4");
+  CHECK(R.Status == 503);
+  CHECK(One.Seen.size() >= 1); // It said 421, which is not a run.
+}
+
+TEST_CASE_FIXTURE(FrontBed, "a change is in force, an older one never") {
+  start();
+  Store.put("config", "main", config(9, 1.0));
+  runFor(Millis(200));
+  CHECK(Daemon->configVersion() == 9);
+  Store.put("config", "main", config(8));
+  runFor(Millis(200));
+  CHECK(Daemon->configVersion() == 9);
+  nlohmann::json Broken = config(10);
+  Broken["routes"][0]["path_prefix"] = "x";
+  Store.put("config", "main", Broken);
+  runFor(Millis(200));
+  CHECK(Daemon->configVersion() == 9);
+  CHECK(get("/x/1").Status == 200);
+}
+
+TEST_CASE_FIXTURE(FrontBed, "an outage of the store changes nothing for callers") {
+  start();
+  Store.setDown(true);
+  runFor(Seconds(3));
+  CHECK(get("/x/1").Status == 200);
+  Store.setDown(false);
+  Store.put("config", "main", config(12));
+  runFor(Seconds(2));
+  CHECK(Daemon->configVersion() == 12);
+}
+
+TEST_CASE_FIXTURE(FrontBed, "the directory, readiness and metrics answer") {
+  start();
+  HttpReply R = ask(Set.Directory, "/resolve?name=a.example&region=r&zone=z");
+  CHECK(R.Status == 200);
+  auto Doc = nlohmann::json::parse(R.Body);
+  CHECK(Doc["addrs"] == nlohmann::json({Set.Callers.str()}));
+  get("/x/1");
+  R = ask(Set.Metrics, "/metrics");
+  CHECK(R.Body.find("shallot_forward_answers_total{route=\"search\","
+                    "outcome=\"complete\"} 1") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(FrontBed, "a stop answers what was read and then ends") {
+  start();
+  Pay.Instead = [this](const ServerRequest &, const Responder &A) {
+    Loop.after(Millis(400), [A] {
+      ServerReply R;
+      R.Headers = {{"Server-Stamp", "i-3.1"}};
+      R.Body = "booked";
+      A.reply(std::move(R));
+    });
+  };
+  std::optional<HttpReply> Got;
+  HttpRequest R;
+  R.Method = "POST";
+  R.To = Set.Callers;
+  R.Path = "/p/book";
+  R.Headers = {{"Host", "a.example"}, {"Request-Id", "q-5"}};
+  R.Body = "lane 4";
+  Http.send(std::move(R), [&](HttpReply A) { Got = std::move(A); });
+  runUntil([&] { return !Pay.Seen.empty(); });
+  bool Gone = false;
+  Instant Began = Loop.now();
+  Daemon->requestStop([&] { Gone = true; });
+  CHECK(ask(Set.Readiness, "/readiness").Status == 503);
+  CHECK(ask(Set.Directory, "/resolve?zone=z").Status == 503);
+  // Callers that still have the address are served.
+  CHECK(get("/x/1").Status == 200);
+  runUntil([&] { return Gone; });
+  REQUIRE(Got);
+  CHECK(Got->Body == "booked");
+  CHECK(Loop.now() - Began < Set.StopGrace);
+}
+
+TEST_CASE_FIXTURE(FrontBed, "a caller that leaves ends its replicas' work") {
+  start();
+  std::optional<Responder> Held;
+  Two.Instead = [&](const ServerRequest &, const Responder &A) {
+    Held.emplace(A);
+  };
+  HttpRequest R;
+  R.To = Set.Callers;
+  R.Path = "/x/1";
+  R.Headers = {{"Host", "a.example"}, {"Request-Id", "q-6"}};
+  auto Id = Http.send(std::move(R), [](const HttpReply &) {});
+  runUntil([&] { return Held.has_value(); });
+  Http.cancel(Id);
+  runFor(Millis(450));
+  HttpReply Page = ask(Set.Metrics, "/metrics");
+  CHECK(Page.Body.find("shallot_forward_gone_total 1") != std::string::npos);
+  CHECK(Page.Body.find("shallot_in_flight 0") != std::string::npos);
+}
--- /dev/null
+++ b/tests/correctness/KindCachePassesOn.cpp
@@ -0,0 +1,55 @@
+// A daemon passes on what it has read, in the store's revisions: whoever watches
+// on from any revision that is kept misses nothing, and others list anew.
+#include "shallotshift/store.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+
+TEST_CASE("changes since a revision, and none from before what is kept") {
+  KindCache C;
+  C.replaceAll({{"a", 3, 1}, {"b", 5, 2}}, 7);
+  CHECK(C.revision() == 7);
+  CHECK(C.lastChange() == 5);
+  CHECK_FALSE(C.since(6));
+  CHECK(C.since(7)->Changes.empty());
+  C.apply({{"a", 8, 9}, false});
+  C.apply({{"b", 9, 2}, true});
+  C.advance(12);
+  auto Since = C.since(7);
+  REQUIRE(Since);
+  CHECK(Since->Changes.size() == 2);
+  CHECK(Since->Revision == 12);
+  CHECK(C.since(8)->Changes.size() == 1);
+  CHECK(C.since(12)->Changes.empty());
+  // One who is ahead of us is not taken back.
+  CHECK(C.since(40)->Revision == 40);
+  CHECK(C.lastChange() == 9);
+}
+
+TEST_CASE("pages hold everything once, in order") {
+  KindCache C;
+  std::vector<KindObject> Many;
+  for (std::size_t I = 0; I < 2 * PageObjects + 7; ++I)
+    Many.push_back({"n" + std::to_string(100000 + I), I + 1, 0});
+  C.replaceAll(Many, 9999);
+  std::string After;
+  std::size_t Seen = 0;
+  for (bool More = true; More;) {
+    KindPage P = C.page(After);
+    for (const KindObject &O : P.Objects)
+      CHECK(O.Name > std::exchange(After, O.Name));
+    Seen += P.Objects.size();
+    More = P.More;
+  }
+  CHECK(Seen == Many.size());
+}
+
+TEST_CASE("the history that is kept is bounded") {
+  KindCache C;
+  C.replaceAll({}, 1);
+  for (std::uint64_t R = 2; R < MaxKeptChanges + 100; ++R)
+    C.apply({{"a", R, 0}, false});
+  CHECK_FALSE(C.since(50));
+  CHECK(C.since(MaxKeptChanges)->Changes.size() < 200);
+}
--- /dev/null
+++ b/tests/failure/FeedSourcesFailOver.cpp
@@ -0,0 +1,128 @@
+// What is at stake: a change must reach every daemon in seconds, and the store's
+// calls are paid for. What happens: the daemon that watches for its region dies,
+// falls silent, loses the store, or the store is away for all. The others must
+// find word elsewhere soon, and the fleet must not all ask the store.
+#include "shallotshift/front.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+
+namespace {
+
+struct FleetFixture {
+  Instant Now{Seconds(1000)};
+  Random Rng{9};
+  FleetView View;
+
+  FleetFixture() {
+    for (const char *Region : {"east", "west"})
+      for (int N = 0; N < 4; ++N)
+        add(std::string(Region) + std::to_string(N), Region);
+  }
+  void add(const std::string &Host, const std::string &Reg) {
+    Member M;
+    M.Id = {HostId(Host), 1};
+    M.Reg = Region(Reg);
+    M.State = MemberState::Alive;
+    View.Members.push_back(M);
+  }
+  FeedSources of(const std::string &Host, const std::string &Reg) {
+    FeedSources F{HostId(Host), Region(Reg)};
+    F.update(View);
+    return F;
+  }
+  std::vector<std::string> watchers() {
+    std::vector<std::string> Found;
+    for (const Member &M : View.Members)
+      if (of(M.Id.Host.str(), M.Reg.str()).watchesStore())
+        Found.push_back(M.Id.Host.str());
+    return Found;
+  }
+  /// A daemon of the east that does not watch the store.
+  std::string follower() {
+    for (const Member &M : View.Members)
+      if (!of(M.Id.Host.str(), M.Reg.str()).watchesStore())
+        return M.Id.Host.str();
+    return {};
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(FleetFixture, "one of each region asks the store, all agree") {
+  auto Found = watchers();
+  REQUIRE(Found.size() == 2);
+  FeedSources F = of(follower(), "east");
+  FeedSource S = F.next(true, Now);
+  REQUIRE(S.Peer);
+  CHECK(S.Peer->Reg == Region("east"));
+  CHECK(S.Peer->Id.Host.str() == Found[0]);
+}
+
+TEST_CASE_FIXTURE(FleetFixture, "when the watcher is suspected another takes over") {
+  std::string First = watchers()[0];
+  std::string Other = follower();
+  FeedSources F = of(Other, "east");
+  FeedSource S = F.next(true, Now);
+  for (Member &M : View.Members)
+    if (M.Id.Host.str() == First)
+      M.State = MemberState::Suspect;
+  F.update(View);
+  CHECK(F.lost(S));
+  CHECK(watchers().size() == 3); // The suspected one still asks, too.
+}
+
+TEST_CASE_FIXTURE(FleetFixture, "a source without word is left for another, then back") {
+  FeedSources F = of(follower(), "east");
+  FeedSource First = F.next(true, Now);
+  F.failed(First, Rng, Now);
+  FeedSource Second = F.next(true, Now);
+  CHECK(Second != First);
+  F.failed(Second, Rng, Now);
+  FeedSource Third = F.next(true, Now);
+  REQUIRE(Third.Peer);
+  CHECK(Third.Peer->Reg == Region("west"));
+  F.failed(Third, Rng, Now);
+  CHECK(F.next(true, Now).direct());
+  CHECK(F.next(true, Now + Seconds(3)) == First);
+}
+
+TEST_CASE_FIXTURE(FleetFixture, "the watcher asks the store twice before it asks peers") {
+  std::string First = watchers()[0];
+  FeedSources F = of(First, "east");
+  CHECK(F.next(true, Now).direct());
+  F.failed({}, Rng, Now);
+  CHECK(F.next(true, Now).direct());
+  F.failed({}, Rng, Now);
+  CHECK_FALSE(F.next(true, Now).direct());
+  F.worked({});
+  CHECK(F.next(true, Now).direct());
+}
+
+TEST_CASE_FIXTURE(FleetFixture, "an outage of the store is not a storm on it") {
+  FeedSources F = of(follower(), "east");
+  unsigned Calls = 0;
+  for (Instant End = Now + Seconds(9); Now < End; Now += Millis(300)) {
+    FeedSource S = F.next(true, Now);
+    Calls += S.direct();
+    F.failed(S, Rng, Now);
+  }
+  CHECK(Calls <= 5);
+  CHECK(Calls >= 1);
+}
+
+TEST_CASE_FIXTURE(FleetFixture, "a peer that read more is asked next, once") {
+  FeedSources F = of(follower(), "east");
+  FeedSource Usual = F.next(true, Now);
+  F.prefer(View.Members.back());
+  CHECK(F.next(true, Now).Peer->Id == View.Members.back().Id);
+  CHECK(F.next(true, Now) == Usual);
+}
+
+TEST_CASE_FIXTURE(FleetFixture, "a fleet that has just started asks the store") {
+  for (Member &M : View.Members)
+    M.State = MemberState::Starting;
+  FeedSources F = of(follower(), "east");
+  CHECK(F.next(false, Now).direct());
+}
--- /dev/null
+++ b/tests/front.cmake
@@ -0,0 +1,7 @@
+shallot_test(front_correctness PACKAGES front LABELS correctness
+  SOURCES TestMain.cpp correctness/EntryAddressesForCallers.cpp
+          correctness/FeedWordsSurviveTheWire.cpp)
+shallot_test(front_failure PACKAGES front LABELS failure
+  SOURCES TestMain.cpp failure/FeedSourcesFailOver.cpp)
+shallot_test(front_error PACKAGES front LABELS error
+  SOURCES TestMain.cpp error/FrontSettingsAreChecked.cpp)
--- a/tests/store.cmake
+++ b/tests/store.cmake
@@ -1,9 +1,10 @@
 shallot_test(store_failure PACKAGES store LABELS failure
   SOURCES TestMain.cpp failure/ChangeSurvivesLostReplies.cpp
           failure/ChangesRace.cpp failure/ChangeMeetsOutage.cpp
-          failure/StoreCallsFail.cpp)
+          failure/KindWatchMissesNothing.cpp failure/StoreCallsFail.cpp)
 shallot_test(store_correctness PACKAGES store LABELS correctness
-  SOURCES TestMain.cpp correctness/BackoffIsSpread.cpp)
+  SOURCES TestMain.cpp correctness/BackoffIsSpread.cpp
+          correctness/KindCachePassesOn.cpp)
 shallot_test(store_error PACKAGES store LABELS error
   SOURCES TestMain.cpp error/HostListsAreRead.cpp)
 
