--- a/tests/correctness/MetricsPageIsWhole.cpp
+++ b/tests/correctness/MetricsPageIsWhole.cpp
@@ -29,13 +29,29 @@
 
 } // namespace
 
+namespace {
+
+/// Metrics that the sources of \p Package name.
+std::set<std::string> metricsOf(const std::filesystem::path &Package) {
+  std::set<std::string> Found;
+  for (const auto &File : std::filesystem::directory_iterator(Package))
+    if (File.path().extension() == ".cpp")
+      Found.merge(namesIn(contentOf(File.path()), "\""));
+  return Found;
+}
+
+} // namespace
+
 TEST_CASE("docs/METRICS.md lists exactly the daemon's metrics") {
   std::filesystem::path Root = SHALLOT_SOURCE_DIR;
-  std::set<std::string> InCode;
-  for (const auto &File :
-       std::filesystem::directory_iterator(Root / "packages/daemon"))
-    if (File.path().extension() == ".cpp")
-      InCode.merge(namesIn(contentOf(File.path()), "\""));
+  std::set<std::string> InCode = metricsOf(Root / "packages/daemon");
   CHECK(InCode.size() > 10);
   CHECK(InCode == namesIn(contentOf(Root / "docs/METRICS.md"), "`"));
 }
+
+TEST_CASE("docs/operators/front.md lists exactly the front daemon's metrics") {
+  std::filesystem::path Root = SHALLOT_SOURCE_DIR;
+  std::set<std::string> InCode = metricsOf(Root / "packages/front");
+  CHECK(InCode.size() > 8);
+  CHECK(InCode == namesIn(contentOf(Root / "docs/operators/front.md"), "`"));
+}
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -2,3 +2,7 @@
 shallot_test(platform_correctness PACKAGES platform LABELS correctness
   SOURCES TestMain.cpp FrontBed.cpp correctness/FrontServesADeployment.cpp
           correctness/WireObjectsAreRead.cpp)
+add_test(NAME wire_names_stay_in_platform
+  COMMAND ${CMAKE_COMMAND} -DROOT=${CMAKE_SOURCE_DIR}
+          -P ${CMAKE_SOURCE_DIR}/cmake/CheckWireNames.cmake)
+set_tests_properties(wire_names_stay_in_platform PROPERTIES LABELS correctness)
