forward: when a run answers stands in a file of its own

Cause: ForwardRun.cpp had grown to 482 lines with two matters in it: sends and replies, and when and with what to answer. Change: ForwardAnswer.cpp has the second.

--- /dev/null
+++ b/packages/forward/ForwardAnswer.cpp
@@ -0,0 +1,186 @@
+//===- ForwardAnswer.cpp --------------------------------------------------===//
+//
+// When a ForwardRun answers, with what, and how its open sends end.
+//
+//===----------------------------------------------------------------------===//
+#include "forward/ForwardRun.h"
+
+#include "forward/RecordMerge.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace shallot {
+
+namespace {
+
+/// Replies that nobody waits for may arrive this long after the answer. A
+/// closed connection costs the replica a new handshake, a reply of 400 bytes
+/// nothing; work that a caller left must end within half a second.
+constexpr Duration LingerTime = Millis(220);
+
+/// Callers come back after this when no replica can be used: trial connections
+/// to resting replicas are that far apart at first.
+constexpr Duration NoReplicaRetry = Millis(250);
+
+} // namespace
+
+bool ForwardRun::refuseAtOnce(ForwardShared &S, RunOutput &Out, Instant Now) {
+  if (Now >= End) {
+    finish(Out,
+           OwnAnswer{ResultCode::WouldMissDeadline,
+                     {},
+                     "the deadline passes before any replica could answer"},
+           Now);
+    return true;
+  }
+  std::size_t Servable = 0;
+  for (const Part &P : Parts)
+    Servable += S.Book.servable(P.Service, Now);
+  double Least = Fan ? Fan->LeastShare : 1;
+  double Share =
+      static_cast<double>(Servable) / static_cast<double>(Parts.size());
+  if (Share >= Least)
+    return false;
+  finish(Out,
+         OwnAnswer{ResultCode::NoReplica, NoReplicaRetry,
+                   fmt::format("{} of {} services have a usable replica",
+                               Servable, Parts.size())},
+         Now);
+  return true;
+}
+
+RunOutput ForwardRun::callerGone(Instant Now) {
+  RunOutput Out;
+  if (Answered)
+    return Out;
+  Answered = true;
+  // What may run only once is left to run: half of it is worse than all.
+  DropAt = Ask.Way->Kind == Repetition::Idempotent ? Now + LingerTime : End;
+  return Out;
+}
+
+bool ForwardRun::enough() const {
+  if (!Fan)
+    return PartsIn == Parts.size();
+  double Share =
+      static_cast<double>(PartsIn) / static_cast<double>(Parts.size());
+  return PartsIn > 0 && Share >= Fan->LeastShare;
+}
+
+void ForwardRun::settle(RunOutput &Out, Instant Now) {
+  if (Answered)
+    return;
+  bool Waiting = std::ranges::any_of(
+      Parts, [](const Part &P) { return !P.In && !P.GivenUp; });
+  if (enough() && (!Waiting || Now >= Cutoff)) {
+    answerParts(Out, Now);
+    return;
+  }
+  if (!Waiting || Now >= End) {
+    answerFailure(Out, Now, Waiting);
+    return;
+  }
+  // No longer possible: as many parts are given up as may not be missing.
+  if (!Fan)
+    return;
+  std::size_t Possible = static_cast<std::size_t>(std::ranges::count_if(
+      Parts, [](const Part &P) { return P.In || !P.GivenUp; }));
+  if (static_cast<double>(Possible) / static_cast<double>(Parts.size()) <
+      Fan->LeastShare)
+    answerFailure(Out, Now, false);
+}
+
+void ForwardRun::answerParts(RunOutput &Out, Instant Now) {
+  withdraw(Out, Now);
+  if (!Fan) {
+    finish(Out, PassedAnswer{std::move(Parts.front().Reply)}, Now);
+    return;
+  }
+  MergedAnswer A;
+  std::vector<std::string_view> Bodies;
+  for (const Part &P : Parts) {
+    if (!P.In)
+      continue;
+    A.Signatures.push_back(P.Reply.Signature);
+    Bodies.push_back(P.Reply.Body);
+  }
+  A.Missing = Parts.size() - PartsIn;
+  A.Records = greatestRecords(Bodies, Fan->MostRecords);
+  finish(Out, std::move(A), Now);
+}
+
+bool ForwardRun::nothingRan() const {
+  return std::ranges::all_of(Parts,
+                             [](const Part &P) { return P.MayHaveRun == 0; });
+}
+
+void ForwardRun::answerFailure(RunOutput &Out, Instant Now, bool TimedOut) {
+  withdraw(Out, Now);
+  if (!Fan && Parts.front().HasReply) {
+    finish(Out, PassedAnswer{std::move(Parts.front().Reply)}, Now);
+    return;
+  }
+  bool NothingRan = nothingRan();
+  std::string Why = fmt::format(
+      "{} of {} parts in, {} sends, {} rejected, {} lost, {} not sent", PartsIn,
+      Parts.size(), Story.Sends, Story.Rejected, Story.Lost, Story.NotSent);
+  if (NothingRan)
+    finish(Out, OwnAnswer{ResultCode::UpstreamShed, NoReplicaRetry, Why}, Now);
+  else if (Ask.Way->Kind == Repetition::AtMostOnce)
+    finish(Out, OwnAnswer{ResultCode::OutcomeUnknown, {}, Why}, Now);
+  else if (TimedOut)
+    finish(Out, OwnAnswer{ResultCode::DeadlineExceeded, {}, Why}, Now);
+  else
+    finish(Out, OwnAnswer{ResultCode::ConnectionClosed, {}, Why}, Now);
+}
+
+void ForwardRun::finish(RunOutput &Out, ForwardAnswer Answer, Instant Now) {
+  Answered = true;
+  Story.PartsIn = static_cast<unsigned>(PartsIn);
+  Out.Answer = std::move(Answer);
+  DropAt = Ask.Way->Kind == Repetition::Idempotent ? Now + LingerTime : End;
+}
+
+void ForwardRun::dropOpen(RunOutput &Out, Instant Now) {
+  for (unsigned I = 0; I < Sends.size(); ++I) {
+    Sent &X = Sends[I];
+    if (!X.Open)
+      continue;
+    X.Open = false;
+    X.To->sendEnded(X.Started, SendEnd::Abandoned, Duration(0), Now);
+    Out.Drop.push_back(I);
+  }
+  OpenSends = 0;
+}
+
+/// Takes back the sends that were to start in this step: the answer is known,
+/// and one that says "not run" must stay true.
+void ForwardRun::withdraw(RunOutput &Out, Instant Now) {
+  for (const StartSend &W : Out.Start) {
+    Sent &X = Sends[W.Send];
+    Part &P = Parts[X.Part];
+    X.Open = false;
+    --P.Open;
+    --P.MayHaveRun;
+    --OpenSends;
+    X.To->sendEnded(X.Started, SendEnd::Abandoned, Duration(0), Now);
+  }
+  Out.Start.clear();
+}
+
+Instant ForwardRun::nextTick() const {
+  if (Answered)
+    return DropAt;
+  Instant Next = End;
+  if (Fan && !CutoffSeen)
+    Next = std::min(Next, Cutoff);
+  for (const Sent &X : Sends)
+    if (X.Open && !Parts[X.Part].In)
+      Next = std::min(Next, X.HedgeAt);
+  for (const Part &P : Parts)
+    Next = std::min(Next, P.RetryAt);
+  return Next;
+}
+
+} // namespace shallot
--- a/tests/failure/PeersAreToldWhatIsStale.cpp
+++ b/tests/failure/PeersAreToldWhatIsStale.cpp
@@ -1,7 +1,7 @@
-// What callers see when this fails: a route that was changed is served as it was,
-// on every host at once. What happens: the watch of one kind hears nothing while
-// the other's answers come; peers that are told "fresh" of the first wait for it
-// and for each other, and nobody asks the store.
+// What callers see when this fails: a route that was changed is served as it
+// was, on every host at once. What happens: the watch of one kind hears nothing
+// while the other's answers come; peers that are told "fresh" of the first wait
+// for it and for each other, and nobody asks the store.
 #include "FrontBed.h"
 
 #include <doctest/doctest.h>
