front: a version that a peer has is followed until it is in force

Cause: read over the change: a peer's word was followed once; if that peer died before it answered, the newer version was not asked for again by this way. Change: only the word on replicas, whose revisions may stay apart for good, is followed once.

--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -107,14 +107,15 @@
       return;
     SameSince = Now;
     // A removal that one saw and the other only finds missing in a list leaves
-    // the two apart for good: each word of a peer is followed once.
-    ReadState Known{std::max(Mine.ConfigVersion, Followed.ConfigVersion),
-                    std::max(Mine.ReplicaRevision, Followed.ReplicaRevision)};
+    // the two apart for good: a peer's word on replicas is followed once. A
+    // version is followed until it is in force.
+    ReadState Known{Mine.ConfigVersion,
+                    std::max(Mine.ReplicaRevision, FollowedReplicas)};
     std::optional<PeerAhead> Ahead = D.fleet().ahead(Known);
     if (!Ahead)
       return;
-    Followed = {std::max(Known.ConfigVersion, Ahead->Read.ConfigVersion),
-                std::max(Known.ReplicaRevision, Ahead->Read.ReplicaRevision)};
+    FollowedReplicas =
+        std::max(Known.ReplicaRevision, Ahead->Read.ReplicaRevision);
     logEvent(LogLevel::Info, "peer_has_read_more",
              {{"peer", Ahead->Peer.Id.str()},
               {"config", std::to_string(Mine.ConfigVersion)},
@@ -264,8 +265,9 @@
   KindWatch<RelayedStore<Store>, EventLoop> Configs;
   KindWatch<RelayedStore<Store>, EventLoop> Replicas;
   FeedServer Server;
-  ReadState Before;   ///< At the last comparison.
-  ReadState Followed; ///< What peers said and was asked for.
+  ReadState Before; ///< At the last comparison.
+  /// The newest word of a peer on replicas that was asked for.
+  std::uint64_t FollowedReplicas = 0;
   Instant SameSince{};
 };
 
