standins, tests: a stand-in of the users' platform, and a golden session on it

Cause: the wire of the users' platform was met only by two classes inside a test fixture, on the product's own HTTP server, so that nothing could play a whole session or misbehave as their store and replicas do (silent connections, second replies, replies without a length, a history that is gone).

Change: standins/ has the metadata store (KindObjects, KindService), a replica that registers itself (RegisteredReplica) with a log of what reached it (ArrivalLog), and a program of both (deployment-standin). The test fixture uses them. tools/deployment.py starts daemons among them; tests/golden/ deployment.golden is a session of three daemons. The signatures that the fixture expects are longer and name the request. Three ways to wait in the stand-ins became one (Later.h).

--- a/standins/PlatformService.cpp
+++ b/standins/PlatformService.cpp
@@ -1,5 +1,7 @@
 #include "standins/PlatformService.h"
 
+#include "standins/Later.h"
+
 #include <algorithm>
 #include <chrono>
 #include <fmt/format.h>
@@ -92,19 +94,11 @@
                         endWatch(W, {});
                   }}) {}
 
-void PlatformService::afterMs(unsigned Ms, std::function<void()> Fn) {
-  auto Timer = std::make_shared<asio::steady_timer>(Io, Millis(Ms));
-  Timer->async_wait([Timer, Fn = std::move(Fn)](std::error_code Err) {
-    if (!Err)
-      Fn();
-  });
-}
-
 void PlatformService::reply(const WireConnectionPtr &C, WireReply Reply) {
   Counts.BytesOut += Reply.Body.size();
   if (Faults.SlowMs == 0)
     return C->reply(Reply);
-  afterMs(Faults.SlowMs, [this, C, Reply = std::move(Reply)] {
+  later(Io, Millis(Faults.SlowMs), [this, C, Reply = std::move(Reply)] {
     if (Faults.Down)
       return C->close();
     C->reply(Reply);
@@ -363,7 +357,7 @@
     BOOST_LEAF_CHECK(readField(Orders["set_host_state"], "state", State));
     BOOST_LEAF_CHECK(Hosts.setState(Host, State));
   }
-  afterMs(Faults.HostsLagMs, [this] {
+  later(Io, Millis(Faults.HostsLagMs), [this] {
     Hosts.publish();
     fire(HostsKey);
   });
--- a/standins/PlatformService.h
+++ b/standins/PlatformService.h
@@ -101,7 +101,6 @@
                                  std::uint64_t After) const;
 
   void reply(const WireConnectionPtr &C, WireReply Reply);
-  void afterMs(unsigned Ms, std::function<void()> Fn);
 
   asio::io_context &Io;
   PlatformStore Store;
--- a/standins/UpstreamReplica.cpp
+++ b/standins/UpstreamReplica.cpp
@@ -1,5 +1,6 @@
 #include "standins/UpstreamReplica.h"
 
+#include "standins/Later.h"
 #include "standins/UpstreamRecords.h"
 
 #include <algorithm>
@@ -24,14 +25,6 @@
   return Radius * std::cos(2 * std::numbers::pi * uniform01(Rng));
 }
 
-void later(asio::io_context &Io, Duration After, std::function<void()> Fn) {
-  auto Timer = std::make_shared<asio::steady_timer>(Io, After);
-  Timer->async_wait([Timer, Fn = std::move(Fn)](std::error_code Err) {
-    if (!Err)
-      Fn();
-  });
-}
-
 template <typename T> bool holds(const std::vector<T> &All, const T &One) {
   return std::find(All.begin(), All.end(), One) != All.end();
 }
--- a/standins/Wire.cpp
+++ b/standins/Wire.cpp
@@ -64,10 +64,19 @@
   return numberOr(parameter(Name), Otherwise);
 }
 
-std::string WireReply::bytes() const {
+std::string WireReply::head() const {
   std::string Out = fmt::format("HTTP/1.1 {} {}\r\n", Status, reasonOf(Status));
   for (const HttpHeader &H : Headers)
     Out += fmt::format("{}: {}\r\n", H.Name, H.Value);
+  return Out;
+}
+
+std::string WireReply::bytesWithoutLength() const {
+  return head() + "\r\n" + Body;
+}
+
+std::string WireReply::bytes() const {
+  std::string Out = head();
   if (Status != 304) {
     Out += fmt::format("Content-Type: {}\r\n", ContentType);
     Out += fmt::format("Content-Length: {}\r\n", Body.size());
@@ -88,6 +97,7 @@
   std::weak_ptr<std::unordered_map<std::uint64_t, WireConnectionPtr>> Table;
   bool Open = true;
   bool Silent = false;
+  bool Closing = false; ///< Close when Writes is empty.
   std::uint64_t Requests = 0;
   std::array<char, ReadBytes> Buffer;
   std::deque<std::string> Writes;
@@ -198,6 +208,8 @@
                       Self->I->Writes.pop_front();
                       if (!Self->I->Writes.empty())
                         Self->writeNext();
+                      else if (Self->I->Closing)
+                        Self->close();
                     });
 }
 
@@ -215,6 +227,12 @@
     Events->OnClose(Self);
 }
 
+void WireConnection::closeWhenSent() {
+  I->Closing = true;
+  if (I->Writes.empty())
+    close();
+}
+
 void WireConnection::start() { readSome(); }
 
 void WireConnection::readSome() {
--- a/standins/Wire.h
+++ b/standins/Wire.h
@@ -53,6 +53,11 @@
   std::string ContentType = "application/json";
 
   std::string bytes() const;
+  /// Without a length: the body ends with the connection.
+  std::string bytesWithoutLength() const;
+
+private:
+  std::string head() const;
 };
 
 struct WireEvents {
@@ -76,6 +81,8 @@
   void reply(const WireReply &Reply);
   void sendRaw(std::string Bytes);
   void close();
+  /// Closes behind what is still to be written.
+  void closeWhenSent();
   /// From now on nothing is answered and nothing is sent; the connection stays
   /// open, as when a device on the way has forgotten it.
   void silence();
--- a/tests/FrontBed.cpp
+++ b/tests/FrontBed.cpp
@@ -7,124 +7,8 @@
 
 using Json = nlohmann::json;
 
-ServerReply reply(int Status, const Json &Body) {
-  ServerReply R;
-  R.Status = Status;
-  R.Body = Body.dump();
-  return R;
-}
-
-std::uint64_t numberAfter(const std::string &Query, const std::string &Key) {
-  std::size_t At = Query.find(Key);
-  return At == std::string::npos ? 0
-                                 : std::stoull(Query.substr(At + Key.size()));
-}
-
-constexpr std::string_view ObjectsPath = "/objects/";
-
 } // namespace
 
-StoreStandin::StoreStandin(EventLoop &Loop, const Endpoint &At) : Loop(Loop) {
-  Server = serve(Loop, At, [this](const ServerRequest &R, const Responder &A) {
-    handle(R, A);
-  });
-}
-
-void StoreStandin::put(const std::string &Kind, const std::string &Name,
-                       Json Spec) {
-  Json Object{{"meta", {{"name", Name}, {"revision", ++Revision}}},
-              {"spec", std::move(Spec)},
-              {"status", nullptr}};
-  Objects[Kind][Name] = Object;
-  Events.push_back({Kind, Object, false, Revision});
-  wake();
-}
-
-void StoreStandin::remove(const std::string &Kind, const std::string &Name) {
-  Json Object = Objects[Kind].at(Name);
-  Object["meta"]["revision"] = ++Revision;
-  Objects[Kind].erase(Name);
-  Events.push_back({Kind, Object, true, Revision});
-  wake();
-}
-
-bool StoreStandin::tryAnswer(const Waiter &W, bool Anyway) {
-  Json Found = Json::array();
-  for (const Event &E : Events)
-    if (E.Kind == W.Kind && E.Revision > W.From)
-      Found.push_back({{"object", E.Object}, {"deleted", E.Deleted}});
-  if (Found.empty() && !Anyway)
-    return false;
-  W.Answer.reply(reply(200, {{"events", Found}, {"current_rev", Revision}}));
-  return true;
-}
-
-void StoreStandin::wake() {
-  std::erase_if(Waiting, [&](const Waiter &W) { return tryAnswer(W, false); });
-}
-
-void StoreStandin::handle(const ServerRequest &R, const Responder &A) {
-  ++Calls;
-  std::string Kind = R.Path.substr(ObjectsPath.size());
-  if (Down || Kind == DownKind) {
-    A.reply(reply(503, {{"error", "down"}}));
-    return;
-  }
-  if (R.Query.find("watch=") == std::string::npos) {
-    Json Items = Json::array();
-    for (const auto &[Name, Object] : Objects[Kind])
-      Items.push_back(Object);
-    A.reply(reply(
-        200, {{"items", Items}, {"more", false}, {"current_rev", Revision}}));
-    return;
-  }
-  Waiter W{Kind, numberAfter(R.Query, "watch="), A};
-  if (tryAnswer(W, false))
-    return;
-  Waiting.push_back(W);
-  auto At = std::prev(Waiting.end());
-  Loop.after(Millis(numberAfter(R.Query, "wait_ms=")), [this, At] {
-    bool Still = false;
-    for (auto I = Waiting.begin(); I != Waiting.end(); ++I)
-      Still = Still || I == At;
-    if (Still && tryAnswer(*At, true))
-      Waiting.erase(At);
-  });
-}
-
-ReplicaStandin::ReplicaStandin(EventLoop &Loop, std::string Id, char Record)
-    : Id(std::move(Id)), Record(Record), At(freeEndpoint("127.0.0.1")) {
-  Server = serve(Loop, At, [this](const ServerRequest &R, const Responder &A) {
-    Seen.push_back(R);
-    if (Instead)
-      Instead(R, A);
-    else
-      usual(R, A);
-  });
-}
-
-void ReplicaStandin::usual(const ServerRequest &R, const Responder &A) const {
-  if (headerValue(R.Headers, "Target-Instance") != Id) {
-    A.reply(reply(421, nullptr));
-    return;
-  }
-  ServerReply Out;
-  Out.ContentType.clear();
-  Out.Headers = {
-      {"Server-Stamp", Id + ".1"},
-      {"Server-Load", "1,0,2"},
-      {"Request-Id", std::string(headerValue(R.Headers, "Request-Id"))}};
-  Out.Body = std::string(16, Record);
-  A.reply(std::move(Out));
-}
-
-Json ReplicaStandin::registration(const std::string &Service,
-                                  const std::string &State) const {
-  return {{"service", Service}, {"address", At.str()}, {"zone", "z"},
-          {"slots", 2},         {"state", State},      {"warmup_left_ms", 0},
-          {"sequence", 1}};
-}
-
 FrontSettings FrontBed::settings() {
   auto Free = [] { return freeEndpoint("127.0.0.1"); };
   FrontSettings S;
@@ -146,12 +30,28 @@
 }
 
 FrontBed::FrontBed()
-    : Set(settings()), Store(Loop, Set.Store), One(Loop, "i-1", 'a'),
-      Two(Loop, "i-2", 'b'), Pay(Loop, "i-3", 'p'), Client(Http, Set.Store) {
+    : Set(settings()), Store(Loop.context(), Set.Store),
+      One(Loop.context(), Store, Log, shape("i-1", "s1", 'a')),
+      Two(Loop.context(), Store, Log, shape("i-2", "s2", 'b')),
+      Pay(Loop.context(), Store, Log, shape("i-3", "p", 'p')),
+      Client(Http, Set.Store) {
   Store.put("config", "main", config(7));
-  Store.put("servers", One.id(), One.registration("s1"));
-  Store.put("servers", Two.id(), Two.registration("s2"));
-  Store.put("servers", Pay.id(), Pay.registration("p"));
+  REQUIRE(attempt([&] { return Store.listen(); }));
+  for (standins::RegisteredReplica *R : {&One, &Two, &Pay}) {
+    REQUIRE(attempt([&] { return R->listen(); }));
+    R->announce("ready");
+  }
+}
+
+standins::ReplicaShape FrontBed::shape(const char *Id, const char *Service,
+                                       char Record) {
+  standins::ReplicaShape S;
+  S.Id = Id;
+  S.Service = Service;
+  S.At = S.Registered = freeEndpoint("127.0.0.1");
+  S.WorkMs = 0;
+  S.FixedRecord = std::string(16, Record);
+  return S;
 }
 
 Json FrontBed::config(int Version, double LeastShare) const {
--- a/tests/correctness/FrontServesADeployment.cpp
+++ b/tests/correctness/FrontServesADeployment.cpp
@@ -7,13 +7,14 @@
 
 using namespace shallot;
 using namespace shallot::test;
+using namespace shallot::standins;
 
 TEST_CASE_FIXTURE(FrontBed, "a search is merged from all shards") {
   start();
   HttpReply R = get("/x/1?q=%2f");
   CHECK(R.Status == 200);
   CHECK(R.Body == std::string(16, 'b') + std::string(16, 'a'));
-  CHECK(headerValue(R.Headers, "Part-Stamps") == "i-1.1, i-2.1");
+  CHECK(headerValue(R.Headers, "Part-Stamps") == "i-1.q-1.1, i-2.q-1.1");
   CHECK(headerValue(R.Headers, "Missing-Parts").empty());
   REQUIRE(One.Seen.size() == 1);
   CHECK(One.Seen[0].Path == "/x/1");
@@ -27,17 +28,18 @@
 }
 
 TEST_CASE_FIXTURE(FrontBed, "a shard that fails is missing, and said to be") {
-  Two.Instead = [](const ServerRequest &, const Responder &A) {
-    ServerReply R;
+  Two.Instead = [](const WireConnectionPtr &C, const WireRequest &) {
+    WireReply R;
     R.Status = 500;
     R.Headers = {{"Server-Stamp", "i-2.9"}};
-    A.reply(std::move(R));
+    C->reply(R);
+    return true;
   };
   start();
   HttpReply R = get("/x/1");
   CHECK(R.Status == 200);
   CHECK(R.Body == std::string(16, 'a'));
-  CHECK(headerValue(R.Headers, "Part-Stamps") == "i-1.1");
+  CHECK(headerValue(R.Headers, "Part-Stamps") == "i-1.q-1.1");
   CHECK(headerValue(R.Headers, "Missing-Parts") == "1");
 }
 
@@ -47,7 +49,7 @@
   HttpReply R = get("/p/book", "q-2", "POST", "lane 4");
   CHECK(R.Status == 200);
   CHECK(R.Body == std::string(16, 'p'));
-  CHECK(headerValue(R.Headers, "Server-Stamp") == "i-3.1");
+  CHECK(headerValue(R.Headers, "Server-Stamp") == "i-3.q-2.1");
   REQUIRE(Pay.Seen.size() == 1);
   CHECK(Pay.Seen[0].Method == "POST");
   CHECK(Pay.Seen[0].Body == "lane 4");
@@ -56,7 +58,7 @@
 TEST_CASE_FIXTURE(FrontBed, "refusals are honest") {
   start();
   CHECK(get("/none").Status == 404);
-  Store.put("servers", Pay.id(), Pay.registration("p", "draining"));
+  Pay.announce("draining");
   runFor(Millis(100));
   HttpReply R = get("/p/book", "q-3", "POST", "lane 4");
   CHECK(R.Status == 503);
@@ -67,8 +69,8 @@
 TEST_CASE_FIXTURE(FrontBed,
                   "an address that another replica has is not run there") {
   start();
-  nlohmann::json Moved = Pay.registration("p");
-  Moved["address"] = One.at().str();
+  nlohmann::json Moved = Pay.registration("ready");
+  Moved["address"] = One.shape().At.str();
   Store.put("servers", Pay.id(), Moved);
   runFor(Millis(100));
   HttpReply R = get("/p/book", "q-4", "POST", "lane 4");
@@ -95,10 +97,10 @@
 TEST_CASE_FIXTURE(FrontBed,
                   "an outage of the store changes nothing for callers") {
   start();
-  Store.setDown(true);
+  Store.setFaults({.Mode = StoreMode::Busy});
   runFor(Seconds(3));
   CHECK(get("/x/1").Status == 200);
-  Store.setDown(false);
+  Store.setFaults({});
   Store.put("config", "main", config(12));
   runFor(Seconds(2));
   CHECK(Daemon->configVersion() == 12);
@@ -118,13 +120,14 @@
 
 TEST_CASE_FIXTURE(FrontBed, "a stop answers what was read and then ends") {
   start();
-  Pay.Instead = [this](const ServerRequest &, const Responder &A) {
-    Loop.after(Millis(400), [A] {
-      ServerReply R;
+  Pay.Instead = [this](const WireConnectionPtr &C, const WireRequest &) {
+    Loop.after(Millis(400), [C] {
+      WireReply R;
       R.Headers = {{"Server-Stamp", "i-3.1"}};
       R.Body = "booked";
-      A.reply(std::move(R));
+      C->reply(R);
     });
+    return true;
   };
   std::optional<HttpReply> Got;
   HttpRequest R;
@@ -150,18 +153,20 @@
 
 TEST_CASE_FIXTURE(FrontBed, "a caller that leaves ends its replicas' work") {
   start();
-  std::optional<Responder> Held;
-  Two.Instead = [&](const ServerRequest &, const Responder &A) {
-    Held.emplace(A);
+  WireConnectionPtr Held;
+  Two.Instead = [&](const WireConnectionPtr &C, const WireRequest &) {
+    Held = C;
+    return true;
   };
   HttpRequest R;
   R.To = Set.Callers;
   R.Path = "/x/1";
   R.Headers = {{"Host", "a.example"}, {"Request-Id", "q-6"}};
   auto Id = Http.send(std::move(R), [](const HttpReply &) {});
-  runUntil([&] { return Held.has_value(); });
+  runUntil([&] { return Held != nullptr; });
   Http.cancel(Id);
   runFor(Millis(450));
+  CHECK_FALSE(Held->open()); // Its replica stops working on it.
   HttpReply Page = ask(Set.Metrics, "/metrics");
   CHECK(Page.Body.find("shallot_forward_gone_total 1") != std::string::npos);
   CHECK(Page.Body.find("shallot_in_flight 0") != std::string::npos);
--- a/tests/failure/PeersAreToldWhatIsStale.cpp
+++ b/tests/failure/PeersAreToldWhatIsStale.cpp
@@ -25,7 +25,7 @@
 TEST_CASE_FIXTURE(FrontBed, "the age of a kind is that kind's own") {
   start();
   CHECK(ageOf(*this, "config") < MostFeedAge);
-  Store.setDownFor("config");
+  Store.setFaults({.BusyKind = "config"});
   runFor(MostFeedAge + Seconds(2));
   CHECK(ageOf(*this, "config") > MostFeedAge);
   CHECK(ageOf(*this, "servers") < MostFeedAge);
@@ -33,7 +33,7 @@
 
 TEST_CASE_FIXTURE(FrontBed, "one who waits for a stale kind is told at once") {
   start();
-  Store.setDownFor("config");
+  Store.setFaults({.BusyKind = "config"});
   runFor(MostFeedAge + Seconds(2));
   FeedQuestion Q;
   Q.Kind = "config";
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -1,8 +1,10 @@
 # The adapter and whole daemons in the deployment's wire form.
-shallot_test(platform_correctness PACKAGES platform LABELS correctness
+shallot_test(platform_correctness PACKAGES platform LIBRARIES standin_core
+  LABELS correctness
   SOURCES TestMain.cpp FrontBed.cpp correctness/FrontServesADeployment.cpp
           correctness/WireObjectsAreRead.cpp)
-shallot_test(platform_failure PACKAGES platform LABELS failure
+shallot_test(platform_failure PACKAGES platform LIBRARIES standin_core
+  LABELS failure
   SOURCES TestMain.cpp FrontBed.cpp failure/PeersAreToldWhatIsStale.cpp)
 add_test(NAME wire_names_stay_in_platform
   COMMAND ${CMAKE_COMMAND} -DROOT=${CMAKE_SOURCE_DIR}
--- a/tests/standins.cmake
+++ b/tests/standins.cmake
@@ -1,7 +1,8 @@
 shallot_test(standins_correctness LIBRARIES standin_core LABELS correctness
   SOURCES TestMain.cpp correctness/PlatformStandinKeepsVersions.cpp
           correctness/RecordsShowMixedVersions.cpp
-          correctness/AnswerCheckFindsLies.cpp)
+          correctness/AnswerCheckFindsLies.cpp
+          correctness/KindStandinKeepsRevisions.cpp)
 shallot_test(standins_failure LIBRARIES standin_core LABELS failure
   SOURCES TestMain.cpp failure/PlatformStandinLosesReplies.cpp
           failure/UpstreamStandinMisbehaves.cpp)
@@ -24,11 +25,11 @@
 
 # Whole sessions with real processes, compared with committed transcripts. They
 # use the same addresses, so one runs at a time.
-foreach(FIRM khan-uul banlangd)
-  add_test(NAME golden_${FIRM}
+foreach(SESSION khan-uul banlangd deployment)
+  add_test(NAME golden_${SESSION}
     COMMAND python3 ${CMAKE_CURRENT_LIST_DIR}/golden/run_session.py
-            --build ${CMAKE_BINARY_DIR} --firm ${FIRM})
-  set_tests_properties(golden_${FIRM} PROPERTIES
+            --build ${CMAKE_BINARY_DIR} --session ${SESSION})
+  set_tests_properties(golden_${SESSION} PROPERTIES
     LABELS golden TIMEOUT 300 RESOURCE_LOCK golden_addresses
     ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 endforeach()
