front, forward: connections to replicas are shared by the daemons that carry callers

Cause: each daemon may open its share of what a replica takes, and the share counted every daemon. In a mixed fleet the directory sends callers to 12 of 62 hosts; each of these held one connection to each replica of its region (63 x 0.6 / 20), so a second request at a time to a shard went to another region.

Change: sharedByCarriers() counts those that the directory names in some zone, those that are leaving or suspected, and the daemon itself. The retry allowance is still divided by all that may get a request.

Test: EntryAddressesForCallers, two cases (the function is new).

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -161,7 +161,7 @@
 bool ForwardRun::spend(ForwardShared &S, const Part &P, bool Hedge,
                        Instant Now) {
   RetryBudget &B = S.Budgets[P.Service];
-  std::size_t Daemons = S.Book.sharing().all();
+  std::size_t Daemons = S.Book.sharing().Daemons;
   bool Deciding = Parts.size() - PartsIn <= DecidingParts;
   if (Hedge && !Deciding &&
       B.freePart(S.Rules.Retries, Daemons, Now) < ScarceBudget)
--- a/packages/forward/ReplicaBook.cpp
+++ b/packages/forward/ReplicaBook.cpp
@@ -29,7 +29,7 @@
     Part = (1 - NearPart) * FarOvercommit;
     // Daemons of the replica's own region have the other part; how many there
     // are in all other regions is not more than there are in all.
-    Sharers = std::max<std::size_t>(1, S.all() - 1);
+    Sharers = std::max<std::size_t>(1, S.connected() - 1);
   }
   double Share = MaxConnections * Part / static_cast<double>(Sharers);
   return std::max<std::size_t>(1, static_cast<std::size_t>(Share));
--- a/packages/forward/ReplicaBook.h
+++ b/packages/forward/ReplicaBook.h
@@ -41,12 +41,16 @@
   friend bool operator==(const Place &, const Place &) = default;
 };
 
-/// How many daemons share the connections that a replica takes.
+/// How many daemons share what replicas take.
 struct Sharing {
-  std::size_t InRegion = 1; ///< Daemons of this daemon's region, itself too.
+  /// Daemons that open connections to replicas: of this daemon's region, itself
+  /// too, and of the others.
+  std::size_t InRegion = 1;
   std::size_t Elsewhere = 0;
+  /// Daemons that may send a request a second time.
+  std::size_t Daemons = 1;
 
-  std::size_t all() const { return InRegion + Elsewhere; }
+  std::size_t connected() const { return InRegion + Elsewhere; }
   friend bool operator==(const Sharing &, const Sharing &) = default;
 };
 
--- a/packages/front/EntryAddresses.h
+++ b/packages/front/EntryAddresses.h
@@ -39,6 +39,15 @@
 std::vector<Endpoint> entryAddresses(const FleetView &View,
                                      const Place &Caller);
 
+/// Who shares what replicas take. Their connections are shared by the daemons
+/// that the callers of some zone are given, with \p Self in any case, and those
+/// that are leaving. Counting every daemon instead leaves a carrier of a mixed
+/// fleet (12 of 62 hosts carry) one connection to each replica, and its second
+/// request at a time goes to another region. The retry allowance is shared by
+/// all that may get a request.
+Sharing sharedByCarriers(const FleetView &View, const HostId &Self,
+                         const Region &Here);
+
 } // namespace shallot
 
 #endif // SHALLOTSHIFT_FRONT_ENTRYADDRESSES_H
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -1,6 +1,7 @@
 //===- FleetLink.cpp ------------------------------------------------------===//
 #include "front/FleetLink.h"
 
+#include "front/EntryAddresses.h"
 #include "shallotshift/telemetry.h"
 
 #include <algorithm>
@@ -137,16 +138,7 @@
 }
 
 Sharing FleetLink::sharing() const {
-  Sharing S;
-  S.InRegion = 0;
-  for (const Member &M : view().Members) {
-    bool Self = M.Id.Host == Set.Host;
-    if (!Self && !takesNewWork(M) && M.State != MemberState::Leaving)
-      continue;
-    ++(M.Reg == Set.Here.Reg ? S.InRegion : S.Elsewhere);
-  }
-  S.InRegion = std::max<std::size_t>(1, S.InRegion);
-  return S;
+  return sharedByCarriers(view(), Set.Host, Set.Here.Reg);
 }
 
 void FleetLink::announce(const ReadState &S) {
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -47,7 +47,7 @@
   void setState(MemberState State);
 
   const FleetView &view() const { return Members.view(); }
-  /// How many daemons share the replicas' connections and the retry allowance.
+  /// Who shares the replicas' connections and the retry allowance.
   Sharing sharing() const;
   /// Tells the others, in every message, how far this daemon has read.
   void announce(const ReadState &S);
--- a/tests/ForwardWorld.cpp
+++ b/tests/ForwardWorld.cpp
@@ -76,7 +76,8 @@
       One->Zone = Zone;
       One->Shared.Rules.Retries = S.Retries;
       std::size_t Elsewhere = S.Zones - 1;
-      One->Book.setSharing({S.DaemonsPerZone, S.DaemonsPerZone * Elsewhere});
+      One->Book.setSharing({S.DaemonsPerZone, S.DaemonsPerZone * Elsewhere,
+                            S.DaemonsPerZone * S.Zones});
       One->Book.replaceAll(Entries, Now);
       Daemons.push_back(std::move(One));
     }
--- a/tests/correctness/EntryAddressesForCallers.cpp
+++ b/tests/correctness/EntryAddressesForCallers.cpp
@@ -86,3 +86,32 @@
   CHECK(ask("z1", "r").size() == MaxEntryAddresses);
   CHECK(ask("z1", "q").size() == MaxEntryAddresses);
 }
+
+TEST_CASE_FIXTURE(ViewFixture,
+                  "connections are shared by those who carry, retries by all") {
+  for (const char *Zone : {"z1", "z2"}) {
+    add(Zone, "r", 500);
+    add(Zone, "r", 500);
+    for (int I = 0; I < 8; ++I)
+      add(Zone, "r", 120);
+  }
+  add("z3", "q", 500);
+  Sharing S = sharedByCarriers(View, HostId("h1"), Region("r"));
+  CHECK(S == Sharing{4, 1, 21});
+  // 63 connections: 9 for each of four carriers, where twenty get one each.
+  CHECK(connectionShare(63, Distance::SameZone, S) == 9);
+  CHECK(connectionShare(63, Distance::SameZone, {20, 1, 21}) == 1);
+}
+
+TEST_CASE_FIXTURE(ViewFixture,
+                  "small hosts take over the shares of large ones that went") {
+  add("z1", "r", 500, MemberState::Failed);
+  add("z1", "r", 500, MemberState::Leaving);
+  for (int I = 0; I < 3; ++I)
+    add("z1", "r", 120);
+  // The one that is leaving still holds its connections.
+  CHECK(sharedByCarriers(View, HostId("h3"), Region("r")) == Sharing{4, 0, 4});
+  // Whoever asks counts, even if no caller is sent to it.
+  add("z1", "r", 500);
+  CHECK(sharedByCarriers(View, HostId("h3"), Region("r")) == Sharing{3, 0, 5});
+}
