forward, http1, front: one place for each of five pieces that stood twice

An own answer as a caller's reply is callerProblem(); which replica may serve is ReplicaBook::mayServe(); a hedge sends to the replica that it picked in place of picking again; how many parts are in stands in RunStory alone; requestText() knows which methods come with a body. FrontDaemon::metrics() had no caller.

Tests of forward, http1, front, platform pass; two cases more for a body's length (an empty PUT, a DELETE with a body).

--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -62,10 +62,10 @@
 
 bool ForwardRun::enough() const {
   if (!Fan)
-    return PartsIn == Parts.size();
+    return Story.PartsIn == Parts.size();
   double Share =
-      static_cast<double>(PartsIn) / static_cast<double>(Parts.size());
-  return PartsIn > 0 && Share >= Fan->LeastShare;
+      static_cast<double>(Story.PartsIn) / static_cast<double>(Parts.size());
+  return Story.PartsIn > 0 && Share >= Fan->LeastShare;
 }
 
 void ForwardRun::settle(RunOutput &Out, Instant Now) {
@@ -105,7 +105,7 @@
     A.Signatures.push_back(P.Reply.Signature);
     Bodies.push_back(P.Reply.Body);
   }
-  A.Missing = Parts.size() - PartsIn;
+  A.Missing = Parts.size() - Story.PartsIn;
   A.Records = greatestRecords(Bodies, Fan->MostRecords);
   finish(Out, std::move(A), Now);
 }
@@ -123,8 +123,9 @@
   }
   bool NothingRan = nothingRan();
   std::string Why = fmt::format(
-      "{} of {} parts in, {} sends, {} rejected, {} lost, {} not sent", PartsIn,
-      Parts.size(), Story.Sends, Story.Rejected, Story.Lost, Story.NotSent);
+      "{} of {} parts in, {} sends, {} rejected, {} lost, {} not sent",
+      Story.PartsIn, Parts.size(), Story.Sends, Story.Rejected, Story.Lost,
+      Story.NotSent);
   if (NothingRan)
     finish(Out, OwnAnswer{ResultCode::UpstreamShed, NoReplicaRetry, Why}, Now);
   else if (Ask.Way->Kind == Repetition::AtMostOnce)
@@ -137,7 +138,6 @@
 
 void ForwardRun::finish(RunOutput &Out, ForwardAnswer Answer, Instant Now) {
   Answered = true;
-  Story.PartsIn = static_cast<unsigned>(PartsIn);
   Out.Answer = std::move(Answer);
   DropAt = Ask.Way->Kind == Repetition::Idempotent ? Now + LingerTime : End;
 }
--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -125,16 +125,22 @@
                          Instant Now) {
   Part &P = Parts[Index];
   P.RetryAt = Instant::max();
-  ReplicaPtr To = pick(S, P, Index, Now);
-  if (!To) {
-    if (S.Book.servable(P.Service, Now)) {
-      P.RetryAt = Now + RoomPeriod;
-      ++Story.Waits;
-    } else if (P.Open == 0) {
-      P.GivenUp = true;
-    }
-    return false;
+  if (ReplicaPtr To = pick(S, P, Index, Now)) {
+    send(S, Index, To, Out, Now);
+    return true;
+  }
+  if (S.Book.servable(P.Service, Now)) {
+    P.RetryAt = Now + RoomPeriod;
+    ++Story.Waits;
+  } else if (P.Open == 0) {
+    P.GivenUp = true;
   }
+  return false;
+}
+
+void ForwardRun::send(ForwardShared &S, unsigned Index, const ReplicaPtr &To,
+                      RunOutput &Out, Instant Now) {
+  Part &P = Parts[Index];
   Duration Predicted = To->predicted(work(S), Now);
   double Factor = Fan ? HedgeFactor : PlainHedgeFactor;
   Duration Patience = fromMillisF(toMillisF(Predicted) * Factor) + HedgeSlack;
@@ -155,14 +161,13 @@
   ++P.Sends;
   ++OpenSends;
   ++Story.Sends;
-  return true;
 }
 
 bool ForwardRun::spend(ForwardShared &S, const Part &P, bool Hedge,
                        Instant Now) {
   RetryBudget &B = S.Budgets[P.Service];
   std::size_t Daemons = S.Book.sharing().Daemons;
-  bool Deciding = Parts.size() - PartsIn <= DecidingParts;
+  bool Deciding = Parts.size() - Story.PartsIn <= DecidingParts;
   if (Hedge && !Deciding &&
       B.freePart(S.Rules.Retries, Daemons, Now) < ScarceBudget)
     return false;
@@ -207,9 +212,8 @@
     ReplicaPtr Other = pick(S, P, Index, Now);
     if (!Other || !spend(S, P, true, Now))
       continue;
-    if (trySend(S, Index, Out, Now))
-      ++Story.Hedges;
-    Parts[Index].RetryAt = Instant::max();
+    send(S, Index, Other, Out, Now);
+    ++Story.Hedges;
   }
 }
 
@@ -257,7 +261,7 @@
   if (!usable(P.Reply))
     return;
   P.In = true;
-  ++PartsIn;
+  ++Story.PartsIn;
 }
 
 RunOutput ForwardRun::replied(ForwardShared &S, unsigned Send,
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -184,6 +184,8 @@
   void makeParts(ForwardShared &S, Instant Now);
   bool refuseAtOnce(ForwardShared &S, RunOutput &Out, Instant Now);
   bool trySend(ForwardShared &S, unsigned Index, RunOutput &Out, Instant Now);
+  void send(ForwardShared &S, unsigned Index, const ReplicaPtr &To,
+            RunOutput &Out, Instant Now);
   ReplicaPtr pick(ForwardShared &S, const Part &P, unsigned Index,
                   Instant Now) const;
   void tryAgain(ForwardShared &S, unsigned Index, SendEnd Last, RunOutput &Out,
@@ -212,7 +214,6 @@
   std::vector<Part> Parts;
   std::vector<Sent> Sends;
   std::size_t OpenSends = 0;
-  std::size_t PartsIn = 0;
   bool CutoffSeen = false;
   bool Answered = false;
   RunStory Story;
--- a/packages/forward/ReplicaBook.cpp
+++ b/packages/forward/ReplicaBook.cpp
@@ -103,22 +103,24 @@
   return !S.Registered && !S.Ptr->entry().Leaving && Now < holdEnds(S);
 }
 
+bool ReplicaBook::mayServe(const Slot &S, Instant Now) const {
+  bool Stays = S.Registered ? !S.Ptr->entry().Leaving : holds(S, Now);
+  return Stays && !S.Ptr->resting();
+}
+
 ReplicaPtr ReplicaBook::choose(const Choice &C, double Jitter, Instant Now) {
   auto At = ByService.find(C.Service->Name);
   if (At == ByService.end())
     return nullptr;
   std::vector<Slot *> &Slots = At->second;
-  bool AnyRegistered = std::ranges::any_of(Slots, [](const Slot *S) {
-    return S->Registered && !S->Ptr->entry().Leaving && !S->Ptr->resting();
-  });
+  bool AnyRegistered = std::ranges::any_of(
+      Slots, [&](const Slot *S) { return S->Registered && mayServe(*S, Now); });
   ReplicaPtr Best;
   double BestMs = 0;
   double Draw = Jitter;
   for (Slot *S : Slots) {
     const Replica &R = *S->Ptr;
-    bool Usable =
-        S->Registered ? !R.entry().Leaving : !AnyRegistered && holds(*S, Now);
-    if (!Usable || R.resting())
+    if (!mayServe(*S, Now) || (AnyRegistered && !S->Registered))
       continue;
     if (std::ranges::find(C.Exclude, S->Ptr) != C.Exclude.end())
       continue;
@@ -140,10 +142,8 @@
   auto At = ByService.find(Service);
   if (At == ByService.end())
     return false;
-  return std::ranges::any_of(At->second, [&](const Slot *S) {
-    bool Usable = S->Registered ? !S->Ptr->entry().Leaving : holds(*S, Now);
-    return Usable && !S->Ptr->resting();
-  });
+  return std::ranges::any_of(At->second,
+                             [&](const Slot *S) { return mayServe(*S, Now); });
 }
 
 void ReplicaBook::expire(Instant Now) {
--- a/packages/forward/ReplicaBook.h
+++ b/packages/forward/ReplicaBook.h
@@ -114,6 +114,7 @@
 
   Distance distance(const ReplicaEntry &E) const;
   bool holds(const Slot &S, Instant Now) const;
+  bool mayServe(const Slot &S, Instant Now) const;
   Instant holdEnds(const Slot &S) const;
   void vanish(Slot &S, Instant Now);
 
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -316,8 +316,6 @@
 
 TimerQueue &FrontDaemon::timers() { return I->Timers; }
 
-Metrics &FrontDaemon::metrics() { return I->Meter; }
-
 Random &FrontDaemon::random() { return I->Rng; }
 
 void FrontDaemon::requestStop(std::function<void()> Gone) {
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -73,7 +73,6 @@
   std::uint64_t configVersion() const;
   const FrontSettings &settings() const;
   TimerQueue &timers();
-  Metrics &metrics();
   Random &random();
   /// Stops in order; \p Gone is called when the process may end.
   void requestStop(std::function<void()> Gone);
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -52,17 +52,7 @@
 }
 
 CallerReply ownReply(const OwnAnswer &A, std::string Id) {
-  ServerReply P = problemReply(A.Code, A.Why, std::move(Id));
-  CallerReply R;
-  R.Status = P.Status;
-  R.Headers = std::move(P.Headers);
-  R.Headers.push_back({"Content-Type", std::move(P.ContentType)});
-  // A fraction of a second: a whole one is more than most callers have left.
-  if (A.RetryAfter > Duration(0))
-    R.Headers.push_back(
-        {"Retry-After", fmt::format("{:.3f}", toMillisF(A.RetryAfter) / 1000)});
-  R.Body = std::move(P.Body);
-  return R;
+  return callerProblem(A.Code, A.Why, std::move(Id), A.RetryAfter);
 }
 
 std::string_view outcomeOf(const ForwardAnswer &A) {
@@ -84,7 +74,6 @@
     ForwardRun Run;
     std::string Id;
     std::string Head; ///< Method, target and headers for every send.
-    bool HasBody = false;
     std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
     TimerQueue::Key Timer = 0;
     Instant TimerAt = Instant::max();
@@ -165,8 +154,6 @@
   auto J = std::make_shared<Job>(E, std::move(Ask));
   J->Id = std::string(headerValue(R.Headers, Names.RequestId));
   J->Head = headFor(R);
-  J->HasBody = !R.Body.empty() || R.Method == "POST" || R.Method == "PUT" ||
-               R.Method == "PATCH";
   Jobs.insert(J);
   ++Unanswered;
   E->whenGone([this, Weak = std::weak_ptr(J)] {
@@ -196,7 +183,7 @@
   U.To = S.To->entry().At;
   HttpHeaders Extra = {{Names.Deadline, std::to_string(toMillis(S.TimeLeft))},
                        {Names.Wanted, S.To->entry().Id.str()}};
-  U.Bytes = requestText(J->Head, Extra, R.Body, J->HasBody);
+  U.Bytes = requestText(J->Head, Extra, R.Body);
   U.ToHead = R.Method == "HEAD";
   U.EchoName = Names.RequestId;
   U.EchoValue = J->Id;
--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
+#include <fmt/format.h>
 #include <poll.h>
 #include <unordered_set>
 
@@ -37,13 +38,9 @@
 constexpr Duration IdleSlack = Seconds(1);
 constexpr int ListenBacklog = 1024;
 
-CallerReply ownReply(ResultCode Code, std::string_view Detail) {
-  ServerReply P = problemReply(Code, std::string(Detail));
-  CallerReply R;
-  R.Status = P.Status;
-  R.Headers = std::move(P.Headers);
-  R.Headers.push_back({"Content-Type", std::move(P.ContentType)});
-  R.Body = std::move(P.Body);
+/// The answer to a request of which no more is wanted on its connection.
+CallerReply closingReply(ResultCode Code, std::string_view Detail) {
+  CallerReply R = callerProblem(Code, std::string(Detail));
   R.Close = true;
   return R;
 }
@@ -57,6 +54,20 @@
 
 } // namespace
 
+CallerReply callerProblem(ResultCode Code, std::string Detail,
+                          std::string Instance, Duration RetryAfter) {
+  ServerReply P = problemReply(Code, std::move(Detail), std::move(Instance));
+  CallerReply R;
+  R.Status = P.Status;
+  R.Headers = std::move(P.Headers);
+  R.Headers.push_back({"Content-Type", std::move(P.ContentType)});
+  if (RetryAfter > Duration(0))
+    R.Headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", toMillisF(RetryAfter) / 1000)});
+  R.Body = std::move(P.Body);
+  return R;
+}
+
 std::string_view CallerRequest::path() const {
   return std::string_view(Target).substr(0, Target.find('?'));
 }
@@ -138,7 +149,7 @@
   ~Turn() override {
     // A handler that lost it must not leave the caller waiting.
     if (C)
-      reply(ownReply(ResultCode::Internal, "the handler gave no answer"));
+      reply(closingReply(ResultCode::Internal, "the handler gave no answer"));
     --S->InFlight;
   }
 
@@ -283,7 +294,7 @@
 }
 
 void Connection::refuse(ResultCode Code, std::string_view Detail) {
-  answer(ownReply(Code, Detail));
+  answer(closingReply(Code, Detail));
 }
 
 void Connection::gone() {
--- a/packages/http1/CallerServer.h
+++ b/packages/http1/CallerServer.h
@@ -38,6 +38,13 @@
   bool Close = false; ///< Close the connection behind it.
 };
 
+/// An answer of our own as a problem document (net/Problem.h). A \p RetryAfter
+/// above 0 is said to the millisecond: a whole second is more than most callers
+/// have left.
+CallerReply callerProblem(ResultCode Code, std::string Detail,
+                          std::string Instance = {},
+                          Duration RetryAfter = Duration(0));
+
 struct CallerServerOptions {
   std::size_t MaxHeaderBytes = 16 << 10;
   std::size_t MaxBodyBytes = 1 << 20;
--- a/packages/http1/MessageText.cpp
+++ b/packages/http1/MessageText.cpp
@@ -35,6 +35,13 @@
 /// Room for the start line and the lines that are added here.
 constexpr std::size_t StartBytes = 160;
 
+/// Of the start line of a request. A body of these methods may be empty, which
+/// a length of 0 says (RFC 9110, 8.6).
+bool comesWithBody(std::string_view Head) {
+  std::string_view Method = Head.substr(0, Head.find(' '));
+  return Method == "POST" || Method == "PUT" || Method == "PATCH";
+}
+
 bool hasNoBody(int Status) {
   return Status < 200 || Status == 204 || Status == 304;
 }
@@ -73,13 +80,13 @@
 }
 
 std::string requestText(std::string_view Head, const HttpHeaders &Further,
-                        std::string_view Body, bool WithLength) {
+                        std::string_view Body) {
   std::string Out;
   Out.reserve(StartBytes + Head.size() + headerSize(Further) + Body.size());
   Out.append(Head);
   for (const HttpHeader &H : Further)
     addLine(Out, H.Name, H.Value);
-  if (WithLength)
+  if (!Body.empty() || comesWithBody(Head))
     addLine(Out, "Content-Length", std::to_string(Body.size()));
   Out.append("\r\n").append(Body);
   return Out;
--- a/packages/http1/MessageText.h
+++ b/packages/http1/MessageText.h
@@ -17,9 +17,10 @@
 std::string requestHead(std::string_view Method, std::string_view Target,
                         const HttpHeaders &Headers);
 
-/// The bytes of a request. \p WithLength adds the length of \p Body.
+/// The bytes of a request. The length of \p Body is said unless it is empty and
+/// the method of \p Head is one that comes without a body.
 std::string requestText(std::string_view Head, const HttpHeaders &Further,
-                        std::string_view Body, bool WithLength);
+                        std::string_view Body);
 
 /// The bytes of a reply with its length. \p Close says that the connection
 /// ends behind it. \p WithBody is false for a reply to HEAD.
--- a/standins/DeploymentStandin.cpp
+++ b/standins/DeploymentStandin.cpp
@@ -96,13 +96,12 @@
   asio::io_context Io;
   Deployment D(Io, StoreAt);
   BOOST_LEAF_CHECK(D.start(Doc["replicas"]));
-  WireServer Control(Io, At,
-                     {.OnOpen = [] { return true; },
-                      .OnRequest = [&](const WireConnectionPtr &C,
-                                       const WireRequest &R) {
-                        onControl(D, C, R);
-                      },
-                      .OnClose = [](const WireConnectionPtr &) {}});
+  WireServer Control(
+      Io, At,
+      {.OnOpen = [] { return true; },
+       .OnRequest = [&](const WireConnectionPtr &C,
+                        const WireRequest &R) { onControl(D, C, R); },
+       .OnClose = [](const WireConnectionPtr &) {}});
   BOOST_LEAF_CHECK(Control.listen());
   fmt::print(stderr, "deployment-standin: listening on {}\n", At.str());
   runUntilSignal(Io);
--- a/standins/KindService.cpp
+++ b/standins/KindService.cpp
@@ -105,9 +105,9 @@
 }
 
 Result<void> KindService::control(const Json &Orders) {
-  BOOST_LEAF_CHECK(checkFields(Orders, {"mode", "busy_kind", "slow_ms",
-                                        "lose_write_replies", "drop_history",
-                                        "remove"}));
+  BOOST_LEAF_CHECK(
+      checkFields(Orders, {"mode", "busy_kind", "slow_ms", "lose_write_replies",
+                           "drop_history", "remove"}));
   KindFaults F = Faults;
   std::string Mode(textOf(F.Mode));
   bool Drop = false;
@@ -115,8 +115,7 @@
   BOOST_LEAF_CHECK(readField(Orders, "mode", Mode));
   BOOST_LEAF_CHECK(readField(Orders, "busy_kind", F.BusyKind));
   BOOST_LEAF_CHECK(readField(Orders, "slow_ms", F.SlowMs));
-  BOOST_LEAF_CHECK(
-      readField(Orders, "lose_write_replies", F.LoseWriteReplies));
+  BOOST_LEAF_CHECK(readField(Orders, "lose_write_replies", F.LoseWriteReplies));
   BOOST_LEAF_CHECK(readField(Orders, "drop_history", Drop));
   BOOST_LEAF_CHECK(readField(Orders, "remove", Gone));
   BOOST_LEAF_ASSIGN(F.Mode, modeOf(Mode));
@@ -186,10 +185,9 @@
   }
   bool More = false;
   Json Items = Objects.page(Kind, R.parameter("after"), More);
-  reply(C, 200,
-        {{"items", Items},
-         {"more", More},
-         {"current_rev", Objects.revision()}});
+  reply(
+      C, 200,
+      {{"items", Items}, {"more", More}, {"current_rev", Objects.revision()}});
 }
 
 void KindService::write(const WireConnectionPtr &C, const WireRequest &R,
--- a/standins/RegisteredReplica.cpp
+++ b/standins/RegisteredReplica.cpp
@@ -37,10 +37,10 @@
 }
 
 Result<ReplicaShape> readReplicaShape(const Json &O) {
-  BOOST_LEAF_CHECK(checkFields(O, {"id", "service", "address", "registered",
-                                   "zone", "slots", "queue", "connections",
-                                   "work_ms", "pause_ms", "pause_every_ms",
-                                   "records", "seed"}));
+  BOOST_LEAF_CHECK(
+      checkFields(O, {"id", "service", "address", "registered", "zone", "slots",
+                      "queue", "connections", "work_ms", "pause_ms",
+                      "pause_every_ms", "records", "seed"}));
   ReplicaShape S;
   std::string At;
   std::string Registered;
@@ -81,24 +81,19 @@
                                      ArrivalLog &Log, ReplicaShape S)
     : Io(Io), Store(Store), Log(Log), Shape(std::move(S)),
       Rng(Shape.Seed, hash64(Shape.Id)),
-      Server(Io, Shape.At,
-             {.OnOpen =
-                  [this] {
-                    return Server.openConnections() < Shape.Connections;
-                  },
-              .OnRequest = [this](const WireConnectionPtr &C,
-                                  const WireRequest &R) { onRequest(C, R); },
-              .OnClose = [this](const WireConnectionPtr &C) { onClose(C); }}) {}
+      Server(
+          Io, Shape.At,
+          {.OnOpen =
+               [this] { return Server.openConnections() < Shape.Connections; },
+           .OnRequest = [this](const WireConnectionPtr &C,
+                               const WireRequest &R) { onRequest(C, R); },
+           .OnClose = [this](const WireConnectionPtr &C) { onClose(C); }}) {}
 
 Json RegisteredReplica::registration(const std::string &State) const {
-  return {{"service", Shape.Service},
-          {"address", Shape.Registered.str()},
-          {"zone", Shape.Zone},
-          {"version", "v1"},
-          {"slots", Shape.Slots},
-          {"state", State},
-          {"warmup_left_ms", 0},
-          {"sequence", 1}};
+  return {{"service", Shape.Service}, {"address", Shape.Registered.str()},
+          {"zone", Shape.Zone},       {"version", "v1"},
+          {"slots", Shape.Slots},     {"state", State},
+          {"warmup_left_ms", 0},      {"sequence", 1}};
 }
 
 void RegisteredReplica::announce(const std::string &State) {
@@ -160,8 +155,8 @@
   if (Shape.PauseMs <= 0)
     return fromMillisF(Ms);
   auto Phase = static_cast<double>(hash64(Shape.Id) % 1000) / 1000;
-  double Since = std::fmod(monotonicMs() + Phase * Shape.PauseEveryMs,
-                           Shape.PauseEveryMs);
+  double Since =
+      std::fmod(monotonicMs() + Phase * Shape.PauseEveryMs, Shape.PauseEveryMs);
   bool Meets = Since < Shape.PauseMs || Since + Ms > Shape.PauseEveryMs;
   return fromMillisF(Meets ? Ms + Shape.PauseMs : Ms);
 }
@@ -272,10 +267,10 @@
 }
 
 Result<void> RegisteredReplica::control(const Json &Orders) {
-  BOOST_LEAF_CHECK(checkFields(
-      Orders, {"replica", "shed", "errors", "hang", "slow", "lose_replies",
-               "extra_replies", "short_replies", "bare_replies", "work_ms",
-               "state", "die", "become"}));
+  BOOST_LEAF_CHECK(checkFields(Orders, {"replica", "shed", "errors", "hang",
+                                        "slow", "lose_replies", "extra_replies",
+                                        "short_replies", "bare_replies",
+                                        "work_ms", "state", "die", "become"}));
   ReplicaTroubles T = Troubles;
   BOOST_LEAF_CHECK(readField(Orders, "shed", T.Shed));
   BOOST_LEAF_CHECK(readField(Orders, "errors", T.Errors));
--- a/tests/correctness/MessagesAsBytes.cpp
+++ b/tests/correctness/MessagesAsBytes.cpp
@@ -8,10 +8,14 @@
 
 TEST_CASE("a request is written as it came") {
   std::string Head = requestHead("GET", "/a/../b?x=%2F", {{"Host", "h"}});
-  CHECK(requestText(Head, {{"More", "1"}}, "", false) ==
+  CHECK(requestText(Head, {{"More", "1"}}, "") ==
         "GET /a/../b?x=%2F HTTP/1.1\r\nHost: h\r\nMore: 1\r\n\r\n");
-  CHECK(requestText(requestHead("POST", "/", {}), {}, "ab", true) ==
+  CHECK(requestText(requestHead("POST", "/", {}), {}, "ab") ==
         "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+  CHECK(requestText(requestHead("PUT", "/", {}), {}, "") ==
+        "PUT / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  CHECK(requestText(requestHead("DELETE", "/", {}), {}, "ab") ==
+        "DELETE / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
 }
 
 TEST_CASE("a reply has its length, and a HEAD's reply no body") {
--- a/tests/failure/RepliesBeforeTheBodyIsRead.cpp
+++ b/tests/failure/RepliesBeforeTheBodyIsRead.cpp
@@ -61,10 +61,9 @@
 
 TEST_CASE_FIXTURE(HastyServer,
                   "behind an early answer nothing else is sent there") {
-  UpstreamReply Early =
-      exchange("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-               std::to_string(LongBody) + "\r\n\r\n" +
-               std::string(LongBody, 'x'));
+  UpstreamReply Early = exchange(
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+      std::to_string(LongBody) + "\r\n\r\n" + std::string(LongBody, 'x'));
   CHECK(Early.How == CallEnd::Answered);
   CHECK(Early.Body == "ok");
   CHECK(Pool.idle() == 0);
--- a/tests/failure/StrayBytesBelongToNobody.cpp
+++ b/tests/failure/StrayBytesBelongToNobody.cpp
@@ -25,7 +25,7 @@
   UpstreamRequest request(const std::string &Id = "1") {
     UpstreamRequest R;
     R.To = At;
-    R.Bytes = requestText(requestHead("GET", "/", {{"Id", Id}}), {}, "", false);
+    R.Bytes = requestText(requestHead("GET", "/", {{"Id", Id}}), {}, "");
     R.EchoName = "Id";
     R.EchoValue = Id;
     return R;
