--- /dev/null
+++ b/tests/soak.cmake
@@ -0,0 +1,15 @@
+# Real daemons under random troubles (tools/soak.py), in its own addresses: two
+# seeds that are always the same, and every seed that ever failed. Promises with
+# a time bound are judged only where the machine itself was in time.
+add_test(NAME soak_seeds
+  COMMAND ${CMAKE_SOURCE_DIR}/tools/soak.py ${CMAKE_BINARY_DIR}
+          --seed 20261 --seed 20262 --regressions --seconds 20
+          --keep ${CMAKE_BINARY_DIR}/soak-findings)
+set_tests_properties(soak_seeds PROPERTIES LABELS failure TIMEOUT 600
+  ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
+add_test(NAME soak_sees_broken_promises
+  COMMAND python3
+          ${CMAKE_CURRENT_LIST_DIR}/correctness/soak_sees_broken_promises.py)
+set_tests_properties(soak_sees_broken_promises PROPERTIES LABELS correctness
+  ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
