front: words of the store go down a tree, and a fleet that starts forms it first

Cause 1: one daemon a region watches the store and all others of the region ask it. With 100 of them a change of 20 KB is 2 MB on one host's link, which may be of 14 Mbit/s: a change was in force after 1.1 to 1.9 s at 300 hosts, growing with a power of 1.5, 24 to 28 s at 1,670.

Change: daemons of a region are ranked, the largest hosts first, and the one at place I asks the one at (I - 1) / 16. Whoever passes words on is answered also without a change whenever its own source has heard from the store, so that the age of its word is known. Answers to the same question are written once. A daemon that starts waits up to 0.25 s for a peer's word (and 40 ms after it), and its source holds the list until it has read it, up to 0.3 s; then the store.

The test that a fleet that has just started asks the store is replaced: it now asks one of its rank first, and the store when that has nothing in time.

--- a/packages/front/FeedServer.cpp
+++ b/packages/front/FeedServer.cpp
@@ -19,54 +19,76 @@
 
 } // namespace
 
-bool FeedServer::tryAnswer(const FeedQuestion &Q, const Responder &A,
-                           bool Anyway) const {
-  std::optional<KindChanges> C = View(Q.Kind).Cache->since(*Q.Since);
+bool FeedServer::tryAnswer(const Waiter &W, bool Anyway, Bodies &Known) const {
+  return W.Question.Since ? tryChanges(W, Anyway, Known) : tryPage(W, Anyway);
+}
+
+bool FeedServer::tryPage(const Waiter &W, bool Anyway) const {
+  FeedView V = View(W.Question.Kind);
+  if (!V.Listed && !Anyway)
+    return false;
+  if (!V.Listed) {
+    W.Answer.reply(problemReply(ResultCode::NotReady, "nothing read yet"));
+    return true;
+  }
+  KindPage P = V.Cache->page(W.Question.After);
+  P.Age = Age(W.Question.Kind);
+  W.Answer.reply(jsonReply(writePage(P)));
+  return true;
+}
+
+bool FeedServer::tryChanges(const Waiter &W, bool Anyway, Bodies &Known) const {
+  const FeedQuestion &Q = W.Question;
+  FeedView V = View(Q.Kind);
+  if (!V.Listed) {
+    W.Answer.reply(problemReply(ResultCode::NotReady, "nothing read yet"));
+    return true;
+  }
+  if (auto Found = Known.find(*Q.Since); Found != Known.end()) {
+    W.Answer.reply(jsonReply(Found->second));
+    return true;
+  }
+  std::optional<KindChanges> C = V.Cache->since(*Q.Since);
   if (!C) {
-    A.reply(problemReply(ResultCode::PlatformHistoryGone, Q.Kind));
+    W.Answer.reply(problemReply(ResultCode::PlatformHistoryGone, Q.Kind));
     return true;
   }
   if (C->Changes.empty() && !Anyway)
     return false;
   C->Age = Age(Q.Kind);
-  A.reply(jsonReply(writeChanges(*C)));
+  std::string &Body = Known[*Q.Since] = writeChanges(*C);
+  W.Answer.reply(jsonReply(Body));
   return true;
 }
 
 void FeedServer::handle(const ServerRequest &R, const Responder &A) {
   auto Q = readFeedQuestion(R.Path, R.Query);
-  FeedView V = Q ? View(Q->Kind) : FeedView();
-  if (!V.Cache) {
+  if (!Q || !View(Q->Kind).Cache) {
     A.reply(problemReply(ResultCode::UnknownPath, R.Path));
     return;
   }
-  if (!V.Listed) {
-    A.reply(problemReply(ResultCode::NotReady, "nothing read yet"));
-    return;
-  }
-  if (!Q->Since) {
-    KindPage P = V.Cache->page(Q->After);
-    P.Age = Age(Q->Kind);
-    A.reply(jsonReply(writePage(P)));
-    return;
-  }
-  bool Stale = Age(Q->Kind) > MostFeedAge;
+  bool Stale = Q->Since && Age(Q->Kind) > MostFeedAge;
   bool Full = Waiting.size() >= MaxWaiting;
-  if (!tryAnswer(*Q, A, Stale || Full || Q->Wait <= Duration(0)))
-    Waiting.push_back({*Q, A, Timers.now() + Q->Wait});
+  Waiter W{*Q, A, Timers.now() + Q->Wait};
+  Bodies Known;
+  if (!tryAnswer(W, Stale || Full || Q->Wait <= Duration(0), Known))
+    Waiting.push_back(std::move(W));
 }
 
 void FeedServer::advanced(const std::string &Kind) {
+  Bodies Known;
   std::erase_if(Waiting, [&](const Waiter &W) {
-    return W.Question.Kind == Kind && tryAnswer(W.Question, W.Answer, false);
+    return W.Question.Kind == Kind && tryAnswer(W, W.Question.Relays, Known);
   });
 }
 
 void FeedServer::tick() {
   Instant Now = Timers.now();
+  Bodies None;
   std::erase_if(Waiting, [&](const Waiter &W) {
-    bool Stale = Age(W.Question.Kind) > MostFeedAge;
-    return tryAnswer(W.Question, W.Answer, Stale || Now >= W.Until);
+    None.clear();
+    bool Stale = W.Question.Since && Age(W.Question.Kind) > MostFeedAge;
+    return tryAnswer(W, Stale || Now >= W.Until, None);
   });
 }
 
--- a/packages/front/FeedServer.h
+++ b/packages/front/FeedServer.h
@@ -1,8 +1,11 @@
 //===- FeedServer.h - Passes the store's words on to peers ------*- C++ -*-===//
 //
-// Answers peers from what this daemon has seen (KindCache). A watch waits for a
-// change, but no longer than this daemon itself has word from the store: one
-// that lost the store says so at once, so that its peers go elsewhere.
+// Answers peers from what this daemon has seen (KindCache). A list waits until
+// anything was read, a watch for a change, but no longer than this daemon
+// itself has word from the store: one that lost the store says so at once, so
+// that its peers go elsewhere. A peer that passes the words on is also answered
+// without a change whenever the store was heard from: its own peers must know
+// how old its word is.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FEEDSERVER_H
@@ -49,8 +52,14 @@
     Instant Until;
   };
 
+  /// Bodies of answers by the revision that was asked from: those who wait have
+  /// mostly read equally far, and the same text serves them all.
+  using Bodies = std::map<std::uint64_t, std::string>;
+
+  bool tryAnswer(const Waiter &W, bool Anyway, Bodies &Known) const;
+  bool tryPage(const Waiter &W, bool Anyway) const;
   /// Sends the changes since the question, if there are any or \p Anyway.
-  bool tryAnswer(const FeedQuestion &Q, const Responder &A, bool Anyway) const;
+  bool tryChanges(const Waiter &W, bool Anyway, Bodies &Known) const;
 
   TimerQueue &Timers;
   ViewFn View;
--- a/packages/front/FeedSources.cpp
+++ b/packages/front/FeedSources.cpp
@@ -19,8 +19,9 @@
 /// How many of the own region are asked before other regions.
 constexpr std::size_t OwnRegionSources = 2;
 
-std::uint64_t rankOf(const Member &M) {
-  return hash64(M.Id.Host.str(), hash64(M.Reg.str()));
+/// Large hosts first: they have the links and the processor to pass words on.
+std::pair<std::uint32_t, std::uint64_t> rankOf(const Member &M) {
+  return {M.Capacity, hash64(M.Id.Host.str(), hash64(M.Reg.str()))};
 }
 
 bool mayServe(const Member &M) {
@@ -42,16 +43,31 @@
   for (auto &[Reg, List] : ByRegion)
     std::ranges::sort(List, std::greater<>(), rankOf);
   Peers.clear();
-  std::vector<Member> &Own = ByRegion[Here];
-  First = Own.empty() || Own.front().Id.Host == Self;
-  for (const Member &M : Own)
-    if (M.Id.Host != Self && Peers.size() < OwnRegionSources)
-      Peers.push_back(M);
+  findOwnSources(ByRegion[Here]);
   for (const auto &[Reg, List] : ByRegion)
     if (Reg != Here && !List.empty())
       Peers.push_back(List.front());
 }
 
+/// \p Own is this daemon's region in order of rank. The daemon at place I asks
+/// the one at (I - 1) / FeedFanOut, and in its stead the next best.
+void FeedSources::findOwnSources(const std::vector<Member> &Own) {
+  auto Me = std::ranges::find_if(
+      Own, [&](const Member &M) { return M.Id.Host == Self; });
+  auto Place = static_cast<std::size_t>(Me - Own.begin());
+  First = Place == 0 || Me == Own.end();
+  Relays = Me != Own.end() && Place * FeedFanOut + 1 < Own.size();
+  if (!First)
+    Peers.push_back(Own[(Place - 1) / FeedFanOut]);
+  for (const Member &M : Own) {
+    if (Peers.size() >= OwnRegionSources)
+      return;
+    bool Usual = !First && M.Id == Peers.front().Id;
+    if (M.Id.Host != Self && !Usual)
+      Peers.push_back(M);
+  }
+}
+
 bool FeedSources::usable(const FeedSource &S, Instant Now) const {
   auto Found = Failures.find(nameOf(S));
   return Found == Failures.end() || Found->second.Until <= Now;
@@ -63,14 +79,12 @@
     return {std::exchange(Preferred, std::nullopt)};
   if (First && usable(Store, Now))
     return Store;
+  if (!Listed)
+    return firstSource(Now);
   FeedSource Soonest = Store;
   Instant SoonestAt = Instant::max();
   for (const Member &M : Peers) {
     FeedSource S{M};
-    // When all have just started none has anything to say yet, and a fleet that
-    // waits for itself answers nobody.
-    if (!Listed && M.State != MemberState::Alive)
-      continue;
     if (usable(S, Now))
       return S;
     Instant Until = Failures.at(M.Id.Host).Until;
@@ -85,6 +99,19 @@
   return Soonest;
 }
 
+/// Of a daemon that has read nothing yet. The usual source may have just
+/// started as well; it answers when it has read something itself. Nobody else
+/// that has just started is asked: a fleet that waits for itself in a circle
+/// answers nobody.
+FeedSource FeedSources::firstSource(Instant Now) const {
+  for (const Member &M : Peers) {
+    bool Usual = !First && M.Id == Peers.front().Id;
+    if ((Usual || M.State == MemberState::Alive) && usable({M}, Now))
+      return {M};
+  }
+  return {};
+}
+
 void FeedSources::worked(const FeedSource &S) { Failures.erase(nameOf(S)); }
 
 void FeedSources::failed(const FeedSource &S, Random &Rng, Instant Now) {
--- a/packages/front/FeedSources.h
+++ b/packages/front/FeedSources.h
@@ -1,10 +1,15 @@
 //===- FeedSources.h - Whom to ask for what the store holds -----*- C++ -*-===//
 //
 // Every call to the store is paid for, and its rates do not grow with the
-// fleet, so one daemon in each region watches the store and the others of the
-// region watch that one. Nobody elects it: each daemon ranks the members that
-// it sees, and the first of its region asks the store. Two daemons that see
-// different members may both ask; that costs a few calls and nothing else.
+// fleet, so one daemon in each region watches the store and the others hear
+// from it: up to FeedFanOut of them directly, the rest from one of these, and
+// so on. Nobody elects it: each daemon ranks the members that it sees, the
+// largest hosts first, and its place in that order says whom it asks; the first
+// of its region asks the store. Two daemons that see different members may both
+// ask; that costs a few calls and nothing else.
+//
+// Why a tree: with 100 daemons that ask one, a change of 20 KB is 2 MB on one
+// host's link, more than a second on a link of 14 Mbit/s.
 //
 // What a daemon does when its source is of no use (dead, silent, or itself
 // without word from the store): the second of its region, then the first of
@@ -37,6 +42,10 @@
 /// watchers have its word once a second.
 inline constexpr Duration MostFeedAge = Millis(2200);
 
+/// Daemons that one daemon passes words on to: 16 changes of 20 KB are 0.2 s on
+/// a link of 14 Mbit/s, and 1,700 daemons in 7 regions need three steps.
+inline constexpr std::size_t FeedFanOut = 16;
+
 class FeedSources {
 public:
   FeedSources(HostId Self, Region Here)
@@ -44,7 +53,7 @@
 
   void update(const FleetView &View);
   /// The source for the next call. \p Listed: something was read before; until
-  /// then only peers that are ready are asked.
+  /// then only the usual source is asked, and the store when that has failed.
   FeedSource next(bool Listed, Instant Now);
   /// \p Peer is known to have more than this daemon: the next call goes there.
   void prefer(const Member &Peer) { Preferred = Peer; }
@@ -54,6 +63,8 @@
   bool lost(const FeedSource &S) const;
   /// This daemon asks the store on behalf of its region.
   bool watchesStore() const { return First; }
+  /// Others of the region ask this daemon.
+  bool relays() const { return Relays; }
 
 private:
   struct Bad {
@@ -63,12 +74,15 @@
   };
 
   bool usable(const FeedSource &S, Instant Now) const;
+  FeedSource firstSource(Instant Now) const;
+  void findOwnSources(const std::vector<Member> &Own);
 
   HostId Self;
   Region Here;
   std::optional<Member> Preferred;
-  std::vector<Member> Peers;      ///< In the order in which they are asked.
-  bool First = true;              ///< Of its region.
+  std::vector<Member> Peers; ///< In the order in which they are asked.
+  bool First = true;         ///< Of its region.
+  bool Relays = false;
   std::map<HostId, Bad> Failures; ///< The empty name is the store.
 };
 
--- a/packages/front/FeedWire.cpp
+++ b/packages/front/FeedWire.cpp
@@ -114,10 +114,10 @@
 } // namespace
 
 std::string feedTarget(const FeedQuestion &Q) {
-  if (Q.Since)
-    return fmt::format("{}{}?since={}&wait_ms={}", PathStart, Q.Kind, *Q.Since,
-                       toMillis(Q.Wait));
-  return fmt::format("{}{}?after={}", PathStart, Q.Kind, Q.After);
+  std::string What =
+      Q.Since ? fmt::format("since={}", *Q.Since) : "after=" + Q.After;
+  return fmt::format("{}{}?{}&wait_ms={}{}", PathStart, Q.Kind, What,
+                     toMillis(Q.Wait), Q.Relays ? "&relays=1" : "");
 }
 
 std::optional<FeedQuestion> readFeedQuestion(std::string_view Path,
@@ -130,6 +130,7 @@
   Q.Since = numberIn(parameter(Query, "since"));
   auto WaitMs = numberIn(parameter(Query, "wait_ms")).value_or(0);
   Q.Wait = Millis(std::min(WaitMs, LongestWaitMs));
+  Q.Relays = parameter(Query, "relays") == "1";
   return Q;
 }
 
--- a/packages/front/FeedWire.h
+++ b/packages/front/FeedWire.h
@@ -1,7 +1,10 @@
 //===- FeedWire.h - What daemons tell each other of the store ---*- C++ -*-===//
 //
-// GET /feed/KIND?after=NAME            a page of the objects
+// GET /feed/KIND?after=NAME&wait_ms=N  a page of the objects, as soon as
+//                                      anything was read
 // GET /feed/KIND?since=REV&wait_ms=N   changes after REV, as soon as there are
+//   &relays=1                          also without a change, whenever the
+//                                      answerer has heard from the store
 //
 // JSON, because the objects are JSON in the store and are passed on as they
 // are. 503: nothing was read yet; 410: that history is not kept, list anew.
@@ -20,6 +23,8 @@
   std::string After;                  ///< Of a list.
   std::optional<std::uint64_t> Since; ///< Of a watch.
   Duration Wait{};
+  /// Others rely on the asker's word, so it must know that it is recent.
+  bool Relays = false;
 
   friend bool operator==(const FeedQuestion &, const FeedQuestion &) = default;
 };
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -26,6 +26,9 @@
 inline constexpr Duration WatcherPeerWait = Millis(400);
 inline constexpr Duration PeerSlack = Millis(700);
 inline constexpr Duration PeerListTimeout = Millis(800);
+/// How long a peer that has read nothing yet may hold a list: the store answers
+/// in milliseconds, and whoever asks goes to the store itself afterwards.
+inline constexpr Duration PeerListWait = Millis(300);
 
 template <KindStore Store> class RelayedStore {
 public:
@@ -49,6 +52,7 @@
     FeedQuestion Q;
     Q.Kind = Kind;
     Q.After = After;
+    Q.Wait = PeerListWait;
     ask(Source, Q, PeerListTimeout,
         [Done = std::move(Done)](const HttpReply &R) { Done(readPage(R)); });
   }
@@ -71,6 +75,7 @@
     Q.Kind = Kind;
     Q.Since = Revision;
     Q.Wait = From.watchesStore() ? WatcherPeerWait : PeerWait;
+    Q.Relays = From.relays();
     ask(Source, Q, Q.Wait + PeerSlack,
         [Done = std::move(Done)](const HttpReply &R) { Done(readChanges(R)); });
   }
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -34,9 +34,12 @@
 inline constexpr Duration StoreWatchWait = Millis(1500);
 
 /// A daemon that has just started waits this long for word from a peer before
-/// it asks anyone: a few round trips between regions. Until then it knows
-/// nobody but itself and the store.
-inline constexpr Duration FirstPeersWait = Millis(80);
+/// it asks the store: 60 that start at once had heard of each other after 0.17
+/// s, and asked the store 500 times when they waited 0.08 s.
+inline constexpr Duration FirstPeersWait = Millis(250);
+/// From the first word of a peer until it is known whom to ask: answers of the
+/// other seeds are on their way.
+inline constexpr Duration PeersSettle = Millis(40);
 
 template <KindStore Store> class ServingFeed {
 public:
@@ -59,13 +62,17 @@
       Server.handle(R, A);
     });
     tick();
-    Loop.after(FirstPeersWait, [this] {
-      Configs.start();
-      Replicas.start();
-    });
+    Loop.after(FirstPeersWait, [this] { startOnce(); });
   }
 
 private:
+  void startOnce() {
+    if (std::exchange(Started, true))
+      return;
+    Configs.start();
+    Replicas.start();
+  }
+
   FeedView view(const std::string &Kind) const {
     if (Kind == Forms.ConfigKind)
       return {&Configs.cache(), Configs.listed()};
@@ -129,6 +136,8 @@
   }
 
   void fleetChanged() {
+    if (!Started && D.view().Members.size() > 1)
+      Loop.after(PeersSettle, [this] { startOnce(); });
     ConfigSource.sources().update(D.view());
     ReplicaSource.sources().update(D.view());
     if (ConfigSource.lost())
@@ -265,6 +274,7 @@
   KindWatch<RelayedStore<Store>, EventLoop> Configs;
   KindWatch<RelayedStore<Store>, EventLoop> Replicas;
   FeedServer Server;
+  bool Started = false; ///< Something was asked for.
   ReadState Before; ///< At the last comparison.
   /// The newest word of a peer on replicas that was asked for.
   std::uint64_t FollowedReplicas = 0;
--- a/tests/failure/PeersAreToldWhatIsStale.cpp
+++ b/tests/failure/PeersAreToldWhatIsStale.cpp
@@ -8,6 +8,7 @@
 
 using namespace shallot;
 using namespace shallot::test;
+using namespace shallot::standins;
 
 namespace {
 
@@ -48,3 +49,51 @@
   CHECK(Got->Changes.empty());
   CHECK(Got->Age > MostFeedAge);
 }
+
+TEST_CASE_FIXTURE(FrontBed, "one who passes the word on knows how old it is") {
+  start();
+  FeedQuestion Q;
+  Q.Kind = "servers";
+  Q.Since = 100000;
+  Q.Wait = Seconds(20);
+  Q.Relays = true;
+  HttpRequest R;
+  R.To = Set.Peers;
+  R.Path = feedTarget(Q);
+  R.Timeout = MostFeedAge;
+  // Nothing changes; the answer comes when the store was heard from.
+  auto Got = readChanges(exchange(Http, std::move(R)));
+  REQUIRE_MESSAGE(Got, Got.error().Detail);
+  CHECK(Got->Changes.empty());
+  CHECK(Got->Age < Millis(500));
+}
+
+TEST_CASE_FIXTURE(FrontBed, "a list waits for a daemon that is still reading") {
+  Store.setFaults({.Mode = StoreMode::Busy});
+  auto D =
+      attempt([&] { return FrontDaemon::open(Loop, Set, wire::adapter(), 1); });
+  REQUIRE_MESSAGE(D, D.error().Detail);
+  Daemon = std::move(*D);
+  Feed = std::make_unique<ServingFeed<wire::WireStore>>(
+      Loop, Http, Client, *Daemon, wire::forms(Set));
+  Feed->start();
+  runFor(Millis(200));
+  FeedQuestion Q;
+  Q.Kind = "servers";
+  CHECK(readPage(ask(Set.Peers, feedTarget(Q))).error().Code ==
+        ResultCode::PeerUnreachable);
+  Q.Wait = Seconds(5);
+  std::optional<HttpReply> Got;
+  HttpRequest R;
+  R.To = Set.Peers;
+  R.Path = feedTarget(Q);
+  R.Timeout = Seconds(6);
+  Http.send(std::move(R), [&](HttpReply A) { Got = std::move(A); });
+  runFor(Millis(100));
+  CHECK_FALSE(Got);
+  Store.setFaults({});
+  runUntil([&] { return Got.has_value(); });
+  auto Page = readPage(*Got);
+  REQUIRE_MESSAGE(Page, Page.error().Detail);
+  CHECK(Page->Objects.size() == 3);
+}
