tests: a whole daemon in a test has a loopback address of its own

platform_correctness failed once in eight runs: a daemon could not listen. Cause: ten addresses of 127.0.0.1 are asked for before anything listens on them, and the kernel may give one twice, or to another program of the host in between. freeEndpoint() gives none twice, and the bed takes an address of 127/8 by its process id. Eight runs of platform_correctness and platform_failure, two at a time: all pass.

--- a/tests/FrontBed.cpp
+++ b/tests/FrontBed.cpp
@@ -10,7 +10,7 @@
 } // namespace
 
 FrontSettings FrontBed::settings() {
-  auto Free = [] { return freeEndpoint("127.0.0.1"); };
+  auto Free = [] { return freeEndpoint(ownLoopbackIp()); };
   FrontSettings S;
   S.Host = HostId("front-1");
   S.Here = {AvailabilityZone("z"), Region("r")};
@@ -48,7 +48,7 @@
   standins::ReplicaShape S;
   S.Id = Id;
   S.Service = Service;
-  S.At = S.Registered = freeEndpoint("127.0.0.1");
+  S.At = S.Registered = freeEndpoint(ownLoopbackIp());
   S.WorkMs = 0;
   S.FixedRecord = std::string(16, Record);
   return S;
--- a/tests/NetFixture.h
+++ b/tests/NetFixture.h
@@ -8,15 +8,32 @@
 #include <doctest/doctest.h>
 #include <functional>
 #include <optional>
+#include <set>
+#include <string>
+#include <unistd.h>
 
 namespace shallot {
 
+/// A loopback address that other test programs of the host do not use: a port
+/// of 127.0.0.1 that is free now may be some other program's a moment later.
+inline std::string ownLoopbackIp() {
+  int Pid = getpid();
+  return "127." + std::to_string(64 + Pid % 128) + "." +
+         std::to_string(Pid / 128 % 256) + ".1";
+}
+
 /// An address on \p Ip that nobody listens on just now. Chosen by the kernel,
-/// so that test programs of several builds can run at the same time.
+/// so that test programs of several builds can run at the same time, and never
+/// twice: the kernel knows of no address that was only asked for.
 inline Endpoint freeEndpoint(const std::string &Ip) {
-  asio::io_context Context;
-  asio::ip::tcp::acceptor Probe(Context, {asio::ip::make_address(Ip), 0});
-  return {Ip, Probe.local_endpoint().port()};
+  static std::set<Endpoint> Given;
+  for (;;) {
+    asio::io_context Context;
+    asio::ip::tcp::acceptor Probe(Context, {asio::ip::make_address(Ip), 0});
+    Endpoint Found{Ip, Probe.local_endpoint().port()};
+    if (Given.insert(Found).second)
+      return Found;
+  }
 }
 
 /// Ends a test that would hang; no test judges by it.
