front: who watches the store for a region asks other regions when it is away

Cause: a daemon that watches for its region and is turned away by the store asked the next of its own region, whose only source is that same daemon. The two waited for each other until their words were 2.2 s old, found another source for a second, and began again; with the tree of feeds they also answered each other at once, over and over.

Change: the watcher's sources are those of other regions first. A word is passed on without a change only when it is newer by 0.2 s than the last one. Answers that carry nothing are no longer shared among those who wait.

--- a/packages/front/FeedServer.cpp
+++ b/packages/front/FeedServer.cpp
@@ -11,6 +11,13 @@
 /// two kinds each.
 constexpr std::size_t MaxWaiting = 1000;
 
+/// The failure: two daemons that lost the store ask each other, each passes on
+/// every answer of the other, and both spend their processor on it. Only a word
+/// that is newer than the last one by this is passed on without a change; the
+/// store's own words are 1.5 s apart, and what a circle gains in age is the
+/// time on the way, some milliseconds a turn.
+constexpr Duration LeastRelayGap = Millis(200);
+
 ServerReply jsonReply(std::string Body) {
   ServerReply R;
   R.Body = std::move(Body);
@@ -56,8 +63,10 @@
   if (C->Changes.empty() && !Anyway)
     return false;
   C->Age = Age(Q.Kind);
-  std::string &Body = Known[*Q.Since] = writeChanges(*C);
-  W.Answer.reply(jsonReply(Body));
+  std::string Body = writeChanges(*C);
+  if (!C->Changes.empty())
+    Known[*Q.Since] = Body;
+  W.Answer.reply(jsonReply(std::move(Body)));
   return true;
 }
 
@@ -76,9 +85,14 @@
 }
 
 void FeedServer::advanced(const std::string &Kind) {
+  Instant Heard = Timers.now() - Age(Kind);
+  bool Newer = Heard >= Relayed[Kind] + LeastRelayGap;
+  if (Newer)
+    Relayed[Kind] = Heard;
   Bodies Known;
   std::erase_if(Waiting, [&](const Waiter &W) {
-    return W.Question.Kind == Kind && tryAnswer(W, W.Question.Relays, Known);
+    bool Anyway = Newer && W.Question.Relays;
+    return W.Question.Kind == Kind && tryAnswer(W, Anyway, Known);
   });
 }
 
--- a/packages/front/FeedServer.h
+++ b/packages/front/FeedServer.h
@@ -38,7 +38,8 @@
       : Timers(Timers), View(std::move(View)), Age(std::move(Age)) {}
 
   void handle(const ServerRequest &R, const Responder &A);
-  /// \p Kind has moved on: answers those who wait for it.
+  /// \p Kind has moved on, or the store was heard from: answers those who wait
+  /// for it.
   void advanced(const std::string &Kind);
   /// To be called a few times a second: answers those who have waited enough,
   /// and everyone when there is no recent word from the store.
@@ -65,6 +66,9 @@
   ViewFn View;
   AgeFn Age;
   std::list<Waiter> Waiting;
+  /// By kind: when the store had last been heard from, as those who pass words
+  /// on were told.
+  std::map<std::string, Instant> Relayed;
 };
 
 } // namespace shallot
--- a/packages/front/FeedSources.cpp
+++ b/packages/front/FeedSources.cpp
@@ -42,11 +42,17 @@
       ByRegion[M.Reg].push_back(M);
   for (auto &[Reg, List] : ByRegion)
     std::ranges::sort(List, std::greater<>(), rankOf);
-  Peers.clear();
-  findOwnSources(ByRegion[Here]);
+  std::vector<Member> Others;
   for (const auto &[Reg, List] : ByRegion)
     if (Reg != Here && !List.empty())
-      Peers.push_back(List.front());
+      Others.push_back(List.front());
+  Peers.clear();
+  findOwnSources(ByRegion[Here]);
+  // Who watches the store for its region and is turned away by it asks those
+  // who do for others. Its own region has only what it heard from this daemon:
+  // the two would wait for each other until their words are too old.
+  Peers.insert(First ? Peers.begin() : Peers.end(), Others.begin(),
+               Others.end());
 }
 
 /// \p Own is this daemon's region in order of rank. The daemon at place I asks
--- a/packages/peer/DatagramPacking.cpp
+++ b/packages/peer/DatagramPacking.cpp
@@ -19,8 +19,7 @@
 }
 
 /// Deflates \p From into \p To; the number of bytes, or 0 when it does not fit.
-std::size_t deflated(std::span<const std::byte> From,
-                     std::span<std::byte> To) {
+std::size_t deflated(std::span<const std::byte> From, std::span<std::byte> To) {
   z_stream S{};
   if (deflateInit2(&S, Z_BEST_SPEED, Z_DEFLATED, WindowBits, MemoryLevel,
                    Z_DEFAULT_STRATEGY) != Z_OK)
