--- a/packages/front/EntryAddresses.cpp
+++ b/packages/front/EntryAddresses.cpp
@@ -44,6 +44,7 @@
 
 std::vector<Endpoint> addresses(const std::vector<const Member *> &Hosts) {
   std::vector<Endpoint> Found;
+  Found.reserve(Hosts.size());
   for (const Member *M : Hosts)
     Found.push_back(M->Http);
   return Found;
--- a/tests/ForwardWorld.cpp
+++ b/tests/ForwardWorld.cpp
@@ -75,9 +75,8 @@
       auto One = std::make_unique<Daemon>(placeOf(Zone), Rng());
       One->Zone = Zone;
       One->Shared.Rules.Retries = S.Retries;
-      std::size_t Elsewhere = S.Zones - 1;
-      One->Book.setSharing({S.DaemonsPerZone, S.DaemonsPerZone * Elsewhere,
-                            S.DaemonsPerZone * S.Zones});
+      std::size_t Near = S.DaemonsPerZone;
+      One->Book.setSharing({Near, Near * (S.Zones - 1), Near * S.Zones});
       One->Book.replaceAll(Entries, Now);
       Daemons.push_back(std::move(One));
     }
--- a/tests/failure/WordsDoNotCircle.cpp
+++ b/tests/failure/WordsDoNotCircle.cpp
@@ -1,7 +1,8 @@
-// What callers see when this fails: daemons so busy with each other that changes
-// are in force seconds late and answers come late. What happens: two daemons
-// have lost the store and ask each other; each answer lets the other one answer
-// at once, thousands of times a second, with nothing new in any of them.
+// What callers see when this fails: daemons so busy with each other that
+// changes are in force seconds late and answers come late. What happens: two
+// daemons have lost the store and ask each other; each answer lets the other
+// one answer at once, thousands of times a second, with nothing new in any of
+// them.
 #include "NetFixture.h"
 #include "shallotshift/front.h"
 
@@ -63,7 +64,8 @@
   CHECK(Answers == 1);
 }
 
-TEST_CASE_FIXTURE(CircleFixture, "new words are passed on, but not all of them") {
+TEST_CASE_FIXTURE(CircleFixture,
+                  "new words are passed on, but not all of them") {
   askOn(true);
   runUntil([this] { return Feed.waiting() == 1; });
   advanceFor(Millis(1000), true);
