front: changes of replicas that come together are asked for together

Cause: each change of a registration ends the watch of each region, and the next call goes out 30 ms later. Replicas register one by one, and a new set of shards tells how warm it is for seconds, so that a change was a call for each of three regions.

Change: after a change of replicas the next watch waits 0.15 s; of configurations 0.03 s as before.

--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -33,6 +33,15 @@
 /// call is paid for: 1.3 a second in each region.
 inline constexpr Duration StoreWatchWait = Millis(1500);
 
+/// Changes that come within this time of one another are asked for together.
+/// Replicas register one by one and tell how warm they are, and each change
+/// would be a call to the store from every region: 429 calls and 291 on a calm
+/// day of 62 hosts. A leaving replica must be left alone after 3 s, and each of
+/// the three steps of the tree may add this.
+inline constexpr Duration ReplicaPause = Millis(150);
+/// Configurations are few, and a caller may have seen the new one's effect.
+inline constexpr Duration ConfigPause = Millis(30);
+
 /// A daemon that has just started waits this long for word from a peer before
 /// it asks the store: 60 that start at once had heard of each other after 0.17
 /// s, and asked the store 500 times when they waited 0.08 s.
@@ -48,10 +57,10 @@
       : Loop(Loop), D(D), Forms(std::move(F)),
         ConfigSource(Loop, Http, S, sources(D), D.random()),
         ReplicaSource(Loop, Http, S, sources(D), D.random()),
-        Configs(ConfigSource, Loop, Forms.ConfigKind, options(), D.random(),
-                configHooks()),
-        Replicas(ReplicaSource, Loop, Forms.ReplicaKind, options(), D.random(),
-                 replicaHooks()),
+        Configs(ConfigSource, Loop, Forms.ConfigKind, options(ConfigPause),
+                D.random(), configHooks()),
+        Replicas(ReplicaSource, Loop, Forms.ReplicaKind, options(ReplicaPause),
+                 D.random(), replicaHooks()),
         Server(
             D.timers(), [this](const std::string &Kind) { return view(Kind); },
             [this](const std::string &Kind) { return age(Kind); }) {}
@@ -151,9 +160,10 @@
   /// A change reaches everyone within milliseconds while all is well.
   static constexpr Duration BehindPatience = Millis(700);
 
-  static KindWatchOptions options() {
+  static KindWatchOptions options(Duration Pause) {
     KindWatchOptions O;
     O.Wait = StoreWatchWait;
+    O.Pause = Pause;
     return O;
   }
 
