http1, tools, tests: what stands twice has one place, a large file is split

Fleet and Deployment share how processes are started and ended (tools/processes.py; paused ones are now continued before they are killed in both). The bed of a whole daemon can be opened without waiting for it.

--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -7,7 +7,6 @@
 
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
-#include <fmt/format.h>
 #include <poll.h>
 #include <unordered_set>
 
@@ -54,24 +53,6 @@
 
 } // namespace
 
-CallerReply callerProblem(ResultCode Code, std::string Detail,
-                          std::string Instance, Duration RetryAfter) {
-  ServerReply P = problemReply(Code, std::move(Detail), std::move(Instance));
-  CallerReply R;
-  R.Status = P.Status;
-  R.Headers = std::move(P.Headers);
-  R.Headers.push_back({"Content-Type", std::move(P.ContentType)});
-  if (RetryAfter > Duration(0))
-    R.Headers.push_back(
-        {"Retry-After", fmt::format("{:.3f}", toMillisF(RetryAfter) / 1000)});
-  R.Body = std::move(P.Body);
-  return R;
-}
-
-std::string_view CallerRequest::path() const {
-  return std::string_view(Target).substr(0, Target.find('?'));
-}
-
 struct CallerServer::Impl : std::enable_shared_from_this<CallerServer::Impl> {
   Impl(EventLoop &Loop, TimerQueue &Timers, CallerServerOptions O, Handler H)
       : Loop(Loop), Timers(Timers), Options(O), OnRequest(std::move(H)),
--- a/packages/http1/CallerServer.h
+++ b/packages/http1/CallerServer.h
@@ -13,6 +13,7 @@
 #ifndef SHALLOTSHIFT_HTTP1_CALLERSERVER_H
 #define SHALLOTSHIFT_HTTP1_CALLERSERVER_H
 
+#include "http1/CallerMessages.h"
 #include "http1/TimerQueue.h"
 
 #include <functional>
@@ -20,31 +21,6 @@
 
 namespace shallot {
 
-/// A whole request of a caller.
-struct CallerRequest {
-  std::string Method;
-  std::string Target; ///< Path and query, as they came.
-  HttpHeaders Headers;
-  std::string Body;
-  Instant Arrived; ///< When its last byte was read.
-
-  std::string_view path() const;
-};
-
-struct CallerReply {
-  int Status = 200;
-  HttpHeaders Headers;
-  std::string Body;
-  bool Close = false; ///< Close the connection behind it.
-};
-
-/// An answer of our own as a problem document (net/Problem.h). A \p RetryAfter
-/// above 0 is said to the millisecond: a whole second is more than most callers
-/// have left.
-CallerReply callerProblem(ResultCode Code, std::string Detail,
-                          std::string Instance = {},
-                          Duration RetryAfter = Duration(0));
-
 struct CallerServerOptions {
   std::size_t MaxHeaderBytes = 16 << 10;
   std::size_t MaxBodyBytes = 1 << 20;
--- a/tests/FrontBed.cpp
+++ b/tests/FrontBed.cpp
@@ -83,7 +83,7 @@
             {"idle_timeout_ms", 15000}}}};
 }
 
-void FrontBed::start() {
+void FrontBed::open() {
   auto D =
       attempt([&] { return FrontDaemon::open(Loop, Set, wire::adapter(), 1); });
   REQUIRE_MESSAGE(D, D.error().Detail);
@@ -91,6 +91,10 @@
   Feed = std::make_unique<ServingFeed<wire::WireStore>>(
       Loop, Http, Client, *Daemon, wire::forms(Set));
   Feed->start();
+}
+
+void FrontBed::start() {
+  open();
   auto Ready = [&] { return ask(Set.Readiness, "/readiness").Status == 200; };
   for (int Tries = 0; Tries < 100 && !Ready(); ++Tries)
     runFor(Millis(20));
--- a/tests/FrontBed.h
+++ b/tests/FrontBed.h
@@ -19,7 +19,9 @@
 struct FrontBed : NetFixture {
   FrontBed();
 
-  /// Starts the daemon and waits until it is ready.
+  /// Starts the daemon.
+  void open();
+  /// The same, and waits until it is ready.
   void start();
   HttpReply get(const std::string &Path, const std::string &Id = "q-1",
                 const std::string &Method = "GET", std::string Body = {});
--- a/tests/failure/PeersAreToldWhatIsStale.cpp
+++ b/tests/failure/PeersAreToldWhatIsStale.cpp
@@ -70,13 +70,7 @@
 
 TEST_CASE_FIXTURE(FrontBed, "a list waits for a daemon that is still reading") {
   Store.setFaults({.Mode = StoreMode::Busy});
-  auto D =
-      attempt([&] { return FrontDaemon::open(Loop, Set, wire::adapter(), 1); });
-  REQUIRE_MESSAGE(D, D.error().Detail);
-  Daemon = std::move(*D);
-  Feed = std::make_unique<ServingFeed<wire::WireStore>>(
-      Loop, Http, Client, *Daemon, wire::forms(Set));
-  Feed->start();
+  open();
   runFor(Millis(200));
   FeedQuestion Q;
   Q.Kind = "servers";
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -5,18 +5,15 @@
         deployment.start_daemons()
 
 Daemon N has the address NET.N, the store NET.200, replica N NET.(100+N). Zones
-are dealt in turn. The programs start no processes; this does, and it ends each
-by its id. A subclass may put a proxy between any two parties: it overrides
+are dealt in turn. A subclass may put a proxy between any two parties: it overrides
 store_for(), registered() and caller_address().
 """
 
 import json
 import pathlib
-import signal
-import subprocess
-import tempfile
 
 from fleet import call, wait_until
+from processes import Processes
 
 ZONES = [("z-south", "r-south"), ("z-mid", "r-mid"), ("z-north", "r-north")]
 CALLERS, READINESS, DIRECTORY, PEERS = 8226, 8227, 8225, 8224
@@ -29,9 +26,10 @@
 RETRY_RATIO, RETRY_WINDOW_S, RETRY_CONSTANT = 0.2, 10, 52
 
 
-class Deployment:
+class Deployment(Processes):
     def __init__(self, build, net, daemons=3, shards=4, copies=3, work_ms=5,
                  pause_ms=0, seed=1):
+        super().__init__()
         self.build = pathlib.Path(build)
         self.net = net
         self.daemons = daemons
@@ -40,28 +38,10 @@
         self.work_ms = work_ms
         self.pause_ms = pause_ms
         self.seed = seed
-        self.work = tempfile.TemporaryDirectory()
-        self.children = {}
         self.store = f"{net}.200:{STORE}"
         self.control_at = f"{net}.200:{CONTROL}"
         self.replicas = self.plan_replicas()
 
-    def __enter__(self):
-        try:
-            self.start_standins()
-        except BaseException:
-            self.__exit__()
-            raise
-        return self
-
-    def __exit__(self, *_):
-        for child in self.children.values():
-            child.send_signal(signal.SIGCONT)
-            child.kill()
-        for child in self.children.values():
-            child.wait()
-        self.work.cleanup()
-
     # Addresses ------------------------------------------------------------
 
     def ip(self, n):
@@ -79,9 +59,6 @@
     def zone(self, n):
         return ZONES[(n - 1) % len(ZONES)]
 
-    def path(self, name):
-        return pathlib.Path(self.work.name) / name
-
     # Files ----------------------------------------------------------------
 
     def services(self):
@@ -146,12 +123,7 @@
 
     # Processes ------------------------------------------------------------
 
-    def spawn(self, name, *command):
-        with open(self.path(f"{name}.log"), "ab") as log:
-            self.children[name] = subprocess.Popen(
-                [str(c) for c in command], stdout=log, stderr=log)
-
-    def start_standins(self):
+    def start(self):
         config = self.path("standin.json")
         config.write_text(json.dumps(
             {"store": self.store, "replicas": self.replicas}))
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -14,9 +14,10 @@
 import pathlib
 import signal
 import subprocess
-import tempfile
 import time
 
+from processes import Processes
+
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 ZONES = [("ulaanbaatar", "mn"), ("darkhan", "mn"), ("erdenet", "mn"),
          ("svealand", "se"), ("gotaland", "se"), ("norrland", "se")]
@@ -55,9 +56,10 @@
     raise RuntimeError(f"not within {seconds} s: {what}")
 
 
-class Fleet:
+class Fleet(Processes):
     def __init__(self, build, daemons=6, net="127.0.31", zones=6,
                  validity_ms=3000, firm="khan-uul", strategy="full"):
+        super().__init__()
         self.build = pathlib.Path(build)
         self.net = net
         self.count = daemons
@@ -65,26 +67,9 @@
         self.zones = ZONES[:zones]
         self.validity_ms = validity_ms
         self.strategy = strategy
-        self.work = tempfile.TemporaryDirectory()
-        self.children = {}
         self.platform = f"{net}.200:7300"
         self.upstreams = f"{net}.201:7400"
 
-    def __enter__(self):
-        try:
-            self.start()
-        except BaseException:
-            self.__exit__()
-            raise
-        return self
-
-    def __exit__(self, *_):
-        for child in self.children.values():
-            child.kill()
-        for child in self.children.values():
-            child.wait()
-        self.work.cleanup()
-
     # Names and files ------------------------------------------------------
 
     def entry(self, n):
@@ -93,9 +78,6 @@
     def entries(self):
         return [self.entry(n) for n in range(1, self.count + 1)]
 
-    def path(self, name):
-        return str(pathlib.Path(self.work.name) / name)
-
     def settings(self, n):
         zone, region = self.zones[(n - 1) % len(self.zones)]
         seeds = [f"{self.net}.{p}:7101" for p in range(1, min(self.count, 6) + 1)
@@ -107,7 +89,7 @@
                "entry_validity_ms": self.validity_ms,
                "strategy": self.strategy}
         path = self.path(f"entry-{n}.json")
-        pathlib.Path(path).write_text(json.dumps(doc))
+        path.write_text(json.dumps(doc))
         return path
 
     def hosts(self):
@@ -127,23 +109,18 @@
                           "zone": replica["zone"], "region": "mn",
                           "state": "live", "kind": "upstream"})
         path = self.path("hosts.json")
-        pathlib.Path(path).write_text(json.dumps({"hosts": hosts}))
+        path.write_text(json.dumps({"hosts": hosts}))
         return path
 
     def example(self, name):
         """A copy of an example file with this fleet's addresses."""
         text = (ROOT / "examples" / self.firm / name).read_text()
         path = self.path(name)
-        pathlib.Path(path).write_text(text.replace(EXAMPLE_NET, self.net + "."))
+        path.write_text(text.replace(EXAMPLE_NET, self.net + "."))
         return path
 
     # Processes ------------------------------------------------------------
 
-    def spawn(self, name, *command):
-        with open(self.path(f"{name}.log"), "ab") as log:
-            self.children[name] = subprocess.Popen(
-                [str(c) for c in command], stdout=log, stderr=log)
-
     def start(self):
         self.spawn("platform", self.build / "standins/platform-standin",
                    "--listen", self.platform, "--hosts", self.hosts())
