forward, platform: a replica that starts again is a new one; foreign entries name nobody

Cause: a replica may start again under the id, address and counts that it had, and only its start time differs. Nothing in the tree knew start times: losses and slowness of the dead process kept callers from the new one, its connections were used on, and a late word of the old process could mark the new one as leaving. One entry of another writer (no name, another type, bytes that are no UTF-8) made the whole list unreadable, and with it every replica unknown.

Ruled out: telling restarts by falling counts (they begin anew and may have passed the old value) or by broken connections (paths break too).

Change: IncarnationTable orders registrations of one id by start time; a later one makes a new Replica, an earlier one changes nothing for a minute after the removal and is believed when it stands for 5 s. Pool connections from before are not used. Replies of the store are read entry by entry (WireReplies); one that cannot be read names no replica, also where a good one stood. Names are escaped in URLs; reading a query stood three times and has one place.

--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -2,8 +2,8 @@
 //
 // The public header of package base: names of things (Ids.h), time without a
 // clock (Time.h), numbered result codes (ResultCode.h), results (Result.h),
-// header lines (HttpHeader.h),
-// hashing (Hash.h) and random numbers that are passed in (Random.h).
+// header lines (HttpHeader.h), the query of a URL (QueryText.h), hashing
+// (Hash.h) and random numbers that are passed in (Random.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_BASE_H
@@ -13,6 +13,7 @@
 #include "base/HttpHeader.h"
 #include "base/Ids.h"
 #include "base/Member.h"
+#include "base/QueryText.h"
 #include "base/Random.h"
 #include "base/Result.h"
 #include "base/ResultCode.h"
--- a/packages/daemon/Requests.cpp
+++ b/packages/daemon/Requests.cpp
@@ -116,40 +116,10 @@
   return Got;
 }
 
-int hexDigit(char C) {
-  if (C >= '0' && C <= '9')
-    return C - '0';
-  if (C >= 'a' && C <= 'f')
-    return C - 'a' + 10;
-  return C >= 'A' && C <= 'F' ? C - 'A' + 10 : -1;
-}
-
-std::string percentDecoded(std::string_view Text) {
-  std::string Out;
-  for (std::size_t I = 0; I < Text.size(); ++I) {
-    int High = I + 2 < Text.size() ? hexDigit(Text[I + 1]) : -1;
-    int Low = I + 2 < Text.size() ? hexDigit(Text[I + 2]) : -1;
-    if (Text[I] == '%' && High >= 0 && Low >= 0) {
-      Out += static_cast<char>(High * 16 + Low);
-      I += 2;
-    } else {
-      Out += Text[I] == '+' ? ' ' : Text[I];
-    }
-  }
-  return Out;
-}
-
 } // namespace
 
 std::string queryValue(std::string_view Query, std::string_view Key) {
-  while (!Query.empty()) {
-    std::string_view One = Query.substr(0, Query.find('&'));
-    Query.remove_prefix(std::min(Query.size(), One.size() + 1));
-    auto Equals = One.find('=');
-    if (Equals != std::string_view::npos && One.substr(0, Equals) == Key)
-      return percentDecoded(One.substr(Equals + 1));
-  }
-  return {};
+  return queryParameter(Query, Key).value_or("");
 }
 
 Result<RequestId> readRequestId(const ServerRequest &Request,
--- /dev/null
+++ b/packages/forward/IncarnationTable.cpp
@@ -0,0 +1,56 @@
+//===- IncarnationTable.cpp -----------------------------------------------===//
+#include "forward/IncarnationTable.h"
+
+namespace shallot {
+
+IncarnationWord IncarnationTable::hear(const ReplicaEntry &Entry, Instant Now) {
+  auto [At, New] = ById.try_emplace(Entry.Id);
+  Known &K = At->second;
+  bool Told = Entry.StartedUnixMs != 0;
+  if (Told && Entry.StartedUnixMs < K.StartedUnixMs) {
+    bool Same = K.Earlier && K.Earlier->StartedUnixMs == Entry.StartedUnixMs;
+    if (!Same)
+      K.EarlierSince = Now;
+    K.Earlier = Entry;
+    return IncarnationWord::Outdated;
+  }
+  bool Later = !New && Told && K.StartedUnixMs != 0 &&
+               Entry.StartedUnixMs > K.StartedUnixMs;
+  if (Told)
+    K.StartedUnixMs = Entry.StartedUnixMs;
+  K.RemovedAt = Instant::max();
+  K.Earlier.reset();
+  return Later ? IncarnationWord::Restarted : IncarnationWord::Current;
+}
+
+void IncarnationTable::removed(const UpstreamId &Id, Instant Now) {
+  auto At = ById.find(Id);
+  if (At == ById.end())
+    return;
+  Known &K = At->second;
+  K.Earlier.reset();
+  if (K.RemovedAt == Instant::max())
+    K.RemovedAt = Now;
+}
+
+std::vector<ReplicaEntry> IncarnationTable::takeStanding(Instant Now) {
+  std::vector<ReplicaEntry> Standing;
+  for (auto &[Id, K] : ById) {
+    if (!K.Earlier || Now < K.EarlierSince + EarlierStands)
+      continue;
+    K.StartedUnixMs = K.Earlier->StartedUnixMs;
+    K.RemovedAt = Instant::max();
+    Standing.push_back(*std::exchange(K.Earlier, std::nullopt));
+  }
+  return Standing;
+}
+
+void IncarnationTable::forget(Instant Now) {
+  std::erase_if(ById, [&](const auto &Item) {
+    const Known &K = Item.second;
+    return !K.Earlier && K.RemovedAt != Instant::max() &&
+           Now >= K.RemovedAt + RememberIncarnation;
+  });
+}
+
+} // namespace shallot
--- a/packages/forward/Replica.cpp
+++ b/packages/forward/Replica.cpp
@@ -99,9 +99,10 @@
 
 } // namespace
 
-Replica::Replica(ReplicaEntry E, Distance Far, Instant Now)
-    : Entry(std::move(E)), Far(Far), WarmAt(Now + Entry.WarmupLeft),
-      LastAnswer(Now), SlownessAt(Now), FailureAt(Now), LoadAt(Now) {}
+Replica::Replica(ReplicaEntry E, Distance Far, Instant Now, Instant RestartedAt)
+    : Entry(std::move(E)), Far(Far), RestartedAt(RestartedAt),
+      WarmAt(Now + Entry.WarmupLeft), LastAnswer(Now), SlownessAt(Now),
+      FailureAt(Now), LoadAt(Now) {}
 
 void Replica::update(ReplicaEntry E, Instant Now) {
   Entry = std::move(E);
--- a/packages/forward/Replica.h
+++ b/packages/forward/Replica.h
@@ -41,6 +41,9 @@
   unsigned Slots = 1;
   bool Leaving = false;  ///< It takes no new work.
   Duration WarmupLeft{}; ///< It answers slowly for this long after its start.
+  /// When this incarnation started, in milliseconds of Unix time; 0: not told.
+  /// Only ever compared with another such time of the same id.
+  std::uint64_t StartedUnixMs = 0;
 
   friend bool operator==(const ReplicaEntry &, const ReplicaEntry &) = default;
 };
@@ -68,11 +71,17 @@
 
 class Replica {
 public:
-  Replica(ReplicaEntry Entry, Distance Far, Instant Now);
+  /// \p RestartedAt: when it became known that this incarnation followed
+  /// another one of the same id, if one did.
+  Replica(ReplicaEntry Entry, Distance Far, Instant Now,
+          Instant RestartedAt = Instant::min());
 
   const ReplicaEntry &entry() const { return Entry; }
   Distance distance() const { return Far; }
-  /// The same replica registered anew, with another state.
+  /// Connections that were opened before this lead to a process that is gone:
+  /// whatever is sent on one is lost, and nobody knows whether it ran.
+  Instant connectionsFrom() const { return RestartedAt; }
+  /// The same incarnation registered anew, with another state.
   void update(ReplicaEntry Entry, Instant Now);
 
   void sendStarted(Instant Now);
@@ -104,6 +113,7 @@
 
   ReplicaEntry Entry;
   Distance Far;
+  Instant RestartedAt;
   Instant WarmAt;
   std::vector<Instant> Open; ///< When each open send began.
   Instant LastAnswer;
--- a/packages/forward/ReplicaBook.cpp
+++ b/packages/forward/ReplicaBook.cpp
@@ -42,10 +42,17 @@
 }
 
 void ReplicaBook::put(ReplicaEntry Entry, Instant Now) {
+  IncarnationWord Word = Incarnations.hear(Entry, Now);
+  if (Word == IncarnationWord::Outdated)
+    return;
+  place(std::move(Entry), Word == IncarnationWord::Restarted, Now);
+}
+
+void ReplicaBook::place(ReplicaEntry Entry, bool Restarted, Instant Now) {
   UpstreamId Id = Entry.Id;
   auto [At, New] = ById.try_emplace(Id);
   Slot &S = At->second;
-  if (!New && S.Ptr->entry().Service == Entry.Service &&
+  if (!New && !Restarted && S.Ptr->entry().Service == Entry.Service &&
       S.Ptr->entry().At == Entry.At) {
     S.Registered = true;
     S.Ptr->update(std::move(Entry), Now);
@@ -56,7 +63,8 @@
   Distance Far = distance(Entry);
   ByService[Entry.Service].push_back(&S);
   S.Registered = true;
-  S.Ptr = std::make_shared<Replica>(std::move(Entry), Far, Now);
+  S.Ptr = std::make_shared<Replica>(std::move(Entry), Far, Now,
+                                    Restarted ? Now : Instant::min());
 }
 
 void ReplicaBook::vanish(Slot &S, Instant Now) {
@@ -64,6 +72,7 @@
     return;
   S.Registered = false;
   S.VanishedAt = Now;
+  Incarnations.removed(S.Ptr->entry().Id, Now);
 }
 
 void ReplicaBook::remove(const UpstreamId &Id, Instant Now) {
@@ -147,6 +156,9 @@
 }
 
 void ReplicaBook::expire(Instant Now) {
+  for (ReplicaEntry &E : Incarnations.takeStanding(Now))
+    place(std::move(E), true, Now);
+  Incarnations.forget(Now);
   std::erase_if(ById, [&](const auto &Item) {
     const Slot &S = Item.second;
     // While the store is away nothing is known to be gone.
--- a/packages/forward/ReplicaBook.h
+++ b/packages/forward/ReplicaBook.h
@@ -12,6 +12,10 @@
 //                         LapseHold; after an outage of the store until
 //                         ReturnGrace after its return, when entries of live
 //                         replicas are back.
+//   an earlier start      nothing: that incarnation is gone (IncarnationTable).
+//   a later start         a new replica: what was seen of the one before is
+//                         dropped, and so are the connections to it. Sends that
+//                         were open to it may have run.
 //
 // So a store that forgot everything does not empty the fleet at once, and a
 // replica that is gone gets nothing new long before the time by which it must
@@ -21,6 +25,7 @@
 #ifndef SHALLOTSHIFT_FORWARD_REPLICABOOK_H
 #define SHALLOTSHIFT_FORWARD_REPLICABOOK_H
 
+#include "forward/IncarnationTable.h"
 #include "forward/Replica.h"
 #include "forward/Route.h"
 
@@ -113,6 +118,7 @@
   };
 
   Distance distance(const ReplicaEntry &E) const;
+  void place(ReplicaEntry Entry, bool Restarted, Instant Now);
   bool holds(const Slot &S, Instant Now) const;
   bool mayServe(const Slot &S, Instant Now) const;
   Instant holdEnds(const Slot &S) const;
@@ -123,6 +129,7 @@
   Sharing Shared;
   std::unordered_map<UpstreamId, Slot> ById;
   std::unordered_map<ServiceName, std::vector<Slot *>> ByService;
+  IncarnationTable Incarnations;
   bool StoreIsAway = false;
   Instant StoreBackAt{};
 };
--- a/packages/forward/include/shallotshift/forward.h
+++ b/packages/forward/include/shallotshift/forward.h
@@ -1,7 +1,8 @@
 //===- shallotshift/forward.h - Forwarding of callers' requests -*- C++ -*-===//
 //
-// The public header of package forward: routes (Route.h), replicas and the
-// choice among them (Replica.h, ReplicaBook.h), what a request may cost
+// The public header of package forward: routes (Route.h), replicas, their
+// incarnations and the choice among them (Replica.h, IncarnationTable.h,
+// ReplicaBook.h), what a request may cost
 // (RetryBudget.h, WorkEstimate.h), one request from start to answer
 // (ForwardRun.h) and the merging of parts (RecordMerge.h).
 //
@@ -10,6 +11,7 @@
 #define SHALLOTSHIFT_FORWARD_H
 
 #include "forward/ForwardRun.h"
+#include "forward/IncarnationTable.h"
 #include "forward/RecordMerge.h"
 #include "forward/Replica.h"
 #include "forward/ReplicaBook.h"
--- a/packages/front/FeedWire.cpp
+++ b/packages/front/FeedWire.cpp
@@ -18,19 +18,6 @@
 /// thousands of routes is a few MB.
 constexpr JsonLimits ReplyLimits{16 << 20, 16};
 
-std::optional<std::string> parameter(std::string_view Query,
-                                     std::string_view Key) {
-  while (!Query.empty()) {
-    std::size_t End = std::min(Query.find('&'), Query.size());
-    std::string_view Pair = Query.substr(0, End);
-    std::size_t Equals = Pair.find('=');
-    if (Equals != std::string_view::npos && Pair.substr(0, Equals) == Key)
-      return std::string(Pair.substr(Equals + 1));
-    Query.remove_prefix(std::min(End + 1, Query.size()));
-  }
-  return std::nullopt;
-}
-
 std::optional<std::uint64_t> numberIn(const std::optional<std::string> &Text) {
   std::uint64_t Value = 0;
   if (!Text)
@@ -114,8 +101,8 @@
 } // namespace
 
 std::string feedTarget(const FeedQuestion &Q) {
-  std::string What =
-      Q.Since ? fmt::format("since={}", *Q.Since) : "after=" + Q.After;
+  std::string What = Q.Since ? fmt::format("since={}", *Q.Since)
+                             : "after=" + percentEncoded(Q.After);
   return fmt::format("{}{}?{}&wait_ms={}{}", PathStart, Q.Kind, What,
                      toMillis(Q.Wait), Q.Relays ? "&relays=1" : "");
 }
@@ -126,11 +113,11 @@
     return std::nullopt;
   FeedQuestion Q;
   Q.Kind = std::string(Path.substr(PathStart.size()));
-  Q.After = parameter(Query, "after").value_or("");
-  Q.Since = numberIn(parameter(Query, "since"));
-  auto WaitMs = numberIn(parameter(Query, "wait_ms")).value_or(0);
+  Q.After = queryParameter(Query, "after").value_or("");
+  Q.Since = numberIn(queryParameter(Query, "since"));
+  auto WaitMs = numberIn(queryParameter(Query, "wait_ms")).value_or(0);
   Q.Wait = Millis(std::min(WaitMs, LongestWaitMs));
-  Q.Relays = parameter(Query, "relays") == "1";
+  Q.Relays = queryParameter(Query, "relays") == "1";
   return Q;
 }
 
--- a/packages/front/ReplyReading.cpp
+++ b/packages/front/ReplyReading.cpp
@@ -11,6 +11,10 @@
 /// The replica at this address is another than the one that was asked for.
 constexpr int MisdirectedRequest = 421;
 
+/// No replica runs or queues this many; a larger figure is spoilt, and would
+/// keep callers from the replica until it is forgotten.
+constexpr unsigned MostReported = 100000;
+
 bool isEncoded(const HttpHeaders &Headers) {
   std::string_view Coding = headerValue(Headers, "Content-Encoding");
   return !Coding.empty() && !sameHeaderName(Coding, "identity");
@@ -32,11 +36,15 @@
   const char *End = At + Text.size();
   for (unsigned &F : Figures) {
     auto [Next, Error] = std::from_chars(At, End, F);
-    if (Error != std::errc())
+    bool Separated = Next == End || *Next == ',';
+    if (Error != std::errc() || !Separated || F > MostReported)
       return std::nullopt;
     At = Next < End ? Next + 1 : End;
   }
-  return ReportedLoad{Figures[0], Figures[1], Figures[2]};
+  auto [Running, Waiting, Slots] = Figures;
+  if (Slots == 0)
+    return std::nullopt;
+  return ReportedLoad{Running, Waiting, Slots};
 }
 
 SendResult readReply(const HeaderNames &Names, UpstreamReply Reply,
--- a/packages/front/ReplyReading.h
+++ b/packages/front/ReplyReading.h
@@ -13,6 +13,8 @@
                      bool KeepHeaders);
 
 /// The load in \p Text, "running,waiting,slots"; further figures are ignored.
+/// Nothing when it cannot be one: garbled replies come, and a replica without
+/// slots would look full for good.
 std::optional<ReportedLoad> readLoad(std::string_view Text);
 
 } // namespace shallot
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -181,6 +181,7 @@
   const CallerRequest &R = J->E->request();
   UpstreamRequest U;
   U.To = S.To->entry().At;
+  U.OpenedFrom = S.To->connectionsFrom();
   HttpHeaders Extra = {{Names.Deadline, std::to_string(toMillis(S.TimeLeft))},
                        {Names.Wanted, S.To->entry().Id.str()}};
   U.Bytes = requestText(J->Head, Extra, R.Body);
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -155,6 +155,8 @@
       Replicas.renew();
   }
 
+  /// A name of another writer may be as long as it likes.
+  static constexpr std::size_t MostLoggedName = 80;
   /// How often peers that wait are looked at.
   static constexpr Duration FeedTick = Millis(100);
   /// A change reaches everyone within milliseconds while all is well.
@@ -221,7 +223,7 @@
 
   static void logUnreadable(const KindObject &O, const Error &Why) {
     logEvent(LogLevel::Error, "object_unreadable",
-             {{"object", O.Name},
+             {{"object", O.Name.substr(0, MostLoggedName)},
               {"revision", std::to_string(O.Revision)},
               {"code", codeLabel(Why.Code)},
               {"why", Why.Detail}});
@@ -266,12 +268,16 @@
       return;
     }
     auto E = read(C.Object);
-    if (!E)
+    if (!E) {
+      // As in a list: an entry that cannot be read names no replica.
+      D.replicas().remove(UpstreamId(C.Object.Name), Loop.now());
       return;
+    }
     logEvent(LogLevel::Info, E->Leaving ? "replica_leaving" : "replica_ready",
              {{"replica", C.Object.Name},
               {"service", E->Service.str()},
               {"address", E->At.str()},
+              {"started_unix_ms", std::to_string(E->StartedUnixMs)},
               {"revision", std::to_string(C.Object.Revision)}});
     D.replicas().put(std::move(*E), Loop.now());
   }
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -44,6 +44,7 @@
     std::shared_ptr<StreamSocket> Socket;
     std::unique_ptr<MessageReader> Reader;
     Endpoint To;
+    Instant OpenedAt;
     Instant LastHeard;
     Instant UsableUntil = Instant::max();
     bool Connected = false;
@@ -62,7 +63,7 @@
   Impl(EventLoop &Loop, TimerQueue &Timers, UpstreamPoolOptions O)
       : Loop(Loop), Timers(Timers), Options(O) {}
 
-  LinkPtr takeIdle(const Endpoint &To, Duration MostIdle);
+  LinkPtr takeIdle(const UpstreamRequest &Request);
   LinkPtr connect(const Endpoint &To);
   void connected(const LinkPtr &L, bool Worked);
   void transmit(const LinkPtr &L);
@@ -85,20 +86,21 @@
   CallId LastCall = 0;
 };
 
-UpstreamPool::Impl::LinkPtr UpstreamPool::Impl::takeIdle(const Endpoint &To,
-                                                         Duration MostIdle) {
-  auto Found = Idle.find(To);
+UpstreamPool::Impl::LinkPtr
+UpstreamPool::Impl::takeIdle(const UpstreamRequest &Request) {
+  auto Found = Idle.find(Request.To);
   if (Found == Idle.end())
     return nullptr;
   Instant Now = Timers.now();
   std::vector<LinkPtr> &Links = Found->second;
   while (!Links.empty()) {
     LinkPtr L = Links.back();
-    if (Now - L->LastHeard > MostIdle && Now < L->UsableUntil)
+    bool Usable = Now < L->UsableUntil && L->OpenedAt >= Request.OpenedFrom;
+    if (Usable && Now - L->LastHeard > Request.MostIdle)
       return nullptr; // Good enough for others; the rest are older.
     Links.pop_back();
     --IdleCount;
-    if (Now < L->UsableUntil)
+    if (Usable)
       return L;
     close(L);
   }
@@ -108,7 +110,8 @@
 UpstreamPool::Impl::LinkPtr UpstreamPool::Impl::connect(const Endpoint &To) {
   auto L = std::make_shared<Link>();
   L->To = To;
-  L->LastHeard = Timers.now();
+  L->OpenedAt = Timers.now();
+  L->LastHeard = L->OpenedAt;
   L->Socket = std::make_shared<StreamSocket>(Loop);
   internal::MessageLimits Limits;
   Limits.MaxBodyBytes = Options.MaxReplyBytes;
@@ -305,7 +308,7 @@
 
 UpstreamPool::CallId UpstreamPool::send(UpstreamRequest Request,
                                         Callback Done) {
-  Impl::LinkPtr L = I->takeIdle(Request.To, Request.MostIdle);
+  Impl::LinkPtr L = I->takeIdle(Request);
   if (L)
     ++I->Counters.Reused;
   else
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -35,6 +35,9 @@
   /// other end may close an idle one at any moment, and a request that crosses
   /// the close may or may not have run.
   Duration MostIdle = Seconds(60);
+  /// A connection that was opened before this is not used, and closed: the
+  /// process behind it is gone.
+  Instant OpenedFrom = Instant::min();
   /// Connections to this place that stay open with nothing to do: so many at
   /// most, and so few once they were not needed for a while. A host that loses
   /// power leaves its connections behind at the replica, which counts them for
--- a/packages/store/ObjectStore.h
+++ b/packages/store/ObjectStore.h
@@ -89,6 +89,8 @@
 struct KindChange {
   KindObject Object;
   bool Removed = false;
+
+  friend bool operator==(const KindChange &, const KindChange &) = default;
 };
 
 /// What changed after a revision; empty when the wait ran out.
--- a/tests/failure/StrayBytesBelongToNobody.cpp
+++ b/tests/failure/StrayBytesBelongToNobody.cpp
@@ -56,6 +56,21 @@
   CHECK(Server.Accepted == 1);
 }
 
+TEST_CASE_FIXTURE(PoolFixture, "no request goes to a process that is gone") {
+  // The replica started again at its address; what is sent on a connection to
+  // the process before would be lost, and whether it ran unknown.
+  Server.Answer = reply("1");
+  exchange();
+  UpstreamRequest R = request();
+  R.OpenedFrom = Timers.now() + Millis(1);
+  std::optional<UpstreamReply> Got;
+  Pool.send(R, [&](UpstreamReply A) { Got = std::move(A); });
+  runUntil([&] { return Got.has_value(); });
+  CHECK(Got->How == CallEnd::Answered);
+  CHECK(Server.Accepted == 2);
+  CHECK(Pool.idle() == 1);
+}
+
 TEST_CASE_FIXTURE(PoolFixture, "bytes behind a reply close its connection") {
   Server.Answer = reply("1") + "garbage";
   CHECK(exchange().Body == "ok");
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -5,7 +5,8 @@
           correctness/WireObjectsAreRead.cpp)
 shallot_test(platform_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
-  SOURCES TestMain.cpp FrontBed.cpp failure/PeersAreToldWhatIsStale.cpp)
+  SOURCES TestMain.cpp FrontBed.cpp failure/ForeignEntriesNameNoReplica.cpp
+          failure/PeersAreToldWhatIsStale.cpp)
 add_test(NAME wire_names_stay_in_platform
   COMMAND ${CMAKE_COMMAND} -DROOT=${CMAKE_SOURCE_DIR}
           -P ${CMAKE_SOURCE_DIR}/cmake/CheckWireNames.cmake)
