forward, front: queries start while their shards can take them, the rest is told when to come back

Ruled out: limiting on any send that a full replica turns away. An answer does without as many parts as its route spares, so those that are worst off are left out of the sample, and a query counts as overloaded only when more parts than these were lost to full replicas.

Change: RouteAdmission in front of ForwardRun: the Admission of package limits, one for each group of routes that share services; the most urgent first, a short wait of a fifth of the objective, else refused at once with nothing sent.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -7,6 +7,8 @@
 #include "forward/ForwardRun.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace shallot {
 
@@ -87,6 +89,7 @@
 RunOutput ForwardRun::begin(ForwardShared &S, Instant Now) {
   RunOutput Out;
   Fan = Ask.Way->fanOut();
+  Began = Now;
   decideTimes();
   makeParts(S, Now);
   if (refuseAtOnce(S, Out, Now))
@@ -233,6 +236,46 @@
   return R.success() && !R.Signature.empty() && !R.Encoded;
 }
 
+/// A replica sheds for two reasons: it is full, and then says that requests
+/// wait, or it is sick. Only the first is a reason to start fewer.
+void ForwardRun::noteQueue(ForwardShared &S, Part &P,
+                           const SendResult &Result) {
+  if (!Result.Load)
+    return;
+  double Waiting = Result.Load->Waiting;
+  double Slots = std::max(1U, Result.Load->Slots);
+  P.Queued = fromMillisF(toMillisF(work(S)) * Waiting / Slots);
+  P.FoundFull |= Result.How == SendEnd::Rejected && Waiting >= Slots;
+}
+
+/// Parts that an answer may lack and still be one.
+std::size_t ForwardRun::partsToSpare() const {
+  double Least = Fan ? Fan->LeastShare : 1;
+  auto Needed = static_cast<std::size_t>(
+      std::ceil(Least * static_cast<double>(Parts.size())));
+  return Parts.size() - std::min(Needed, Parts.size());
+}
+
+/// One shard that lost its replicas is full whatever is done. An answer can do
+/// without as many parts as its route spares, so those that are worst off say
+/// nothing about how many requests may start.
+LoadSample ForwardRun::load(Instant Now) const {
+  std::vector<Duration> Queues;
+  std::size_t LostToFull = 0;
+  for (const Part &P : Parts) {
+    Queues.push_back(P.Queued);
+    LostToFull += !P.In && P.FoundFull;
+  }
+  std::ranges::sort(Queues);
+  Queues.resize(std::max<std::size_t>(1, Queues.size() - partsToSpare()));
+  LoadSample L;
+  L.Latency = Now - Began;
+  L.Queued = std::accumulate(Queues.begin(), Queues.end(), Duration(0)) /
+             static_cast<std::int64_t>(Queues.size());
+  L.Overloaded = LostToFull > partsToSpare();
+  return L;
+}
+
 void ForwardRun::take(ForwardShared &S, const Sent &X, Part &P,
                       SendResult &Result, Instant Now) {
   switch (Result.How) {
@@ -289,6 +332,7 @@
     X.To->sendEnded(X.Started, SendEnd::NotSent, work(S), Now);
   if (Result.Load)
     X.To->loadReported(*Result.Load, Now);
+  noteQueue(S, P, Result);
   unsigned Index = X.Part;
   take(S, X, P, Result, Now);
   if (Answered)
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -36,6 +36,7 @@
 #include "forward/ReplicaBook.h"
 #include "forward/RetryBudget.h"
 #include "forward/WorkEstimate.h"
+#include "shallotshift/limits.h"
 
 #include <optional>
 
@@ -158,6 +159,8 @@
   bool done() const { return Answered && OpenSends == 0; }
   const ForwardAsk &ask() const { return Ask; }
   const RunStory &story() const { return Story; }
+  /// What it has seen of the load at replicas, for the admission of others.
+  LoadSample load(Instant Now) const;
 
 private:
   struct Part {
@@ -170,6 +173,9 @@
     Instant RetryAt = Instant::max(); ///< No replica had room; look again.
     ReplicaReply Reply;               ///< The success, or the last failure.
     bool HasReply = false;
+    /// Wait at the replica that replied last, if it said how many wait there.
+    Duration Queued{};
+    bool FoundFull = false; ///< A replica turned a send away for its queue.
   };
   struct Sent {
     unsigned Part = 0;
@@ -193,6 +199,8 @@
   void hedge(ForwardShared &S, RunOutput &Out, Instant Now);
   void lookForRoom(ForwardShared &S, RunOutput &Out, Instant Now);
   bool spend(ForwardShared &S, const Part &P, bool Hedge, Instant Now);
+  void noteQueue(ForwardShared &S, Part &P, const SendResult &Result);
+  std::size_t partsToSpare() const;
   void take(ForwardShared &S, const Sent &X, Part &P, SendResult &Result,
             Instant Now);
   bool usable(const ReplicaReply &R) const;
@@ -216,6 +224,7 @@
   std::size_t OpenSends = 0;
   bool CutoffSeen = false;
   bool Answered = false;
+  Instant Began;
   RunStory Story;
 };
 
--- /dev/null
+++ b/packages/forward/RouteAdmission.cpp
@@ -0,0 +1,193 @@
+//===- RouteAdmission.cpp -------------------------------------------------===//
+#include "forward/RouteAdmission.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <numeric>
+#include <utility>
+
+namespace shallot {
+
+namespace {
+
+/// A request waits for its turn for this part of its objective at most. Who is
+/// refused by then can still come back in time; who has waited longer and then
+/// starts has too little left for a hedge.
+constexpr double QueueWaitPart = 0.2;
+/// More wait in vain: at a hundred starts a second this many take longer than
+/// any route's wait.
+constexpr unsigned MostWaiting = 64;
+/// The part of the objective that sends may queue at replicas on average: 30 ms
+/// of an objective of 150 ms, half of a full queue. Less leaves slots idle: at
+/// twelve times and seven times the usual load mean credit 0.506 and 0.885 with
+/// 0.1, 0.509 and 0.929 with 0.15, 0.519 and 0.956 with 0.25, where the extra
+/// sends double (forward_performance).
+constexpr double QueuedPart = 0.2;
+
+ConcurrencyLimitOptions limitOptions() {
+  ConcurrencyLimitOptions O;
+  // While replies are late the limit grows to what they need; when an overload
+  // follows, steps of a tenth would take four seconds to come down from there.
+  O.Decrease = 0.8;
+  // One query in ten that full replicas made fail; fewer are bad luck.
+  O.TargetOverloaded = 0.1;
+  return O;
+}
+
+Duration part(Duration Whole, double Part) {
+  return fromMillisF(toMillisF(Whole) * Part);
+}
+
+/// Routes of the same rank and objective wait in one queue, so that a thousand
+/// routes are a handful of classes.
+CallerClass classOf(const Route &R) {
+  return CallerClass(fmt::format("p{}-{}", R.Priority, toMillis(R.Objective)));
+}
+
+/// The number of the group of each route: routes with a service in common are
+/// in the same.
+class Components {
+public:
+  explicit Components(const std::vector<Route> &Routes)
+      : Parent(Routes.size()) {
+    std::iota(Parent.begin(), Parent.end(), 0);
+    std::unordered_map<ServiceName, std::size_t> First;
+    for (std::size_t I = 0; I < Routes.size(); ++I)
+      for (const ServiceName &S : servicesOf(Routes[I].Target))
+        join(First.try_emplace(S, I).first->second, I);
+  }
+  std::size_t of(std::size_t Route) {
+    while (Parent[Route] != Route)
+      Route = Parent[Route] = Parent[Parent[Route]];
+    return Route;
+  }
+
+private:
+  static std::vector<ServiceName> servicesOf(const RouteTarget &T) {
+    if (const auto *Fan = std::get_if<ShardFanOut>(&T))
+      return Fan->Shards;
+    if (const auto *One = std::get_if<ServiceName>(&T))
+      return {*One};
+    std::vector<ServiceName> Names;
+    for (const WeightedService &W : std::get<WeightedSplit>(T))
+      Names.push_back(W.Service);
+    return Names;
+  }
+  void join(std::size_t A, std::size_t B) { Parent[of(B)] = of(A); }
+
+  std::vector<std::size_t> Parent;
+};
+
+ClassPolicies policiesOf(const std::vector<const Route *> &Routes) {
+  ClassPolicies Policies;
+  for (const Route *R : Routes) {
+    ClassPolicy &C = Policies[classOf(*R)];
+    C.Priority = R->Priority;
+    C.QueueWait = part(R->Objective, QueueWaitPart);
+    C.QueueLimit = MostWaiting;
+  }
+  return Policies;
+}
+
+Duration targetQueued(const std::vector<const Route *> &Routes) {
+  Duration Shortest = Duration::max();
+  for (const Route *R : Routes)
+    Shortest = std::min(Shortest, R->Objective);
+  return part(Shortest, QueuedPart);
+}
+
+} // namespace
+
+void RouteAdmission::install(const ServingConfig &C) {
+  Components Of(C.routes());
+  std::map<std::size_t, std::vector<const Route *>> Members;
+  for (std::size_t I = 0; I < C.routes().size(); ++I)
+    Members[Of.of(I)].push_back(&C.routes()[I]);
+  auto Before = std::exchange(ByRoute, {});
+  auto GroupsBefore = std::exchange(Groups, {});
+  for (const auto &[Number, Routes] : Members) {
+    GroupPtr G = keptGroup(Before, Routes);
+    if (G)
+      G->Desk.setClasses(policiesOf(Routes), targetQueued(Routes));
+    else
+      G = std::make_shared<Group>(
+          Admission(policiesOf(Routes), targetQueued(Routes), limitOptions()));
+    Groups.push_back(G);
+    for (const Route *R : Routes)
+      ByRoute[R->Name] = G;
+  }
+  for (const GroupPtr &G : GroupsBefore)
+    if (std::ranges::find(Groups, G) == Groups.end() &&
+        G->Desk.report().Waiting > 0)
+      Groups.push_back(G);
+}
+
+/// The group that one of \p Routes was in, unless it goes on for others.
+RouteAdmission::GroupPtr
+RouteAdmission::keptGroup(const GroupMap &Before,
+                          const std::vector<const Route *> &Routes) const {
+  for (const Route *R : Routes) {
+    auto At = Before.find(R->Name);
+    if (At != Before.end() &&
+        std::ranges::find(Groups, At->second) == Groups.end())
+      return At->second;
+  }
+  return nullptr;
+}
+
+Verdict RouteAdmission::offer(const Route &Way, TicketId Id, Instant Deadline,
+                              Instant Now) {
+  const GroupPtr &G = ByRoute.at(Way.Name);
+  Verdict V = G->Desk.offer({Id, classOf(Way), Deadline}, Now);
+  if (V.What != Turn::Refuse)
+    Tickets.emplace(Id, G);
+  return V;
+}
+
+void RouteAdmission::done(TicketId Id, const LoadSample &S, Instant Now) {
+  auto At = Tickets.find(Id);
+  if (At == Tickets.end())
+    return;
+  At->second->Desk.done(Id, S, Now);
+  Tickets.erase(At);
+}
+
+void RouteAdmission::cancel(TicketId Id) {
+  auto At = Tickets.find(Id);
+  if (At == Tickets.end())
+    return;
+  At->second->Desk.cancel(Id);
+  Tickets.erase(At);
+}
+
+TurnEvents RouteAdmission::poll(Instant Now) {
+  TurnEvents All;
+  for (const GroupPtr &G : Groups) {
+    TurnEvents Some = G->Desk.poll(Now);
+    All.insert(All.end(), Some.begin(), Some.end());
+  }
+  for (TurnEvent &E : All) {
+    if (E.Final.What != Turn::Refuse)
+      continue;
+    Tickets.erase(E.Id);
+    // Its class went with a configuration; the caller's route may well be
+    // there.
+    if (E.Final.Code == ResultCode::UnknownClass)
+      E.Final.Code = ResultCode::Overloaded;
+  }
+  return All;
+}
+
+std::optional<Instant> RouteAdmission::nextExpiry() const {
+  std::optional<Instant> Next;
+  for (const GroupPtr &G : Groups)
+    if (auto At = G->Desk.nextExpiry(); At && (!Next || *At < *Next))
+      Next = At;
+  return Next;
+}
+
+AdmissionReport RouteAdmission::report(const Route &Way) const {
+  return ByRoute.at(Way.Name)->Desk.report();
+}
+
+} // namespace shallot
--- a/packages/forward/include/shallotshift/forward.h
+++ b/packages/forward/include/shallotshift/forward.h
@@ -17,6 +17,7 @@
 #include "forward/ReplicaBook.h"
 #include "forward/RetryBudget.h"
 #include "forward/Route.h"
+#include "forward/RouteAdmission.h"
 #include "forward/WorkEstimate.h"
 
 #endif // SHALLOTSHIFT_FORWARD_H
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -77,6 +77,8 @@
     std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
     TimerQueue::Key Timer = 0;
     Instant TimerAt = Instant::max();
+    TicketId Ticket = 0; ///< At the admission; 0: it has been answered.
+    bool Started = false;
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -89,6 +91,11 @@
   void handle(const ExchangePtr &E);
   void refuse(const ExchangePtr &E, const OwnAnswer &A);
   std::string headFor(const CallerRequest &R) const;
+  void admit(const JobPtr &J);
+  void start(const JobPtr &J);
+  void turnAway(const JobPtr &J, const Verdict &V);
+  void leave(const JobPtr &J);
+  void pollAdmission();
   void apply(const JobPtr &J, RunOutput Out);
   void send(const JobPtr &J, const StartSend &S);
   void answer(const JobPtr &J, ForwardAnswer A);
@@ -104,6 +111,10 @@
   ForwardShared Shared;
   Metrics &Meter;
   std::shared_ptr<const ServingConfig> Config;
+  RouteAdmission Admit;
+  TicketId LastTicket = 0;
+  std::unordered_map<TicketId, JobPtr> Waiting; ///< For their turn.
+  TimerQueue::Key AdmissionTimer = 0;
   std::unordered_set<JobPtr> Jobs;
   std::size_t Unanswered = 0;
 };
@@ -162,11 +173,82 @@
       return;
     --Unanswered;
     Meter.count("shallot_forward_gone_total");
+    leave(J);
     apply(J, J->Run.callerGone(Timers.now()));
   });
+  admit(J);
+}
+
+/// Starts it, lets it wait for its turn, or turns it away at once.
+void RequestDesk::Impl::admit(const JobPtr &J) {
+  const ForwardAsk &Ask = J->Run.ask();
+  J->Ticket = ++LastTicket;
+  Verdict V = Admit.offer(*Ask.Way, J->Ticket, Ask.Arrived + Ask.CallerWaits,
+                          Timers.now());
+  switch (V.What) {
+  case Turn::Start:
+    start(J);
+    return;
+  case Turn::Wait:
+    Waiting.emplace(J->Ticket, J);
+    pollAdmission();
+    return;
+  case Turn::Refuse:
+    turnAway(J, V);
+    return;
+  }
+}
+
+void RequestDesk::Impl::start(const JobPtr &J) {
+  J->Started = true;
   apply(J, J->Run.begin(Shared, Timers.now()));
 }
 
+/// Nothing of it was sent: it leaves as if its caller had gone, and the caller
+/// is told when to come back.
+void RequestDesk::Impl::turnAway(const JobPtr &J, const Verdict &V) {
+  J->Ticket = 0;
+  J->Run.callerGone(Timers.now());
+  OwnAnswer A{V.Code, V.RetryAfter, "more than the replicas can take"};
+  answer(J, A);
+  Jobs.erase(J);
+}
+
+/// It no longer takes a place among those that run.
+void RequestDesk::Impl::leave(const JobPtr &J) {
+  TicketId Ticket = std::exchange(J->Ticket, 0);
+  if (Ticket == 0)
+    return;
+  Waiting.erase(Ticket);
+  if (J->Started)
+    Admit.done(Ticket, J->Run.load(Timers.now()), Timers.now());
+  else
+    Admit.cancel(Ticket);
+  pollAdmission();
+}
+
+/// Starts and turns away those whose time has come.
+void RequestDesk::Impl::pollAdmission() {
+  for (const TurnEvent &E : Admit.poll(Timers.now())) {
+    auto At = Waiting.find(E.Id);
+    if (At == Waiting.end())
+      continue;
+    JobPtr J = At->second;
+    Waiting.erase(At);
+    if (E.Final.What == Turn::Start)
+      start(J);
+    else
+      turnAway(J, E.Final);
+  }
+  Timers.cancel(AdmissionTimer);
+  AdmissionTimer = 0;
+  if (auto Next = Admit.nextExpiry())
+    AdmissionTimer = Timers.at(*Next, [this] {
+      AdmissionTimer = 0;
+      pollAdmission();
+    });
+}
+
 void RequestDesk::Impl::apply(const JobPtr &J, RunOutput Out) {
   for (unsigned Send : Out.Drop)
     Pool.drop(std::exchange(J->Calls[Send], 0));
@@ -206,6 +288,7 @@
 
 void RequestDesk::Impl::answer(const JobPtr &J, ForwardAnswer A) {
   --Unanswered;
+  leave(J);
   note(*J, A);
   CallerReply Reply;
   if (auto *M = std::get_if<MergedAnswer>(&A)) {
@@ -305,6 +388,8 @@
 
 void RequestDesk::install(std::shared_ptr<const ServingConfig> Config) {
   I->Config = std::move(Config);
+  I->Admit.install(*I->Config);
+  I->pollAdmission();
   // Services that no route names any more have no budget to keep.
   std::erase_if(I->Budgets, [&](const auto &Item) {
     return !I->Config->services().contains(Item.first);
--- a/packages/limits/Admission.cpp
+++ b/packages/limits/Admission.cpp
@@ -27,18 +27,30 @@
   setPreset(P);
 }
 
+Admission::Admission(const ClassPolicies &Policies, Duration TargetQueued,
+                     ConcurrencyLimitOptions O)
+    : Limit(O) {
+  setClasses(Policies, TargetQueued);
+}
+
 void Admission::setPreset(const Preset &P) {
-  for (auto &[Class, Q] : Classes)
-    Q.InPreset = P.find(Class) != nullptr;
   Duration Shortest = MaxDeadline;
-  for (const auto &[Class, Policy] : P->Classes) {
+  for (const auto &[Class, Policy] : P->Classes)
+    Shortest = std::min(Shortest, Policy.Deadline);
+  setClasses(P->Classes, Shortest / DeadlineParts);
+}
+
+void Admission::setClasses(const ClassPolicies &Policies,
+                           Duration TargetQueued) {
+  for (auto &[Class, Q] : Classes)
+    Q.InPreset = Policies.contains(Class);
+  for (const auto &[Class, Policy] : Policies) {
     ClassQueue &Q = Classes[Class];
     Q.Class = Class;
     Q.Policy = Policy;
     Q.InPreset = true;
-    Shortest = std::min(Shortest, Policy.Deadline);
   }
-  Limit.setTargetQueued(Shortest / DeadlineParts);
+  Limit.setTargetQueued(TargetQueued);
   // Without waiting requests nothing keeps a class that is gone.
   std::erase_if(Classes, [](const auto &Row) {
     return !Row.second.InPreset && Row.second.Waiting.empty();
--- a/packages/limits/Admission.h
+++ b/packages/limits/Admission.h
@@ -37,6 +37,9 @@
   Instant Deadline;
 };
 
+/// The classes of requests and what each may wait.
+using ClassPolicies = std::map<CallerClass, ClassPolicy>;
+
 /// For metrics, explain and status.
 struct AdmissionReport {
   std::size_t InFlight = 0;
@@ -48,10 +51,15 @@
 class Admission {
 public:
   explicit Admission(const Preset &P, ConcurrencyLimitOptions O = {});
+  /// With classes of the owner's own; \p TargetQueued is the wait for a slot
+  /// that is no sign of overload.
+  Admission(const ClassPolicies &Policies, Duration TargetQueued,
+            ConcurrencyLimitOptions O = {});
 
   /// Another preset is in force. Waiting requests of a class that is gone are
   /// refused (UnknownClass) by the next poll().
   void setPreset(const Preset &P);
+  void setClasses(const ClassPolicies &Policies, Duration TargetQueued);
 
   /// Start, Wait, or Refuse with UnknownClass, QueueFull, Overloaded or
   /// WouldMissDeadline.
--- a/tests/ForwardWorld.cpp
+++ b/tests/ForwardWorld.cpp
@@ -78,6 +78,7 @@
       std::size_t Near = S.DaemonsPerZone;
       One->Book.setSharing({Near, Near * (S.Zones - 1), Near * S.Zones});
       One->Book.replaceAll(Entries, Now);
+      One->Admit.install(*Config);
       Daemons.push_back(std::move(One));
     }
   for (unsigned Zone = 0; Zone < S.Zones; ++Zone)
@@ -107,37 +108,107 @@
 
 void ForwardWorld::query(unsigned Zone) {
   double Gap = -std::log(std::max(1e-12, uniform01(Rng))) * 1000 /
-               Shape.QueriesPerSecond;
+               (Shape.QueriesPerSecond * Burst);
   at(Now + fromMillisF(Gap), [this, Zone] { query(Zone); });
   unsigned D = Zone * Shape.DaemonsPerZone +
                static_cast<unsigned>(below(Rng, Shape.DaemonsPerZone));
+  ++Figures.Asked;
+  tryOnce(D, Now, 1);
+}
+
+void ForwardWorld::tryOnce(unsigned Home, Instant Began, unsigned Try) {
   ForwardAsk A;
   A.Config = Config;
   A.Way = &Config->routes().front();
   A.Arrived = Now;
-  A.CallerWaits = A.Way->Timeout;
+  A.CallerWaits = A.Way->Timeout - (Now - Began);
   auto J = std::make_shared<Job>(std::move(A));
-  J->Home = D;
-  J->Began = Now;
-  ++Figures.Asked;
-  apply(J, J->Run.begin(Daemons[D]->Shared, Now));
+  J->Home = Home;
+  J->Began = Began;
+  J->Tried = Now;
+  J->Try = Try;
+  if (!Shape.Admission)
+    return begin(J);
+  J->Ticket = ++LastTicket;
+  const ForwardAsk &Ask = J->Run.ask();
+  Daemon &D = *Daemons[Home];
+  Verdict V = D.Admit.offer(*Ask.Way, J->Ticket, Now + Ask.CallerWaits, Now);
+  if (V.What == Turn::Start)
+    return begin(J);
+  if (V.What == Turn::Refuse)
+    return refused(J, V.RetryAfter);
+  D.Waiting[J->Ticket] = J;
+  pollAdmission(Home);
+}
+
+void ForwardWorld::begin(const JobPtr &J) {
+  apply(J, J->Run.begin(Daemons[J->Home]->Shared, Now));
+}
+
+/// The caller comes back when it was told, but keeps two thirds of its time.
+void ForwardWorld::refused(const JobPtr &J, Duration RetryAfter) {
+  ++Figures.Refused;
+  Duration Left = J->Run.ask().Way->Timeout - (Now - J->Began);
+  Duration Wait = std::min(RetryAfter, Left / 3);
+  if (J->Try >= Shape.CallerTries) {
+    ++Figures.Failed;
+    return;
+  }
+  at(Now + Wait, [this, Home = J->Home, Began = J->Began, Try = J->Try] {
+    tryOnce(Home, Began, Try + 1);
+  });
+}
+
+void ForwardWorld::pollAdmission(unsigned Home) {
+  Daemon &D = *Daemons[Home];
+  for (const TurnEvent &E : D.Admit.poll(Now)) {
+    auto At = D.Waiting.find(E.Id);
+    if (At == D.Waiting.end())
+      continue;
+    JobPtr J = At->second;
+    D.Waiting.erase(At);
+    if (E.Final.What == Turn::Start)
+      begin(J);
+    else
+      refused(J, E.Final.RetryAfter);
+  }
+  if (auto Next = D.Admit.nextExpiry())
+    at(std::max(*Next, Now + Micros(1)), [this, Home] { pollAdmission(Home); });
 }
 
-void ForwardWorld::apply(const std::shared_ptr<Job> &J, RunOutput Out) {
+/// Credit as callers see it: an answer in time is worth the square of the share
+/// of its parts, a late one a tenth of that, one in time of a second try that
+/// followed a refusal the mean of the two.
+void ForwardWorld::count(const Job &J, const ForwardAnswer &A) {
+  double Share = 0;
+  if (const auto *M = std::get_if<MergedAnswer>(&A))
+    Share = 1 - double(M->Missing) / Shape.Shards;
+  else if (const auto *P = std::get_if<PassedAnswer>(&A))
+    Share = P->Reply.success() ? 1 : 0;
+  constexpr double LateCredit = 0.1;
+  bool InTime = toMillisF(Now - J.Began) <= Shape.ObjectiveMs;
+  bool TryInTime = toMillisF(Now - J.Tried) <= Shape.ObjectiveMs;
+  double Worth = InTime ? 1 : TryInTime ? (1 + LateCredit) / 2 : LateCredit;
+  ++(Share == 0 ? Figures.Failed : InTime ? Figures.InTime : Figures.Late);
+  Figures.Credit += Share * Share * Worth;
+}
+
+void ForwardWorld::apply(const JobPtr &J, RunOutput Out) {
   for (unsigned Send : Out.Drop)
     J->Works[Send]->Dropped = true;
   for (const StartSend &S : Out.Start)
     start(J, S);
   if (Out.Answer) {
-    double Took = toMillisF(Now - J->Began);
-    double Share = 0;
-    if (const auto *M = std::get_if<MergedAnswer>(&*Out.Answer))
-      Share = 1 - double(M->Missing) / Shape.Shards;
-    else if (const auto *P = std::get_if<PassedAnswer>(&*Out.Answer))
-      Share = P->Reply.success() ? 1 : 0;
-    bool InTime = Took <= Shape.ObjectiveMs;
-    ++(Share == 0 ? Figures.Failed : InTime ? Figures.InTime : Figures.Late);
-    Figures.Credit += Share * Share * (InTime ? 1 : 0.1);
+    Daemon &D = *Daemons[J->Home];
+    if (TicketId Ticket = std::exchange(J->Ticket, 0)) {
+      D.Admit.done(Ticket, J->Run.load(Now), Now);
+      pollAdmission(J->Home);
+    }
+    const auto *Own = std::get_if<OwnAnswer>(&*Out.Answer);
+    if (Own && infoOf(Own->Code).Effect == RequestEffect::NotRun)
+      refused(J, Own->RetryAfter);
+    else
+      count(*J, *Out.Answer);
   }
   if (J->Run.done())
     return;
@@ -147,7 +218,7 @@
   });
 }
 
-void ForwardWorld::start(const std::shared_ptr<Job> &J, const StartSend &S) {
+void ForwardWorld::start(const JobPtr &J, const StartSend &S) {
   ModelReplica *R = nullptr;
   for (auto &One : Replicas)
     if (One->Id == S.To->entry().Id)
@@ -158,12 +229,14 @@
   auto W = std::make_shared<Work>();
   W->Ms = workMs();
   J->Works[S.Send] = W;
-  W->Done = [this, J, Send = S.Send, Way, W](SendEnd How) {
-    at(Now + Way, [this, J, Send, How, W] {
+  W->Done = [this, J, Send = S.Send, Way, W](SendEnd How, ReportedLoad Load) {
+    at(Now + Way, [this, J, Send, How, Load, W] {
       if (W->Dropped)
         return;
       SendResult Result;
       Result.How = How;
+      if (How == SendEnd::Answered || How == SendEnd::Rejected)
+        Result.Load = Load;
       if (How == SendEnd::Answered) {
         ReplicaReply Reply;
         Reply.Status = 200;
@@ -176,11 +249,11 @@
     });
   };
   if (R->What.Refuse) {
-    at(Now + Way, [W] { W->Done(SendEnd::NotSent); });
+    at(Now + Way, [W] { W->Done(SendEnd::NotSent, {}); });
     return;
   }
   if (R->What.Dark) {
-    at(Now + ConnectTimeout, [W] { W->Done(SendEnd::NotSent); });
+    at(Now + ConnectTimeout, [W] { W->Done(SendEnd::NotSent, {}); });
     return;
   }
   at(Now + Way, [this, J, R, W] {
@@ -191,10 +264,14 @@
   });
 }
 
+ReportedLoad ForwardWorld::loadOf(const ModelReplica &R) const {
+  return {R.Running, static_cast<unsigned>(R.Queue.size()), Shape.Slots};
+}
+
 void ForwardWorld::arrive(ModelReplica &R, const std::shared_ptr<Work> &W) {
   bool Full = R.Running >= Shape.Slots && R.Queue.size() >= Shape.QueueLimit;
   if (Full || uniform01(Rng) < R.What.Shed) {
-    W->Done(SendEnd::Rejected);
+    W->Done(SendEnd::Rejected, loadOf(R));
     return;
   }
   R.Queue.push_back(W);
@@ -222,7 +299,7 @@
     at(End, [this, &R, W, Lost] {
       --R.Running;
       if (!W->Dropped)
-        W->Done(Lost ? SendEnd::Lost : SendEnd::Answered);
+        W->Done(Lost ? SendEnd::Lost : SendEnd::Answered, loadOf(R));
       pump(R);
     });
   }
--- a/tests/ForwardWorld.h
+++ b/tests/ForwardWorld.h
@@ -35,6 +35,8 @@
   double LeastShare = 0.89;
   unsigned MaxAttempts = 2;
   Repetition Kind = Repetition::Idempotent;
+  bool Admission = true; ///< Requests start only while replicas can take them.
+  unsigned CallerTries = 2; ///< A refused caller comes back, when it was told.
   RetryAllowance Retries{0.2, 52, Seconds(10)};
 };
 
@@ -53,7 +55,8 @@
   unsigned InTime = 0; ///< A success within the objective.
   unsigned Late = 0;
   unsigned Failed = 0;
-  double Credit = 0; ///< The square of the share in time, a tenth if late.
+  unsigned Refused = 0; ///< Tries that were turned away with nothing sent.
+  double Credit = 0;    ///< The square of the share in time, a tenth if late.
   unsigned FirstSends = 0;
   unsigned ExtraSends = 0;
   unsigned FarSends = 0;
@@ -68,6 +71,8 @@
   /// Runs the clock on to \p Until, with queries coming in.
   void runUntil(Duration Until);
   Instant now() const { return Now; }
+  /// Queries come this many times as often from now on.
+  void burst(double Times) { Burst = Times; }
   /// Trouble of the replica of \p Shard in \p Zone, from now on.
   Trouble &trouble(unsigned Shard, unsigned Zone) {
     return Replicas[Shard * Shape.Zones + Zone]->What;
@@ -81,7 +86,7 @@
 
 private:
   struct Work {
-    std::function<void(SendEnd)> Done;
+    std::function<void(SendEnd, ReportedLoad)> Done;
     double Ms = 0;
     bool Dropped = false;
   };
@@ -94,6 +99,19 @@
     Duration PausePhase{};
     Trouble What;
   };
+  /// One try of a caller.
+  struct Job {
+    Job(ForwardAsk A) : Run(std::move(A)) {}
+    ForwardRun Run;
+    unsigned Home = 0;
+    Instant Began; ///< The caller's first try.
+    Instant Tried; ///< This one.
+    unsigned Try = 1;
+    TicketId Ticket = 0; ///< 0: it has been answered.
+    std::map<unsigned, std::shared_ptr<Work>> Works;
+    std::map<unsigned, unsigned> SendsOfShard;
+  };
+  using JobPtr = std::shared_ptr<Job>;
   struct Daemon {
     Daemon(Place Here, std::uint64_t Seed)
         : Book(std::move(Here), {}),
@@ -104,22 +122,21 @@
     WorkBook Works;
     Random Rng;
     ForwardShared Shared;
+    RouteAdmission Admit;
+    std::map<TicketId, JobPtr> Waiting; ///< For their turn.
   };
-  struct Job {
-    Job(ForwardAsk A) : Run(std::move(A)) {}
-    ForwardRun Run;
-    unsigned Home = 0;
-    Instant Began;
-    std::map<unsigned, std::shared_ptr<Work>> Works;
-    std::map<unsigned, unsigned> SendsOfShard;
-  };
-
   void at(Instant When, std::function<void()> Fn) {
     Events.emplace(When, std::move(Fn));
   }
   void query(unsigned Zone);
-  void apply(const std::shared_ptr<Job> &J, RunOutput Out);
-  void start(const std::shared_ptr<Job> &J, const StartSend &S);
+  void tryOnce(unsigned Home, Instant Began, unsigned Try);
+  void begin(const JobPtr &J);
+  void refused(const JobPtr &J, Duration RetryAfter);
+  void pollAdmission(unsigned Home);
+  void apply(const JobPtr &J, RunOutput Out);
+  void count(const Job &J, const ForwardAnswer &A);
+  void start(const JobPtr &J, const StartSend &S);
+  ReportedLoad loadOf(const ModelReplica &R) const;
   void arrive(ModelReplica &R, const std::shared_ptr<Work> &W);
   void pump(ModelReplica &R);
   Instant awake(const ModelReplica &R, Instant From) const;
@@ -131,6 +148,8 @@
   WorldShape Shape;
   Random Rng;
   Instant Now{Seconds(1000)};
+  double Burst = 1;
+  TicketId LastTicket = 0;
   std::multimap<Instant, std::function<void()>> Events;
   std::shared_ptr<const ServingConfig> Config;
   std::vector<std::unique_ptr<ModelReplica>> Replicas;
--- /dev/null
+++ b/tests/failure/OverloadIsTurnedAway.cpp
@@ -0,0 +1,156 @@
+// What callers see: while more come than the replicas can serve, some are told at
+// once that nothing ran and when to come back; the others are answered as usual.
+// What happens: replicas report long queues and turn sends away, so fewer queries
+// start; the rest wait for a moment or are refused. Why by group: what one set of
+// services cannot take says nothing about another.
+#include "ForwardFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+
+namespace {
+
+struct AdmissionFixture : ForwardFixture {
+  AdmissionFixture() { install({search(), check(), pull()}); }
+
+  Route named(const char *Name, unsigned Priority, RouteTarget Target) const {
+    Route R = route(std::move(Target));
+    R.Name = Name;
+    R.PathPrefix = std::string("/") + Name + "/";
+    R.Priority = Priority;
+    return R;
+  }
+  Route search() const {
+    ShardFanOut Fan;
+    Fan.Shards = {ServiceName("a"), ServiceName("b")};
+    Fan.LeastShare = 0.5;
+    return named("search", 1, Fan);
+  }
+  Route check() const { return named("check", 0, ServiceName("b")); }
+  Route pull() const { return named("pull", 2, ServiceName("c")); }
+
+  void install(const std::vector<Route> &Routes) {
+    std::vector<ServiceInfo> Services;
+    for (const char *Name : {"a", "b", "c", "d"})
+      Services.push_back({ServiceName(Name), 100});
+    auto C = attempt([&] {
+      return ServingConfig::make(1, Routes, Services, CallerLimits());
+    });
+    REQUIRE_MESSAGE(C, C.error().Detail);
+    Admit.install(*C);
+  }
+  Verdict offer(const Route &R) {
+    return Admit.offer(R, ++Last, Now + R.Timeout, Now);
+  }
+  /// Queries come one a millisecond and end 30 ms later with \p S.
+  void run(const Route &R, int Count, const LoadSample &S) {
+    for (int I = 0; I < Count; ++I) {
+      Now += Millis(1);
+      while (!Running.empty() && Running.front().second <= Now) {
+        Admit.done(Running.front().first, S, Now);
+        Running.erase(Running.begin());
+      }
+      for (const TurnEvent &E : Admit.poll(Now))
+        if (E.Final.What == Turn::Start)
+          Running.push_back({E.Id, Now + Millis(30)});
+      if (offer(R).What == Turn::Start)
+        Running.push_back({Last, Now + Millis(30)});
+    }
+  }
+  /// Offers until one must wait and returns it; the others run.
+  TicketId fill(const Route &R) {
+    for (int I = 0; I < 100; ++I) {
+      Verdict V = offer(R);
+      if (V.What == Turn::Wait)
+        return Last;
+      if (V.What == Turn::Start)
+        Running.push_back({Last, Now});
+    }
+    FAIL("nothing waits");
+    return 0;
+  }
+  static LoadSample queued(Duration D) { return {Millis(30), D, false}; }
+
+  RouteAdmission Admit;
+  TicketId Last = 0;
+  std::vector<std::pair<TicketId, Instant>> Running;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(AdmissionFixture, "long queues at replicas lower the limit") {
+  std::size_t Before = Admit.report(search()).Limit;
+  run(search(), 1000, queued(Millis(90)));
+  CHECK(Admit.report(search()).Limit < Before / 2);
+  run(search(), 3000, queued(Millis(1)));
+  CHECK(Admit.report(search()).Limit > Before / 2);
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture, "whoever is turned away is told when") {
+  run(search(), 1000, queued(Millis(90)));
+  unsigned Refused = 0;
+  for (int I = 0; I < 200; ++I) {
+    Verdict V = offer(search());
+    if (V.What != Turn::Refuse)
+      continue;
+    ++Refused;
+    CHECK(infoOf(V.Code).Effect == RequestEffect::NotRun);
+    CHECK(infoOf(V.Code).HttpStatus == 503);
+    CHECK(V.RetryAfter >= MinRetryAfter);
+  }
+  CHECK(Refused > 100);
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "routes that share a service share its limit") {
+  run(search(), 1000, queued(Millis(90)));
+  CHECK(Admit.report(check()).Limit == Admit.report(search()).Limit);
+  CHECK(Admit.report(pull()).Limit > 2 * Admit.report(search()).Limit);
+  CHECK(offer(pull()).What == Turn::Start);
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture, "the most urgent that wait start first") {
+  TicketId Patient = fill(search());
+  REQUIRE(offer(check()).What == Turn::Wait);
+  TicketId Urgent = Last;
+  Admit.done(Running.back().first, queued(Millis(1)), Now);
+  TurnEvents E = Admit.poll(Now);
+  REQUIRE(E.size() == 1);
+  CHECK(E.front().Id == Urgent);
+  CHECK(E.front().Id != Patient);
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "what was learnt stays when routes move to other services") {
+  run(search(), 1000, queued(Millis(90)));
+  std::size_t Limit = Admit.report(search()).Limit;
+  Route Moved = search();
+  ShardFanOut Fan;
+  Fan.Shards = {ServiceName("d")};
+  Moved.Target = Fan;
+  install({Moved, check(), pull()});
+  CHECK(Admit.report(Moved).Limit == Limit);
+  CHECK(Admit.report(check()).Limit > Limit);
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "a waiting request whose route is gone is not lost") {
+  TicketId Waits = fill(check());
+  install({pull()});
+  Now += Seconds(1);
+  TurnEvents E = Admit.poll(Now);
+  bool Ended = std::ranges::any_of(
+      E, [&](const TurnEvent &One) { return One.Id == Waits; });
+  CHECK(Ended);
+  for (const TurnEvent &One : E)
+    CHECK(infoOf(One.Final.Code).HttpStatus != 404);
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture, "a caller that leaves frees its place") {
+  TicketId Waits = fill(search());
+  Admit.cancel(Waits);
+  Admit.cancel(Running.back().first);
+  CHECK(offer(search()).What == Turn::Start);
+}
--- a/tests/performance/ForwardUnderTrouble.cpp
+++ b/tests/performance/ForwardUnderTrouble.cpp
@@ -152,6 +152,40 @@
   CHECK(O.Extra < 0.2);
 }
 
+/// Twelve times 30 queries a second in each of three zones, where the replicas
+/// of a shard together finish 800 a second.
+WorldShape manyCallers() {
+  WorldShape S;
+  S.QueriesPerSecond = 30;
+  S.WorkMs = 7.5;
+  S.PauseMs = 200;
+  S.PauseEveryMs = 4500;
+  S.ObjectiveMs = 150;
+  S.DeadlineMs = 2500;
+  return S;
+}
+
+TEST_CASE("more callers than the replicas can serve cost no answer of others") {
+  auto Burst = [](ForwardWorld &W) { W.burst(12); };
+  WorldShape Open = manyCallers();
+  Open.Admission = false;
+  Outcome Without =
+      replay("burst x12, all start", Open, Burst, Seconds(1), Seconds(5));
+  Outcome With =
+      replay("burst x12", manyCallers(), Burst, Seconds(1), Seconds(5));
+  // Of what comes, 0.74 could be served by replicas that are never idle.
+  CHECK(Without.Worth < 0.3);
+  CHECK(With.Worth > 0.4);
+  CHECK(With.Extra < 0.1);
+}
+
+TEST_CASE("four fifths of what the replicas can do is served") {
+  Outcome O = replay(
+      "burst x7", manyCallers(), [](ForwardWorld &W) { W.burst(7); },
+      Seconds(1), Seconds(5));
+  CHECK(O.Worth > 0.9);
+}
+
 TEST_CASE("when everything fails the extra sends stay bounded") {
   WorldShape Shape;
   ForwardWorld W(Shape, 3);
