forward: connections beyond a daemon's share follow need

Its replicas were slow or dark, its share of a far replica is three connections, which over 40 ms carry sixty sends a second; 30,000 looks for room in the requests that two seconds logged, while the far replicas were idle.

Change: ConnectionAllowance: one more connection in 20 ms where it is of use, half given back and none for 2 s when a new connection is reset, forgotten by half in 1.5 s. Actions keep to the share, since on a connection that is reset they may have run.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -106,6 +106,7 @@
   Choice C;
   C.Service = &Info->second;
   C.Work = work(S);
+  C.WithinShare = Ask.Way->Kind == Repetition::AtMostOnce;
   std::vector<ReplicaPtr> Tried;
   for (const Sent &X : Sends)
     if (X.Part == Index)
@@ -328,6 +329,8 @@
   // To its replica a failed run is as bad as a lost one.
   X.To->sendEnded(X.Started, Failure ? SendEnd::Rejected : Result.How, work(S),
                   Now);
+  if (Result.ConnectionRefused)
+    X.To->allowance().refused(Now);
   if (Result.WrongReplica)
     X.To->sendEnded(X.Started, SendEnd::NotSent, work(S), Now);
   if (Result.Load)
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -61,6 +61,8 @@
   std::optional<ReportedLoad> Load;
   /// The replica at this address is not the one that was asked for.
   bool WrongReplica = false;
+  /// The connection was new and was reset, as a replica does above its cap.
+  bool ConnectionRefused = false;
 };
 
 /// What the operator and the settings allow all requests.
--- a/packages/forward/Replica.cpp
+++ b/packages/forward/Replica.cpp
@@ -50,6 +50,10 @@
 /// a few requests' time.
 constexpr double LoadHalfLifeMs = 40;
 
+/// A reply of another region is a trip old when it comes; queues of a burst
+/// last for many of them.
+constexpr Duration BusyWordLasts = Millis(250);
+
 /// A send is stuck when it takes this many times what was predicted, and a
 /// little for timers and scheduling.
 constexpr double StuckFactor = 2.0;
@@ -189,6 +193,10 @@
   LoadAt = Now;
 }
 
+bool Replica::saidBusy(Instant Now) const {
+  return Load && Load->Waiting > 0 && Now < LoadAt + BusyWordLasts;
+}
+
 bool Replica::stuck(Duration Work, Instant Now) const {
   if (Open.empty())
     return false;
--- a/packages/forward/Replica.h
+++ b/packages/forward/Replica.h
@@ -24,7 +24,7 @@
 #ifndef SHALLOTSHIFT_FORWARD_REPLICA_H
 #define SHALLOTSHIFT_FORWARD_REPLICA_H
 
-#include "shallotshift/base.h"
+#include "forward/ConnectionAllowance.h"
 
 #include <optional>
 #include <vector>
@@ -94,6 +94,12 @@
   /// The time that only the way there and back takes.
   Duration roundTrip() const;
   std::size_t openSends() const { return Open.size(); }
+  /// It said lately that requests wait there: more connections are no help, and
+  /// a replica with a long queue takes fewer.
+  bool saidBusy(Instant Now) const;
+  /// Connections beyond this daemon's share.
+  ConnectionAllowance &allowance() { return Allowance; }
+  const ConnectionAllowance &allowance() const { return Allowance; }
   /// Sends wait there and nothing came back for longer than they should take.
   bool stuck(Duration Work, Instant Now) const;
 
@@ -125,6 +131,7 @@
   unsigned LostInARow = 0;
   std::optional<ReportedLoad> Load;
   Instant LoadAt;
+  ConnectionAllowance Allowance;
   bool Resting = false;
   bool TrialRuns = false;
   Instant TrialAt;
--- a/packages/forward/ReplicaBook.cpp
+++ b/packages/forward/ReplicaBook.cpp
@@ -15,12 +15,26 @@
 /// Daemons of other regions are given this many times their part: they come
 /// only while their own replica is in trouble, and not all at once.
 constexpr double FarOvercommit = 1.6;
+/// The most of a replica's connections that one daemon takes, however idle the
+/// others are: one that has gone mad must leave some for them.
+constexpr double MostPart = 0.6;
+/// What a replica spends on a new connection, by the users' figures.
+constexpr double HandshakeMs = 6;
 /// Predictions are spread by this part at most: enough that daemons that see
 /// the same do not all take the same replica, too little to take a bad one.
 constexpr double JitterPart = 0.15;
 
 } // namespace
 
+namespace {
+
+/// A new connection takes a trip there and back before the request can leave.
+double newConnectionMs(const Replica &R) {
+  return toMillisF(R.roundTrip()) + HandshakeMs;
+}
+
+} // namespace
+
 std::size_t connectionShare(unsigned MaxConnections, Distance Far,
                             const Sharing &S) {
   double Part = S.Elsewhere == 0 ? 1 : NearPart;
@@ -117,6 +131,19 @@
   return Stays && !S.Ptr->resting();
 }
 
+bool ReplicaBook::hasRoom(const Replica &R, const Choice &C,
+                          Instant Now) const {
+  unsigned Cap = C.Service->MaxConnections;
+  std::size_t Share = connectionShare(Cap, R.distance(), Shared);
+  if (R.openSends() < Share)
+    return true;
+  if (C.WithinShare)
+    return false;
+  std::size_t Extra = R.allowance().extra(Now);
+  return R.openSends() < Share + Extra &&
+         static_cast<double>(R.openSends()) < Cap * MostPart;
+}
+
 ReplicaPtr ReplicaBook::choose(const Choice &C, double Jitter, Instant Now) {
   auto At = ByService.find(C.Service->Name);
   if (At == ByService.end())
@@ -126,6 +153,8 @@
       Slots, [&](const Slot *S) { return S->Registered && mayServe(*S, Now); });
   ReplicaPtr Best;
   double BestMs = 0;
+  ReplicaPtr Busy; ///< Better than the best, if it had room.
+  double BusyMs = 0;
   double Draw = Jitter;
   for (Slot *S : Slots) {
     const Replica &R = *S->Ptr;
@@ -133,17 +162,22 @@
       continue;
     if (std::ranges::find(C.Exclude, S->Ptr) != C.Exclude.end())
       continue;
-    if (R.openSends() >=
-        connectionShare(C.Service->MaxConnections, R.distance(), Shared))
-      continue;
     Draw = Draw * 7.31 + 0.137;
     Draw -= static_cast<double>(static_cast<int>(Draw));
     double Ms = toMillisF(R.predicted(C.Work, Now)) * (1 + JitterPart * Draw);
-    if (Best && Ms >= BestMs)
+    bool Room = hasRoom(R, C, Now);
+    ReplicaPtr &Leader = Room ? Best : Busy;
+    double &LeaderMs = Room ? BestMs : BusyMs;
+    if (Leader && Ms >= LeaderMs)
       continue;
-    Best = S->Ptr;
-    BestMs = Ms;
+    Leader = S->Ptr;
+    LeaderMs = Ms;
   }
+  bool Wanted = Busy && !C.WithinShare &&
+                (!Best || BusyMs + newConnectionMs(*Busy) < BestMs);
+  if (Wanted && !Busy->saidBusy(Now) && Busy->allowance().grow(Now) &&
+      hasRoom(*Busy, C, Now))
+    return Busy;
   return Best;
 }
 
--- a/packages/forward/ReplicaBook.h
+++ b/packages/forward/ReplicaBook.h
@@ -80,6 +80,9 @@
   const ServiceInfo *Service = nullptr;
   Duration Work{};                     ///< What such a request usually takes.
   std::span<const ReplicaPtr> Exclude; ///< Tried before.
+  /// A connection that the replica may refuse is not worth the risk: whether
+  /// the request ran on it would be unknown.
+  bool WithinShare = false;
 };
 
 class ReplicaBook {
@@ -117,6 +120,7 @@
     Instant VanishedAt{};
   };
 
+  bool hasRoom(const Replica &R, const Choice &C, Instant Now) const;
   Distance distance(const ReplicaEntry &E) const;
   void place(ReplicaEntry Entry, bool Restarted, Instant Now);
   bool holds(const Slot &S, Instant Now) const;
--- a/packages/front/ReplyReading.cpp
+++ b/packages/front/ReplyReading.cpp
@@ -52,6 +52,7 @@
   SendResult R;
   if (Reply.How != CallEnd::Answered) {
     R.How = Reply.How == CallEnd::NotSent ? SendEnd::NotSent : SendEnd::Lost;
+    R.ConnectionRefused = Reply.ConnectionRefused;
     return R;
   }
   R.Load = readLoad(headerValue(Reply.Headers, Names.Load));
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -272,7 +272,8 @@
   U.EchoValue = J->Id;
   bool Once = J->Run.ask().Way->Kind == Repetition::AtMostOnce;
   bool Far = S.To->distance() == Distance::OtherRegion;
-  U.MostKept = (Far ? FarIdle : NearIdle).Most;
+  U.MostKept =
+      (Far ? FarIdle : NearIdle).Most + S.To->allowance().extra(Timers.now());
   U.LeastKept = (Far ? FarIdle : NearIdle).Least;
   U.MostIdle = Once ? MostIdleForOnce : MostIdle;
   bool KeepHeaders = J->Run.ask().Way->fanOut() == nullptr;
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -25,6 +25,10 @@
 /// Where it names none.
 constexpr Duration UsualKeepAlive = Seconds(20);
 
+/// Why a call was lost.
+constexpr std::string_view Reset = "reset";
+constexpr std::string_view ClosedEarly = "closed early";
+
 Duration keepAliveOf(const HttpHeaders &Headers) {
   std::string_view Value = headerValue(Headers, "Keep-Alive");
   std::size_t At = Value.find("timeout=");
@@ -208,7 +212,7 @@
   if (L->Reader->state() == ReadState::Whole)
     whole(L, true);
   else
-    lose(L, How == StreamEnd::Closed ? "closed early" : "reset");
+    lose(L, How == StreamEnd::Closed ? ClosedEarly : Reset);
 }
 
 /// \p Rest: the connection is of no further use whatever the reply says.
@@ -245,6 +249,8 @@
   UpstreamReply Reply;
   Reply.How = L->Sent ? CallEnd::Lost : CallEnd::NotSent;
   Reply.Why = Why;
+  Reply.ConnectionRefused =
+      Why == Reset && L->Fresh && L->Reader->state() == ReadState::Waiting;
   close(L);
   finish(L, std::move(Reply));
 }
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -53,6 +53,8 @@
   int Status = 0;
   HttpHeaders Headers;
   std::string Body;
+  /// The connection was new and was reset with nothing read from it.
+  bool ConnectionRefused = false;
   std::string_view Why; ///< For logs: "reset", "closed early", "bad bytes", ..
 };
 
--- a/tests/failure/OverloadIsTurnedAway.cpp
+++ b/tests/failure/OverloadIsTurnedAway.cpp
@@ -1,8 +1,8 @@
-// What callers see: while more come than the replicas can serve, some are told at
-// once that nothing ran and when to come back; the others are answered as usual.
-// What happens: replicas report long queues and turn sends away, so fewer queries
-// start; the rest wait for a moment or are refused. Why by group: what one set of
-// services cannot take says nothing about another.
+// What callers see: while more come than the replicas can serve, some are told
+// at once that nothing ran and when to come back; the others are answered as
+// usual. What happens: replicas report long queues and turn sends away, so
+// fewer queries start; the rest wait for a moment or are refused. Why by group:
+// what one set of services cannot take says nothing about another.
 #include "ForwardFixture.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/StrayBytesBelongToNobody.cpp
+++ b/tests/failure/StrayBytesBelongToNobody.cpp
@@ -46,6 +46,19 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(PoolFixture, "a new connection that is reset says so") {
+  Act = [](const RawRequest &) { return RawAct::Reset; };
+  UpstreamReply R = exchange();
+  CHECK(R.How == CallEnd::Lost);
+  CHECK(R.ConnectionRefused);
+  Act = [](const RawRequest &) { return RawAct::Answer; };
+  Server.Answer = reply("1");
+  CHECK_FALSE(exchange().ConnectionRefused);
+  // On one that carried a reply before, a reset says nothing of a cap.
+  Act = [](const RawRequest &) { return RawAct::Reset; };
+  CHECK_FALSE(exchange().ConnectionRefused);
+}
+
 TEST_CASE_FIXTURE(PoolFixture, "a whole reply keeps its connection") {
   Server.Answer = reply("1");
   for (int I = 0; I < 3; ++I) {
--- a/tests/performance/ForwardUnderTrouble.cpp
+++ b/tests/performance/ForwardUnderTrouble.cpp
@@ -179,6 +179,23 @@
   CHECK(With.Extra < 0.1);
 }
 
+TEST_CASE("a daemon whose near replicas are slow takes over at the far ones") {
+  WorldShape Shape = manyCallers();
+  Shape.QueriesPerSecond = 75;
+  Shape.FarMs = 20;
+  Shape.MaxConnections = 10;
+  Outcome O = replay(
+      "near ones slow x9, far ones 40 ms away", Shape,
+      [](ForwardWorld &W) {
+        Trouble T;
+        T.Slow = 9;
+        for (unsigned Shard = 0; Shard < 10; Shard += 2)
+          W.trouble(Shard, 2) = T;
+      },
+      Millis(500), Seconds(6));
+  CHECK(O.Worth > 0.9);
+}
+
 TEST_CASE("four fifths of what the replicas can do is served") {
   Outcome O = replay(
       "burst x7", manyCallers(), [](ForwardWorld &W) { W.burst(7); },
