--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -22,6 +22,9 @@
 using internal::StreamEnd;
 using internal::StreamSocket;
 
+/// Above this part of the connections that may be open, answers close theirs.
+/// Half leaves room for a second's worth of callers of a burst by eight.
+constexpr double CrowdedPart = 0.5;
 /// Bytes of further requests that are kept while one is being answered.
 constexpr std::size_t MaxAheadBytes = 64 << 10;
 /// stopAccepting() takes what is in the kernel's queue, for at most this many
@@ -58,6 +61,13 @@
       : Loop(Loop), Timers(Timers), Options(O), OnRequest(std::move(H)),
         Acceptor(Loop.context()) {}
 
+  /// The failure: refused callers come back on new connections and keep the old
+  /// ones, until new ones find no place and are closed unread. An answer that
+  /// closes its connection costs its caller one trip, and in time.
+  bool crowded() const {
+    return static_cast<double>(Open.size()) >
+           CrowdedPart * static_cast<double>(Options.MaxConnections);
+  }
   void listen(const Endpoint &At);
   void accept();
   void acceptRest(int TurnsLeft);
@@ -244,7 +254,7 @@
 }
 
 void Connection::answer(const CallerReply &Reply) {
-  bool Close = Reply.Close || CloseBehind || S->Closing;
+  bool Close = Reply.Close || CloseBehind || S->Closing || S->crowded();
   Busy = false;
   Socket->write(replyText(Reply.Status, Reply.Headers, Reply.Body, Close,
                           !std::exchange(ToHead, false)));
--- a/tests/failure/CallersLeave.cpp
+++ b/tests/failure/CallersLeave.cpp
@@ -126,6 +126,30 @@
   CHECK(Busy.input().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(CallerFixture,
+                  "with many connections answers close theirs, in order") {
+  CallerServerOptions O;
+  O.MaxConnections = 4;
+  Server->setOptions(O);
+  RawCaller First(Loop, At);
+  First.read();
+  First.write(Get);
+  waitFor(1);
+  Got.front()->reply({200, {}, "kept", false});
+  runUntil([&] { return First.status() != 0; });
+  CHECK(First.input().find("Connection: close") == std::string::npos);
+  RawCaller Second(Loop, At);
+  RawCaller Third(Loop, At);
+  Third.read();
+  Third.write(Get);
+  waitFor(2);
+  Got.back()->reply({200, {}, "done", false});
+  runUntil([&] { return Third.closed(); });
+  CHECK_FALSE(Third.reset());
+  CHECK(Third.input().find("done") != std::string::npos);
+  CHECK(Third.input().find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(CallerFixture,
                   "half a request is told so, and an idle caller let go") {
   CallerServerOptions O;
