forward: nothing is sent that cannot be answered in time

Cause: a second send left as long as any of the caller's time was left, a millisecond too. It cannot be answered, it costs a replica its work, and after it nobody can say "not run" any more.

Change: a send needs the way there and back and half of the usual work; without that a part is given up, and a request of which nothing was sent is refused as not run.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -46,6 +46,10 @@
 /// honest refusal any more, and the others go on waiting.
 constexpr double WaitPart = 0.2;
 
+/// Work spreads by a third about its median; next to none is done in half of
+/// it.
+constexpr int LeastWorkParts = 2;
+
 bool mayRetryStatus(int Status) { return Status >= 500; }
 
 } // namespace
@@ -123,11 +127,23 @@
   return S.Book.choose(C, Jitter, Now);
 }
 
+/// A send whose answer cannot be back is no offer: it costs a replica its work
+/// and the caller an honest "not run".
+bool ForwardRun::tooLate(ForwardShared &S, const Replica &To,
+                         Instant Now) const {
+  return Now + To.roundTrip() + work(S) / LeastWorkParts > End;
+}
+
 bool ForwardRun::trySend(ForwardShared &S, unsigned Index, RunOutput &Out,
                          Instant Now) {
   Part &P = Parts[Index];
   P.RetryAt = Instant::max();
-  if (ReplicaPtr To = pick(S, P, Index, Now)) {
+  ReplicaPtr To = pick(S, P, Index, Now);
+  if (To && tooLate(S, *To, Now)) {
+    P.GivenUp = P.Open == 0;
+    return false;
+  }
+  if (To) {
     send(S, Index, To, Out, Now);
     return true;
   }
@@ -225,7 +241,7 @@
       continue;
     // Nobody to ask: the budget must not be spent.
     ReplicaPtr Other = pick(S, P, Index, Now);
-    if (!Other || !spend(S, P, true, Now))
+    if (!Other || tooLate(S, *Other, Now) || !spend(S, P, true, Now))
       continue;
     send(S, Index, Other, Out, Now);
     ++Story.Hedges;
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -198,6 +198,7 @@
   void decideTimes();
   void makeParts(ForwardShared &S, Instant Now);
   bool refuseAtOnce(ForwardShared &S, RunOutput &Out, Instant Now);
+  bool tooLate(ForwardShared &S, const Replica &To, Instant Now) const;
   bool trySend(ForwardShared &S, unsigned Index, RunOutput &Out, Instant Now);
   void send(ForwardShared &S, unsigned Index, const ReplicaPtr &To,
             RunOutput &Out, Instant Now);
--- a/tests/failure/PartsAreMissing.cpp
+++ b/tests/failure/PartsAreMissing.cpp
@@ -189,6 +189,28 @@
   CHECK(own(Out).RetryAfter > Duration(0));
 }
 
+TEST_CASE_FIXTURE(ShardFixture,
+                  "nothing is sent that cannot be answered in time") {
+  // What is left of the caller's time is less than half of the work takes.
+  for (int I = 0; I < 60; ++I)
+    Work.of("r", Millis(120)).observe(Millis(100));
+  ForwardRun R = run(route(ServiceName("a")), Millis(40));
+  RunOutput Out = R.begin(Shared, Now);
+  CHECK(Out.Start.empty());
+  CHECK(provesNotRun(own(Out).Code));
+}
+
+TEST_CASE_FIXTURE(ShardFixture, "a retry too late to be answered is not sent") {
+  for (int I = 0; I < 60; ++I)
+    Work.of("r", Millis(120)).observe(Millis(100));
+  ForwardRun R = run(route(ServiceName("a")), Millis(120));
+  REQUIRE(R.begin(Shared, Now).Start.size() == 1);
+  RunOutput Out = R.replied(Shared, 0, ended(SendEnd::Lost), Now + Millis(70));
+  CHECK(Out.Start.empty());
+  REQUIRE(Out.Answer);
+  CHECK_FALSE(provesNotRun(own(Out).Code));
+}
+
 TEST_CASE_FIXTURE(ShardFixture, "once a part ran, the others wait for room") {
   ServiceInfo Info{ServiceName("d"), 100};
   Choice C;
