--- a/examples/make-examples.py
+++ b/examples/make-examples.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Writes the example configurations of both firms, at their sizes of today.
+"""Writes the example configurations of the three firms, at their sizes of today.
 
     examples/make-examples.py            writes them
     examples/make-examples.py --check    fails when a committed file differs
@@ -7,7 +7,7 @@
 For each firm: services.json and presets.json (operators' documents),
 upstreams.json (for upstream-standin), hosts.json (for platform-standin) and
 entry-N.json (settings of its six daemons). both/ has presets, hosts and
-settings of one fleet of six that serves both firms, for machines where twelve
+settings of one fleet of six that serves the first two firms, for machines where twelve
 daemons are too many. The files are committed; run this again after a change
 here.
 """
@@ -54,7 +54,23 @@
             ("payments", "pay", 1, 9, 3, 40, 1, 8),
         ],
     },
+    "vloerkaart": {
+        "region": "za",
+        "zones": {
+            "wc-a": "127.0.1.121",
+            "gp-a": "127.0.1.122",
+            "kzn-a": "127.0.1.123",
+        },
+        "groups": [
+            ("robot-nav", "nav", 10, 3, 2, 25, 6, 4),
+            ("owner-app", "owner", 15, 3, 2, 25, 6, 4),
+            ("support-desk", "support", 1, 5, 4, 96, 1, 8),
+            ("map-ingest", "ingest", 1, 3, 4, 96, 1, 8),
+        ],
+    },
 }
+# One fleet for two firms, where twelve daemons are too many.
+BOTH = ["khan-uul", "banlangd"]
 
 # Names that callers read when one is missing: two books or pools a service.
 BOOKS = {
@@ -66,6 +82,10 @@
     "hall-desk": ("pool", "sauna"),
     "club-desk": ("training-blocks", "meets"),
     "payments": ("bookings", "refunds"),
+    "robot-nav": ("layouts", "docks"),
+    "owner-app": ("floor-maps", "no-go-lines"),
+    "support-desk": ("home-records", "calls"),
+    "map-ingest": ("uploads", "merges"),
 }
 # The last three underwriting services hold books of acquired houses.
 LEGACY = {8: "legacy-altai", 9: "legacy-selenge", 10: "legacy-orkhon"}
@@ -100,6 +120,14 @@
         "coach": policy(1, 800, "full"),
         "hall-staff": policy(3, 500, "partial", 300),
     },
+    # A robot that waits bumps about blind: a near match now is worth more than
+    # all of them later. A home's record is one, whole or not at all.
+    "vloerkaart": {
+        "robot": policy(1, 2000, "partial", 110, queue_wait_ms=30),
+        "layout-match": policy(2, 2500, "partial", 140, queue_wait_ms=30),
+        "home-owner": policy(3, 5000, "full", queue_wait_ms=100),
+        "support": policy(4, 5000, "full", queue_wait_ms=200),
+    },
 }
 
 
@@ -250,7 +278,7 @@
         write(f"{firm}/services.json", operators)
         write(f"{firm}/upstreams.json", standins)
         write_fleet(firm, [firm])
-    write_fleet("both", list(FIRMS))
+    write_fleet("both", BOTH)
 
 
 if __name__ == "__main__":
--- a/packages/forward/ConnectionAllowance.cpp
+++ b/packages/forward/ConnectionAllowance.cpp
@@ -28,13 +28,13 @@
 }
 
 std::size_t ConnectionAllowance::extra(Instant Now) const {
-  return static_cast<std::size_t>(value(Now) + 0.5);
+  return static_cast<std::size_t>(std::lround(value(Now)));
 }
 
 bool ConnectionAllowance::grow(Instant Now) {
   if (Now < HeldUntil || Now < GrownAt + GrowEvery)
     return false;
-  Seen = std::floor(value(Now) + 0.5) + 1;
+  Seen = std::round(value(Now)) + 1;
   SeenAt = Now;
   GrownAt = Now;
   return true;
--- a/tests/standins.cmake
+++ b/tests/standins.cmake
@@ -11,14 +11,14 @@
 # accept them.
 add_test(NAME examples_generated
   COMMAND python3 ${CMAKE_SOURCE_DIR}/examples/make-examples.py --check)
-foreach(FOLDER khan-uul banlangd both)
+foreach(FOLDER khan-uul banlangd vloerkaart both)
   set(EXAMPLES ${CMAKE_SOURCE_DIR}/examples/${FOLDER})
   add_test(NAME examples_settings_${FOLDER}
     COMMAND shallotshiftd --check ${EXAMPLES}/entry-1.json)
   add_test(NAME examples_presets_${FOLDER}
     COMMAND shallotctl check -f ${EXAMPLES}/presets.json)
 endforeach()
-foreach(FIRM khan-uul banlangd)
+foreach(FIRM khan-uul banlangd vloerkaart)
   add_test(NAME examples_services_${FIRM} COMMAND shallotctl check -f
     ${CMAKE_SOURCE_DIR}/examples/${FIRM}/services.json)
 endforeach()
