forward, tests: the linter's findings

Cause: clang 14 does not make an aggregate from a parenthesised list, so it could not read RouteAdmission.cpp at all; a literal of the fuzzer ended at its own NUL, so that input was never tried.

Change: Group has a constructor, the literal its length.

--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -50,6 +50,7 @@
 
 private:
   struct Group {
+    explicit Group(Admission Desk) : Desk(std::move(Desk)) {}
     Admission Desk;
   };
   using GroupPtr = std::shared_ptr<Group>;
--- a/tests/fuzz/Mutation.cpp
+++ b/tests/fuzz/Mutation.cpp
@@ -16,9 +16,12 @@
 
 std::string anyText(Random &Rng) {
   static const std::string Texts[] = {
-      "",        "0",     "-1",   "ready",  "draining", "10.0.0.1:80",
-      ":",       "\xff",  "\0x",  "%00",    "a,b",      "1,2,3,4",
-      "chunked", "close", "keep", "\r\n\r", "10.0.0.1", "99999999999999999999"};
+      "",        "0",        "-1",
+      "ready",   "draining", "10.0.0.1:80",
+      ":",       "\xff",     std::string({'\0', 'x'}),
+      "%00",     "a,b",      "1,2,3,4",
+      "chunked", "close",    "keep",
+      "\r\n\r",  "10.0.0.1", "99999999999999999999"};
   std::string Text = Texts[below(Rng, std::size(Texts))];
   if (below(Rng, 8) == 0)
     Text.append(below(Rng, MostRepeats), 'x');
