--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -36,7 +36,7 @@
   /// after which to come back. \p Way is a route of the installed
   /// configuration.
   Verdict offer(const Route &Way, TicketId Id, Instant Deadline, Instant Now);
-  /// A started request was answered.
+  /// A started request was answered, or only waits for stragglers.
   void done(TicketId Id, const LoadSample &S, Instant Now);
   /// The caller is gone, or nobody waits for it any more.
   void cancel(TicketId Id);
@@ -62,7 +62,7 @@
   GroupMap ByRoute; ///< By the route's name.
   /// Those in ByRoute, each once, and those that are gone while some wait.
   std::vector<GroupPtr> Groups;
-  /// Of requests that were let in or wait; their group may be gone from Groups.
+  /// By request that was let in or waits; its group may be gone from Groups.
   std::unordered_map<TicketId, GroupPtr> Tickets;
 };
 
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -77,8 +77,8 @@
     std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
     TimerQueue::Key Timer = 0;
     Instant TimerAt = Instant::max();
-    TicketId Ticket = 0; ///< At the admission; 0: it has been answered.
-    bool Started = false;
+    TicketId Ticket = 0;  ///< At the admission; 0: it takes no place there.
+    bool Started = false; ///< It had its turn.
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -87,6 +87,9 @@
       : Timers(Timers), Names(std::move(Names)),
         Pool(Loop, Timers, {}), Shared{Book, Budgets, Work, Rng, Rules},
         Meter(Meter) {}
+  ~Impl() { Timers.cancel(AdmissionTimer); }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
 
   void handle(const ExchangePtr &E);
   void refuse(const ExchangePtr &E, const OwnAnswer &A);
