--- a/tests/failure/CallersLeave.cpp
+++ b/tests/failure/CallersLeave.cpp
@@ -126,6 +126,28 @@
   CHECK(Busy.input().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(CallerFixture,
+                  "a close that crosses the reply harms nobody else") {
+  constexpr std::size_t MoreThanTheKernelTakes = 8 << 20;
+  {
+    RawCaller C(Loop, At);
+    C.write(Get);
+    waitFor(1);
+    Got.front()->reply(
+        {200, {}, std::string(MoreThanTheKernelTakes, 'x'), false});
+    runFor(Millis(5));
+  }
+  runUntil([&] { return Server->connections() == 0; });
+  RawCaller Next(Loop, At);
+  Next.read();
+  Next.write(Get);
+  waitFor(2);
+  Got.back()->reply({200, {}, "mine", false});
+  runUntil([&] { return Next.status() != 0; });
+  CHECK(Next.input().ends_with("mine"));
+  CHECK(Next.input().find("xx") == std::string::npos);
+}
+
 TEST_CASE_FIXTURE(CallerFixture,
                   "with many connections answers close theirs, in order") {
   CallerServerOptions O;
