forward, front: what the admission and the connections wrote again has one place

Cause: read over once more. Falling by half in a time stood in Replica.cpp and again in ConnectionAllowance.cpp; the least share of a query's parts was computed in four places, the newest with ceil() where the others compare the share, so they could differ by a rounding; a struct held nothing but an Admission; whether a request has had its turn was kept beside the table of those that wait; hedgeAt() looked the route's work up twice.

Change: HalfLife.h, ForwardRun::suffices(), no Group, no flag, one look-up. No test and no bound changed.

--- a/packages/forward/ConnectionAllowance.cpp
+++ b/packages/forward/ConnectionAllowance.cpp
@@ -1,8 +1,7 @@
 //===- ConnectionAllowance.cpp --------------------------------------------===//
 #include "forward/ConnectionAllowance.h"
 
-#include <algorithm>
-#include <cmath>
+#include "forward/HalfLife.h"
 
 namespace shallot {
 
@@ -23,8 +22,7 @@
 } // namespace
 
 double ConnectionAllowance::value(Instant Now) const {
-  double Age = std::max(0.0, toMillisF(Now - SeenAt));
-  return Seen * std::exp2(-Age / HalfLifeMs);
+  return internal::half(Seen, Now - SeenAt, HalfLifeMs);
 }
 
 std::size_t ConnectionAllowance::extra(Instant Now) const {
--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -37,10 +37,7 @@
   std::size_t Servable = 0;
   for (const Part &P : Parts)
     Servable += S.Book.servable(P.Service, Now);
-  double Least = Fan ? Fan->LeastShare : 1;
-  double Share =
-      static_cast<double>(Servable) / static_cast<double>(Parts.size());
-  if (Share >= Least)
+  if (suffices(Servable))
     return false;
   finish(Out,
          OwnAnswer{ResultCode::NoReplica, NoReplicaRetry,
@@ -60,12 +57,15 @@
   return Out;
 }
 
+/// An answer of \p Count parts has the least share of them.
+bool ForwardRun::suffices(std::size_t Count) const {
+  double Least = Fan ? Fan->LeastShare : 1;
+  return static_cast<double>(Count) / static_cast<double>(Parts.size()) >=
+         Least;
+}
+
 bool ForwardRun::enough() const {
-  if (!Fan)
-    return Story.PartsIn == Parts.size();
-  double Share =
-      static_cast<double>(Story.PartsIn) / static_cast<double>(Parts.size());
-  return Story.PartsIn > 0 && Share >= Fan->LeastShare;
+  return Story.PartsIn > 0 && suffices(Story.PartsIn);
 }
 
 void ForwardRun::settle(RunOutput &Out, Instant Now) {
@@ -86,8 +86,7 @@
     return;
   std::size_t Possible = static_cast<std::size_t>(std::ranges::count_if(
       Parts, [](const Part &P) { return P.In || !P.GivenUp; }));
-  if (static_cast<double>(Possible) / static_cast<double>(Parts.size()) <
-      Fan->LeastShare)
+  if (!suffices(Possible))
     answerFailure(Out, Now, false);
 }
 
--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -7,7 +7,6 @@
 #include "forward/ForwardRun.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 
 namespace shallot {
@@ -161,12 +160,13 @@
 /// due.
 Instant ForwardRun::hedgeAt(ForwardShared &S, const Part &P,
                             const ReplicaPtr &To, Instant Now) const {
-  Duration Expected = To->expected(work(S), Now);
+  Duration Work = work(S);
+  Duration Expected = To->expected(Work, Now);
   Duration There = To->roundTrip();
   double Factor = Fan ? HedgeFactor : PlainHedgeFactor;
   Duration Patience =
       There + HedgeSlack + fromMillisF(toMillisF(Expected - There) * Factor);
-  Duration Other = S.Book.quickestBesides(P.Service, To, work(S), Now);
+  Duration Other = S.Book.quickestBesides(P.Service, To, Work, Now);
   if (Other == Duration::max())
     return Now + Patience;
   Duration Latest = Cutoff - Now - Other;
@@ -280,10 +280,10 @@
 
 /// Parts that an answer may lack and still be one.
 std::size_t ForwardRun::partsToSpare() const {
-  double Least = Fan ? Fan->LeastShare : 1;
-  auto Needed = static_cast<std::size_t>(
-      std::ceil(Least * static_cast<double>(Parts.size())));
-  return Parts.size() - std::min(Needed, Parts.size());
+  std::size_t Spare = 0;
+  while (Spare < Parts.size() && suffices(Parts.size() - Spare - 1))
+    ++Spare;
+  return Spare;
 }
 
 /// One shard that lost its replicas is full whatever is done. An answer can do
@@ -296,13 +296,14 @@
     Queues.push_back(P.Queued);
     LostToFull += !P.In && P.FoundFull;
   }
+  std::size_t Spare = partsToSpare();
   std::ranges::sort(Queues);
-  Queues.resize(std::max<std::size_t>(1, Queues.size() - partsToSpare()));
+  Queues.resize(std::max<std::size_t>(1, Queues.size() - Spare));
   LoadSample L;
   L.Latency = Now - Began;
   L.Queued = std::accumulate(Queues.begin(), Queues.end(), Duration(0)) /
              static_cast<std::int64_t>(Queues.size());
-  L.Overloaded = LostToFull > partsToSpare();
+  L.Overloaded = LostToFull > Spare;
   return L;
 }
 
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -218,6 +218,7 @@
             Instant Now);
   bool usable(const ReplicaReply &R) const;
   void settle(RunOutput &Out, Instant Now);
+  bool suffices(std::size_t Count) const;
   bool enough() const;
   bool nothingRan() const;
   void answerParts(RunOutput &Out, Instant Now);
--- a/packages/forward/Replica.cpp
+++ b/packages/forward/Replica.cpp
@@ -1,11 +1,14 @@
 //===- Replica.cpp --------------------------------------------------------===//
 #include "forward/Replica.h"
 
+#include "forward/HalfLife.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace shallot {
 
+using internal::half;
+
 namespace {
 
 /// What a send to another zone or region costs beside its time, in the same
@@ -69,10 +72,6 @@
 constexpr Duration FirstRest = Millis(200);
 constexpr Duration LongestRest = Seconds(3);
 
-double half(double Value, Duration Age, double HalfLifeMs) {
-  return Value * std::exp2(-std::max(0.0, toMillisF(Age)) / HalfLifeMs);
-}
-
 double priceMs(Distance D) {
   switch (D) {
   case Distance::SameZone:
--- a/packages/forward/RouteAdmission.cpp
+++ b/packages/forward/RouteAdmission.cpp
@@ -107,17 +107,16 @@
   for (const auto &[Number, Routes] : Members) {
     GroupPtr G = keptGroup(Before, Routes);
     if (G)
-      G->Desk.setClasses(policiesOf(Routes), targetQueued(Routes));
+      G->setClasses(policiesOf(Routes), targetQueued(Routes));
     else
-      G = std::make_shared<Group>(
-          Admission(policiesOf(Routes), targetQueued(Routes), limitOptions()));
+      G = std::make_shared<Admission>(policiesOf(Routes), targetQueued(Routes),
+                                      limitOptions());
     Groups.push_back(G);
     for (const Route *R : Routes)
       ByRoute[R->Name] = G;
   }
   for (const GroupPtr &G : GroupsBefore)
-    if (std::ranges::find(Groups, G) == Groups.end() &&
-        G->Desk.report().Waiting > 0)
+    if (std::ranges::find(Groups, G) == Groups.end() && G->report().Waiting > 0)
       Groups.push_back(G);
 }
 
@@ -137,7 +136,7 @@
 Verdict RouteAdmission::offer(const Route &Way, TicketId Id, Instant Deadline,
                               Instant Now) {
   const GroupPtr &G = ByRoute.at(Way.Name);
-  Verdict V = G->Desk.offer({Id, classOf(Way), Deadline}, Now);
+  Verdict V = G->offer({Id, classOf(Way), Deadline}, Now);
   if (V.What != Turn::Refuse)
     Tickets.emplace(Id, G);
   return V;
@@ -147,7 +146,7 @@
   auto At = Tickets.find(Id);
   if (At == Tickets.end())
     return;
-  At->second->Desk.done(Id, S, Now);
+  At->second->done(Id, S, Now);
   Tickets.erase(At);
 }
 
@@ -155,14 +154,14 @@
   auto At = Tickets.find(Id);
   if (At == Tickets.end())
     return;
-  At->second->Desk.cancel(Id);
+  At->second->cancel(Id);
   Tickets.erase(At);
 }
 
 TurnEvents RouteAdmission::poll(Instant Now) {
   TurnEvents All;
   for (const GroupPtr &G : Groups) {
-    TurnEvents Some = G->Desk.poll(Now);
+    TurnEvents Some = G->poll(Now);
     All.insert(All.end(), Some.begin(), Some.end());
   }
   for (TurnEvent &E : All) {
@@ -180,13 +179,13 @@
 std::optional<Instant> RouteAdmission::nextExpiry() const {
   std::optional<Instant> Next;
   for (const GroupPtr &G : Groups)
-    if (auto At = G->Desk.nextExpiry(); At && (!Next || *At < *Next))
+    if (auto At = G->nextExpiry(); At && (!Next || *At < *Next))
       Next = At;
   return Next;
 }
 
 AdmissionReport RouteAdmission::report(const Route &Way) const {
-  return ByRoute.at(Way.Name)->Desk.report();
+  return ByRoute.at(Way.Name)->report();
 }
 
 } // namespace shallot
--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -49,11 +49,7 @@
   AdmissionReport report(const Route &Way) const;
 
 private:
-  struct Group {
-    explicit Group(Admission Desk) : Desk(std::move(Desk)) {}
-    Admission Desk;
-  };
-  using GroupPtr = std::shared_ptr<Group>;
+  using GroupPtr = std::shared_ptr<Admission>;
   using GroupMap = std::unordered_map<std::string, GroupPtr>;
 
   GroupPtr keptGroup(const GroupMap &Before,
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -77,8 +77,7 @@
     std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
     TimerQueue::Key Timer = 0;
     Instant TimerAt = Instant::max();
-    TicketId Ticket = 0;  ///< At the admission; 0: it takes no place there.
-    bool Started = false; ///< It had its turn.
+    TicketId Ticket = 0; ///< At the admission; 0: it takes no place there.
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -203,7 +202,6 @@
 }
 
 void RequestDesk::Impl::start(const JobPtr &J) {
-  J->Started = true;
   apply(J, J->Run.begin(Shared, Timers.now()));
 }
 
@@ -222,11 +220,10 @@
   TicketId Ticket = std::exchange(J->Ticket, 0);
   if (Ticket == 0)
     return;
-  Waiting.erase(Ticket);
-  if (J->Started)
-    Admit.done(Ticket, J->Run.load(Timers.now()), Timers.now());
-  else
+  if (Waiting.erase(Ticket) > 0)
     Admit.cancel(Ticket);
+  else
+    Admit.done(Ticket, J->Run.load(Timers.now()), Timers.now());
   pollAdmission();
 }
 
@@ -260,7 +257,7 @@
     send(J, S);
   if (Out.Answer)
     answer(J, std::move(*Out.Answer));
-  else if (J->Started && J->Run.makesRoom())
+  else if (J->Run.makesRoom())
     leave(J);
   schedule(J);
 }
