front, net: calls between daemons that are given up can be seen

Cause: after a change that came late nobody could tell whether answers were given up while they arrived or arrived slowly; no line said how large an answer was, how long it took or that a call was replaced. Change: HttpClient tells the progress of a transfer; feed_answer and feed_call_replaced log lines, counters, the version in force as a gauge.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -201,6 +201,8 @@
   Meter.gauge("shallot_in_flight", {}, double(Desk.inFlight()));
   Meter.gauge("shallot_caller_connections", {}, double(Callers->connections()));
   Meter.gauge("shallot_replicas_known", {}, double(Book.size()));
+  std::uint64_t Version = Desk.config() ? Desk.config()->version() : 0;
+  Meter.gauge("shallot_config_version", {}, double(Version));
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
   const GossipSocketStats &G = Fleet->traffic();
   Meter.gauge("shallot_membership_sent_bytes", {}, double(G.SentBytes));
@@ -322,6 +324,8 @@
 
 Random &FrontDaemon::random() { return I->Rng; }
 
+Metrics &FrontDaemon::metrics() { return I->Meter; }
+
 void FrontDaemon::requestStop(std::function<void()> Gone) {
   if (I->Leaving)
     return;
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -74,6 +74,7 @@
   const FrontSettings &settings() const;
   TimerQueue &timers();
   Random &random();
+  Metrics &metrics();
   /// Stops in order; \p Gone is called when the process may end.
   void requestStop(std::function<void()> Gone);
 
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -33,8 +33,9 @@
 template <KindStore Store> class RelayedStore {
 public:
   RelayedStore(EventLoop &Loop, HttpClient &Http, Store &S, FeedSources From,
-               Random &Rng)
-      : Loop(Loop), Http(Http), S(S), From(std::move(From)), Rng(Rng) {}
+               Random &Rng, Metrics &Meter)
+      : Loop(Loop), Http(Http), S(S), From(std::move(From)), Rng(Rng),
+        Meter(Meter) {}
 
   FeedSources &sources() { return From; }
 
@@ -106,20 +107,66 @@
 
   void ask(const FeedSource &Source, const FeedQuestion &Q, Duration Timeout,
            HttpClient::Callback Done) {
+    reportReplaced(Q.Kind);
     HttpRequest R;
     R.To = Source.Peer->Rpc;
     R.Path = feedTarget(Q);
     R.Timeout = Timeout;
-    Http.send(std::move(R), std::move(Done));
+    Asked = Source;
+    Call = Http.send(std::move(R),
+                     [this, Source, Kind = Q.Kind,
+                      Done = std::move(Done)](const HttpReply &Reply) {
+                       reportAnswer(Source, Kind, Reply);
+                       Done(Reply);
+                     });
   }
 
+  /// A call that another takes the place of: what had come of its answer.
+  void reportReplaced(const std::string &Kind) {
+    std::optional<TransferProgress> P = Http.progress(Call);
+    if (!P)
+      return;
+    Meter.count("shallot_feed_replaced_total", {{"kind", Kind}});
+    Meter.count("shallot_feed_replaced_bytes_total", {{"kind", Kind}},
+                double(P->Bytes));
+    if (P->Bytes != 0)
+      logEvent(LogLevel::Info, "feed_call_replaced",
+               {{"kind", Kind},
+                {"from", Asked.Peer->Id.str()},
+                {"bytes", std::to_string(P->Bytes)},
+                {"ms", std::to_string(toMillis(P->Age))},
+                {"silent_ms", std::to_string(toMillis(P->Silent))}});
+  }
+
+  void reportAnswer(const FeedSource &Source, const std::string &Kind,
+                    const HttpReply &R) {
+    const char *How = R.arrived() ? "arrived" : "failed";
+    Meter.count("shallot_feed_answers_total", {{"kind", Kind}, {"how", How}});
+    Meter.count("shallot_feed_bytes_total", {{"kind", Kind}},
+                double(R.Body.size()));
+    if (R.Body.size() >= LargeAnswer)
+      logEvent(LogLevel::Info, "feed_answer",
+               {{"kind", Kind},
+                {"from", Source.Peer->Id.str()},
+                {"how", How},
+                {"bytes", std::to_string(R.Body.size())},
+                {"ms", std::to_string(toMillis(R.Took))}});
+  }
+
+  /// Answers that are logged one by one: a change of one registration has 300
+  /// bytes, a page of them 100 KB, and comes at starts only.
+  static constexpr std::size_t LargeAnswer = 64 << 10;
+
   EventLoop &Loop;
   HttpClient &Http;
   Store &S;
   FeedSources From;
   Random &Rng;
+  Metrics &Meter;
   bool Listed = false;
   std::optional<FeedSource> Last;
+  FeedSource Asked; ///< The peer of the latest call to a peer.
+  HttpClient::TransferId Call = 0;
 };
 
 } // namespace shallot
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -55,8 +55,8 @@
   ServingFeed(EventLoop &Loop, HttpClient &Http, Store &S, FrontDaemon &D,
               ServingForms F)
       : Loop(Loop), D(D), Forms(std::move(F)),
-        ConfigSource(Loop, Http, S, sources(D), D.random()),
-        ReplicaSource(Loop, Http, S, sources(D), D.random()),
+        ConfigSource(Loop, Http, S, sources(D), D.random(), D.metrics()),
+        ReplicaSource(Loop, Http, S, sources(D), D.random(), D.metrics()),
         Configs(ConfigSource, Loop, Forms.ConfigKind, options(ConfigPause),
                 D.random(), configHooks()),
         Replicas(ReplicaSource, Loop, Forms.ReplicaKind, options(ReplicaPause),
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -85,6 +85,7 @@
 /// One transfer, and the easy handle that it runs on.
 struct Transfer {
   CURL *Easy = nullptr;
+  const EventLoop *Clock = nullptr;
   internal::CurlMulti::Target Where;
   HttpClient::TransferId Id = 0; ///< 0 while it is not in use.
   std::uint32_t Slot = 0;
@@ -93,6 +94,7 @@
   std::size_t MaxBytes = 0;
   std::size_t Bytes = 0; ///< Of the reply, headers and body.
   Instant Started{};
+  Instant LastByte{}; ///< Of the reply.
   std::string Url;
   std::string Body;
   HeaderList Headers;
@@ -108,6 +110,7 @@
 /// Counts \p More bytes; false when the reply is larger than allowed.
 bool fits(Transfer &T, std::size_t More) {
   T.Bytes += More;
+  T.LastByte = T.Clock->now();
   return T.Bytes <= T.MaxBytes;
 }
 
@@ -287,7 +290,9 @@
   T.Id = (static_cast<TransferId>(++T.Generation) << 32) | T.Slot;
   T.MaxBytes = Limits.MaxReplyBytes;
   T.Bytes = 0;
+  T.Clock = &Loop;
   T.Started = Loop.now();
+  T.LastByte = T.Started;
   T.Reply = HttpReply();
   ++Running;
   return T;
@@ -377,6 +382,14 @@
   I->release(*T);
 }
 
+std::optional<TransferProgress> HttpClient::progress(TransferId Id) const {
+  const Transfer *T = I->find(Id);
+  if (!T)
+    return std::nullopt;
+  Instant Now = I->Loop.now();
+  return TransferProgress{T->Bytes, Now - T->Started, Now - T->LastByte};
+}
+
 void HttpClient::forget(const Endpoint &To) {
   I->Multi.dropIdle(To, Instant::max());
   for (auto &T : I->Slots)
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace shallot {
 
@@ -33,6 +34,16 @@
   Duration MaxIdleAge = Seconds(30);
 };
 
+/// How far the reply to a transfer has come.
+struct TransferProgress {
+  std::size_t Bytes = 0; ///< Headers and body.
+  Duration Age{};        ///< Since the request was given to the client.
+  Duration Silent{};     ///< Since the last byte of the reply, or as Age.
+
+  friend bool operator==(const TransferProgress &,
+                         const TransferProgress &) = default;
+};
+
 class HttpClient {
 public:
   using Callback = std::function<void(HttpReply)>;
@@ -47,6 +58,8 @@
   TransferId send(HttpRequest Request, Callback Done);
   /// Drops a transfer; its callback will not be called. Its connection closes.
   void cancel(TransferId Id);
+  /// Nothing when the transfer has ended.
+  std::optional<TransferProgress> progress(TransferId Id) const;
   /// Closes the idle connections to \p To (and, when a transfer on one ends,
   /// that one too): the next request opens a new one.
   void forget(const Endpoint &To);
