tests: a large change never comes into force on a slow link (fails)

A daemon hears of the store through three peers over a link of 400 KB/s; a change of 600 KB comes. Judged by bytes of the link, not by the clock.

--- /dev/null
+++ b/tests/failure/LargeChangeOnASlowLink.cpp
@@ -0,0 +1,94 @@
+// A change that had been confirmed was not in force on hosts with small links:
+// their callers got 404 for routes that were there, and others ran by the old
+// rule, for seconds or for good. A configuration of 4,000 routes takes such a
+// host half a second to receive; it heard of the change from a peer, gave up the
+// answer that was arriving and asked that peer instead, and 0.7 s later did so
+// again. Everything that it had given up went on arriving and left less for the
+// next try.
+//
+//   feed_call_replaced  kind config  bytes 606208  ms 3906  silent_ms 12
+//   feed_call_replaced  kind config  bytes 671744  ms 538   silent_ms 6
+//   feed_call_replaced  kind config  bytes 409600  ms 696   silent_ms 17
+#include "FrontBed.h"
+#include "SlowPeers.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+using namespace shallot::standins;
+
+namespace {
+
+/// Bytes a second of the daemon's link, far below what loopback carries.
+constexpr std::size_t LinkRate = 400000;
+/// A configuration of this size takes 1.5 s on that link.
+constexpr std::size_t LargeChange = 600000;
+/// What may go over the link until it is in force: twice what it takes.
+constexpr std::size_t Enough = 2 * LargeChange;
+
+/// A daemon that hears of the store only through three larger peers.
+struct SlowBed : FrontBed {
+  SlowLink Link{Loop, LinkRate};
+  PeerStore Known;
+  std::vector<std::unique_ptr<SlowPeer>> Peers;
+
+  SlowBed() {
+    FrontBed::Store.setFaults({.Mode = StoreMode::Busy});
+    change(7, 10, 0);
+    Known.Replicas.replaceAll({}, 9);
+    std::string Ip = ownLoopbackIp();
+    Ip.pop_back();
+    for (int N = 2; N <= 4; ++N) {
+      FrontSettings S = Set;
+      S.Host = HostId("peer-" + std::to_string(N));
+      S.Gossip.Ip = Ip + std::to_string(N);
+      S.Peers = freeEndpoint(S.Gossip.Ip);
+      S.Cores = 8;
+      S.Seeds = {{Ip + "2", Set.Gossip.Port}};
+      Peers.push_back(std::make_unique<SlowPeer>(Loop, S, Link, Known));
+    }
+    Set.Seeds = {{Ip + "2", Set.Gossip.Port}};
+    open();
+    inForce(7, Enough);
+  }
+
+  /// The operator's next version, \p Padding bytes larger than the first. All
+  /// peers have it at once.
+  void change(int Version, std::uint64_t Revision, std::size_t Padding) {
+    KindObject O{"main", Revision, config(Version)};
+    O.Content["note"] = std::string(Padding, 'x');
+    Known.Version = static_cast<std::uint64_t>(Version);
+    if (Known.Configs.revision() == 0)
+      Known.Configs.replaceAll({O}, Revision);
+    else
+      Known.Configs.apply({O, false});
+    Known.Configs.advance(Revision);
+    for (auto &P : Peers)
+      P->advance();
+  }
+
+  /// Whether \p Version comes into force before \p Bytes have gone over the
+  /// link. The time is the link's, so a busy machine changes nothing.
+  bool inForce(std::uint64_t Version, std::size_t Bytes) {
+    std::size_t End = Link.sent() + Bytes;
+    runUntil([&] {
+      return Daemon->configVersion() == Version || Link.sent() >= End;
+    });
+    return Daemon->configVersion() == Version;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SlowBed, "a change that takes long to receive is received") {
+  change(8, 11, LargeChange);
+  CHECK(inForce(8, Enough));
+}
+
+TEST_CASE_FIXTURE(SlowBed, "who is behind by several changes gets the newest") {
+  for (int N = 1; N <= 4; ++N)
+    change(7 + N, 10 + static_cast<std::uint64_t>(N), LargeChange);
+  // The first of them was on its way before the others were there.
+  CHECK(inForce(11, Enough + LargeChange / 2));
+}
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -7,6 +7,10 @@
   LABELS failure
   SOURCES TestMain.cpp FrontBed.cpp failure/ForeignEntriesNameNoReplica.cpp
           failure/PeersAreToldWhatIsStale.cpp)
+shallot_test(feed_failure PACKAGES platform LIBRARIES standin_core
+  LABELS failure
+  SOURCES TestMain.cpp FrontBed.cpp SlowPeers.cpp
+          failure/LargeChangeOnASlowLink.cpp)
 add_test(NAME wire_names_stay_in_platform
   COMMAND ${CMAKE_COMMAND} -DROOT=${CMAKE_SOURCE_DIR}
           -P ${CMAKE_SOURCE_DIR}/cmake/CheckWireNames.cmake)
