front: an answer that arrives is not given up for another

Cause: a daemon that heard of a newer version from a peer gave up the call that was out at once, also while its answer arrived, asked that peer, and did so again every 0.7 s; the calls given up went on and shared its link. Fed by three more faults: the patience ran from its own last change and not from the first word of a newer one; both kinds were asked for anew when one was behind; a preferred peer outside of the usual list counted as lost at the next change of the membership, and all that were behind preferred the same peer. Change: CatchUp decides when to ask a peer that is ahead (no I/O); a call whose answer came in the last moment is kept; a call that is replaced is cancelled, so that the sender stops; any daemon of the region that is ahead is asked, in turn by chance.

--- a/packages/front/FeedSources.cpp
+++ b/packages/front/FeedSources.cpp
@@ -37,9 +37,13 @@
 
 void FeedSources::update(const FleetView &View) {
   std::map<Region, std::vector<Member>> ByRegion;
-  for (const Member &M : View.Members)
+  Serving.clear();
+  for (const Member &M : View.Members) {
+    if (mayServe(M))
+      Serving.push_back(M.Id);
     if (mayServe(M) || M.Id.Host == Self)
       ByRegion[M.Reg].push_back(M);
+  }
   for (auto &[Reg, List] : ByRegion)
     std::ranges::sort(List, std::greater<>(), rankOf);
   std::vector<Member> Others;
@@ -135,11 +139,10 @@
   B.Until = Now + fromMillisF(toMillisF(B.For) * (0.75 + 0.5 * uniform01(Rng)));
 }
 
+/// Any member that serves may be the one that was preferred: it counts as lost
+/// by its state, not by its place among the usual sources.
 bool FeedSources::lost(const FeedSource &S) const {
-  if (S.direct())
-    return false;
-  return std::ranges::none_of(
-      Peers, [&](const Member &M) { return M.Id == S.Peer->Id; });
+  return !S.direct() && std::ranges::find(Serving, S.Peer->Id) == Serving.end();
 }
 
 } // namespace shallot
--- a/packages/front/FeedSources.h
+++ b/packages/front/FeedSources.h
@@ -80,8 +80,9 @@
   HostId Self;
   Region Here;
   std::optional<Member> Preferred;
-  std::vector<Member> Peers; ///< In the order in which they are asked.
-  bool First = true;         ///< Of its region.
+  std::vector<Member> Peers;     ///< In the order in which they are asked.
+  std::vector<DaemonId> Serving; ///< Every member that may be asked.
+  bool First = true;             ///< Of its region.
   bool Relays = false;
   std::map<HostId, Bad> Failures; ///< The empty name is the store.
 };
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -148,15 +148,30 @@
   Members.setConfig(S.ConfigVersion, S.ReplicaRevision);
 }
 
+ReadState FleetLink::furthest() const {
+  ReadState Most;
+  for (const PeerConfig &P : Members.peerConfigs()) {
+    Most.ConfigVersion = std::max(Most.ConfigVersion, P.Generation);
+    Most.ReplicaRevision = std::max(Most.ReplicaRevision, P.Head);
+  }
+  return Most;
+}
+
 std::optional<PeerAhead> FleetLink::ahead(const ReadState &S) const {
+  std::vector<PeerAhead> Near;
+  std::vector<PeerAhead> Far;
   for (const PeerConfig &P : Members.peerConfigs()) {
     if (P.Generation <= S.ConfigVersion && P.Head <= S.ReplicaRevision)
       continue;
     for (const Member &M : view().Members)
       if (M.Id == P.Who && M.State == MemberState::Alive)
-        return PeerAhead{M, {P.Generation, P.Head}};
+        (M.Reg == Set.Here.Reg ? Near : Far)
+            .push_back({M, {P.Generation, P.Head}});
   }
-  return std::nullopt;
+  const std::vector<PeerAhead> &From = Near.empty() ? Far : Near;
+  if (From.empty())
+    return std::nullopt;
+  return From[Rng() % From.size()];
 }
 
 } // namespace shallot
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -53,7 +53,11 @@
   void announce(const ReadState &S);
   /// What the membership sent and received.
   const GossipSocketStats &traffic() const { return Socket->stats(); }
-  /// A live peer that has read further than \p S, if one said so.
+  /// The furthest that live peers say they have read, of each kind.
+  ReadState furthest() const;
+  /// A live peer that has read further than \p S, if one said so: one of this
+  /// region if there is one, and any of them, so that a fleet that is behind
+  /// does not ask the same daemon.
   std::optional<PeerAhead> ahead(const ReadState &S) const;
 
 private:
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -30,7 +30,23 @@
 /// in milliseconds, and whoever asks goes to the store itself afterwards.
 inline constexpr Duration PeerListWait = Millis(300);
 
-template <KindStore Store> class RelayedStore {
+/// A store whose calls can be looked at and given up while they run.
+template <typename S>
+concept CallableStore = KindStore<S> &&
+    requires(S &Store, std::string Text, std::uint64_t Revision, Duration Wait,
+             StoreCallback<KindPage> OnPage,
+             StoreCallback<KindChanges> OnChanges, HttpClient::TransferId Id) {
+  { Store.list(Text, Text, OnPage) } -> std::same_as<HttpClient::TransferId>;
+  {
+    Store.watchKind(Text, Revision, Wait, OnChanges)
+    } -> std::same_as<HttpClient::TransferId>;
+  { Store.progress(Id) } -> std::same_as<std::optional<TransferProgress>>;
+  Store.cancel(Id);
+};
+
+/// One call at a time: the next one gives up the one before, so that what still
+/// comes of that takes nothing of the link.
+template <CallableStore Store> class RelayedStore {
 public:
   RelayedStore(EventLoop &Loop, HttpClient &Http, Store &S, FeedSources From,
                Random &Rng, Metrics &Meter)
@@ -41,6 +57,7 @@
 
   void list(const std::string &Kind, const std::string &After,
             StoreCallback<KindPage> OnDone) {
+    giveUp(Kind);
     FeedSource Source = choose(Kind, false);
     auto Done = [this, Kind, Source,
                  OnDone = std::move(OnDone)](Attempt<KindPage> P) {
@@ -48,8 +65,10 @@
       Listed = Listed || (P && !P->More);
       OnDone(std::move(P));
     };
-    if (Source.direct())
-      return S.list(Kind, After, std::move(Done));
+    if (Source.direct()) {
+      Call = S.list(Kind, After, std::move(Done));
+      return;
+    }
     FeedQuestion Q;
     Q.Kind = Kind;
     Q.After = After;
@@ -60,6 +79,7 @@
 
   void watchKind(const std::string &Kind, std::uint64_t Revision, Duration Wait,
                  StoreCallback<KindChanges> OnDone) {
+    giveUp(Kind);
     FeedSource Source = choose(Kind, true);
     auto Done = [this, Source,
                  OnDone = std::move(OnDone)](Attempt<KindChanges> C) {
@@ -70,8 +90,10 @@
       else
         OnDone(std::move(C));
     };
-    if (Source.direct())
-      return S.watchKind(Kind, Revision, Wait, std::move(Done));
+    if (Source.direct()) {
+      Call = S.watchKind(Kind, Revision, Wait, std::move(Done));
+      return;
+    }
     FeedQuestion Q;
     Q.Kind = Kind;
     Q.Since = Revision;
@@ -83,14 +105,19 @@
 
   /// The source that was asked last can no longer be relied on.
   bool lost() const { return Last && From.lost(*Last); }
+  /// A part of an answer has come in the last \p D. Such a call is not given
+  /// up for another: the answer would begin anew.
+  bool receivedWithin(Duration D) const {
+    std::optional<TransferProgress> P = progress();
+    return P && P->Bytes != 0 && P->Silent <= D;
+  }
 
 private:
   FeedSource choose(const std::string &Kind, bool WasListed) {
     FeedSource Source = From.next(WasListed || Listed, Loop.now());
     if (Last != Source)
       logEvent(LogLevel::Info, "feed_source",
-               {{"kind", Kind},
-                {"from", Source.direct() ? "store" : Source.Peer->Id.str()}});
+               {{"kind", Kind}, {"from", sourceName(Source)}});
     Last = Source;
     return Source;
   }
@@ -107,12 +134,10 @@
 
   void ask(const FeedSource &Source, const FeedQuestion &Q, Duration Timeout,
            HttpClient::Callback Done) {
-    reportReplaced(Q.Kind);
     HttpRequest R;
     R.To = Source.Peer->Rpc;
     R.Path = feedTarget(Q);
     R.Timeout = Timeout;
-    Asked = Source;
     Call = Http.send(std::move(R),
                      [this, Source, Kind = Q.Kind,
                       Done = std::move(Done)](const HttpReply &Reply) {
@@ -121,21 +146,39 @@
                      });
   }
 
-  /// A call that another takes the place of: what had come of its answer.
-  void reportReplaced(const std::string &Kind) {
-    std::optional<TransferProgress> P = Http.progress(Call);
+  std::optional<TransferProgress> progress() const {
+    if (!Last)
+      return std::nullopt;
+    return Last->direct() ? S.progress(Call) : Http.progress(Call);
+  }
+
+  /// Ends the call that is out, if there is one: another takes its place.
+  void giveUp(const std::string &Kind) {
+    std::optional<TransferProgress> P = progress();
     if (!P)
       return;
+    reportGivenUp(Kind, *P);
+    if (Last->direct())
+      S.cancel(Call);
+    else
+      Http.cancel(Call);
+  }
+
+  void reportGivenUp(const std::string &Kind, const TransferProgress &P) {
     Meter.count("shallot_feed_replaced_total", {{"kind", Kind}});
     Meter.count("shallot_feed_replaced_bytes_total", {{"kind", Kind}},
-                double(P->Bytes));
-    if (P->Bytes != 0)
+                double(P.Bytes));
+    if (P.Bytes != 0)
       logEvent(LogLevel::Info, "feed_call_replaced",
                {{"kind", Kind},
-                {"from", Asked.Peer->Id.str()},
-                {"bytes", std::to_string(P->Bytes)},
-                {"ms", std::to_string(toMillis(P->Age))},
-                {"silent_ms", std::to_string(toMillis(P->Silent))}});
+                {"from", sourceName(*Last)},
+                {"bytes", std::to_string(P.Bytes)},
+                {"ms", std::to_string(toMillis(P.Age))},
+                {"silent_ms", std::to_string(toMillis(P.Silent))}});
+  }
+
+  static std::string sourceName(const FeedSource &Source) {
+    return Source.direct() ? "store" : Source.Peer->Id.str();
   }
 
   void reportAnswer(const FeedSource &Source, const std::string &Kind,
@@ -147,7 +190,7 @@
     if (R.Body.size() >= LargeAnswer)
       logEvent(LogLevel::Info, "feed_answer",
                {{"kind", Kind},
-                {"from", Source.Peer->Id.str()},
+                {"from", sourceName(Source)},
                 {"how", How},
                 {"bytes", std::to_string(R.Body.size())},
                 {"ms", std::to_string(toMillis(R.Took))}});
@@ -164,8 +207,7 @@
   Random &Rng;
   Metrics &Meter;
   bool Listed = false;
-  std::optional<FeedSource> Last;
-  FeedSource Asked; ///< The peer of the latest call to a peer.
+  std::optional<FeedSource> Last; ///< Of the latest call.
   HttpClient::TransferId Call = 0;
 };
 
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -10,6 +10,7 @@
 #ifndef SHALLOTSHIFT_FRONT_SERVINGFEED_H
 #define SHALLOTSHIFT_FRONT_SERVINGFEED_H
 
+#include "front/CatchUp.h"
 #include "front/FeedServer.h"
 #include "front/FrontDaemon.h"
 #include "front/RelayedStore.h"
@@ -50,7 +51,7 @@
 /// other seeds are on their way.
 inline constexpr Duration PeersSettle = Millis(40);
 
-template <KindStore Store> class ServingFeed {
+template <CallableStore Store> class ServingFeed {
 public:
   ServingFeed(EventLoop &Loop, HttpClient &Http, Store &S, FrontDaemon &D,
               ServingForms F)
@@ -98,7 +99,8 @@
 
   void tick() {
     Server.tick();
-    compareWithPeers();
+    if (++Ticks % CompareEvery == 0)
+      compareWithPeers();
     Loop.after(FeedTick, [this] { tick(); });
   }
 
@@ -108,59 +110,91 @@
 
   /// The failure: the daemon that this one relies on hears nothing, and does
   /// not know it yet. Every message of the membership says how far its sender
-  /// has read; whoever hears of more and has not got it in BehindPatience asks
-  /// that sender itself.
+  /// has read; whoever hears of more and gets nothing (CatchUp) asks one that
+  /// has it.
   void compareWithPeers() {
     ReadState Mine = readState();
     D.fleet().announce(Mine);
-    Instant Now = Loop.now();
-    if (Mine != Before) {
-      Before = Mine;
-      SameSince = Now;
-      return;
-    }
-    if (!Configs.listed() || Now < SameSince + BehindPatience)
-      return;
-    SameSince = Now;
+    ReadState Most = D.fleet().furthest();
+    bool Listed = Configs.listed();
+    if (ConfigCatchUp.due(
+            Listed && Most.ConfigVersion > Mine.ConfigVersion,
+            moving(ConfigSource, Mine.ConfigVersion != Before.ConfigVersion),
+            Loop.now()))
+      askAhead(Mine.ConfigVersion);
     // A removal that one saw and the other only finds missing in a list leaves
     // the two apart for good: a peer's word on replicas is followed once. A
     // version is followed until it is in force.
-    ReadState Known{Mine.ConfigVersion,
-                    std::max(Mine.ReplicaRevision, FollowedReplicas)};
-    std::optional<PeerAhead> Ahead = D.fleet().ahead(Known);
+    std::uint64_t Followed = std::max(Mine.ReplicaRevision, FollowedReplicas);
+    if (ReplicaCatchUp.due(Listed && Most.ReplicaRevision > Followed,
+                           moving(ReplicaSource, Mine.ReplicaRevision !=
+                                                     Before.ReplicaRevision),
+                           Loop.now()))
+      askAheadOnReplicas(Followed);
+    Before = Mine;
+  }
+
+  static bool moving(const RelayedStore<Store> &Source, bool Changed) {
+    return Changed || Source.receivedWithin(FeedTick * CompareEvery);
+  }
+
+  void askAhead(std::uint64_t Version) {
+    std::optional<PeerAhead> Ahead =
+        D.fleet().ahead({Version, AnyReplicaRevision});
     if (!Ahead)
       return;
-    FollowedReplicas =
-        std::max(Known.ReplicaRevision, Ahead->Read.ReplicaRevision);
-    logEvent(LogLevel::Info, "peer_has_read_more",
-             {{"peer", Ahead->Peer.Id.str()},
-              {"config", std::to_string(Mine.ConfigVersion)},
-              {"its_config", std::to_string(Ahead->Read.ConfigVersion)},
-              {"replicas", std::to_string(Mine.ReplicaRevision)},
-              {"its_replicas", std::to_string(Ahead->Read.ReplicaRevision)}});
+    logAhead(*Ahead, "config", Version, Ahead->Read.ConfigVersion);
     ConfigSource.sources().prefer(Ahead->Peer);
     Configs.renew();
+  }
+
+  void askAheadOnReplicas(std::uint64_t Revision) {
+    std::optional<PeerAhead> Ahead =
+        D.fleet().ahead({AnyConfigVersion, Revision});
+    if (!Ahead)
+      return;
+    logAhead(*Ahead, "replicas", Revision, Ahead->Read.ReplicaRevision);
+    FollowedReplicas = std::max(Revision, Ahead->Read.ReplicaRevision);
     ReplicaSource.sources().prefer(Ahead->Peer);
     Replicas.renew();
   }
 
+  static void logAhead(const PeerAhead &Ahead, std::string_view Watch,
+                       std::uint64_t Mine, std::uint64_t Its) {
+    logEvent(LogLevel::Info, "peer_has_read_more",
+             {{"peer", Ahead.Peer.Id.str()},
+              {"watch", std::string(Watch)},
+              {"mine", std::to_string(Mine)},
+              {"its", std::to_string(Its)}});
+  }
+
   void fleetChanged() {
     if (!Started && D.view().Members.size() > 1)
       Loop.after(PeersSettle, [this] { startOnce(); });
     ConfigSource.sources().update(D.view());
     ReplicaSource.sources().update(D.view());
-    if (ConfigSource.lost())
-      Configs.renew();
-    if (ReplicaSource.lost())
-      Replicas.renew();
+    leaveLost(ConfigSource, Configs);
+    leaveLost(ReplicaSource, Replicas);
+  }
+
+  /// A host with a full link answers no probes and is suspected, also by those
+  /// whom it is sending an answer to.
+  template <typename Watch>
+  static void leaveLost(const RelayedStore<Store> &Source, Watch &W) {
+    if (Source.lost() && !Source.receivedWithin(BehindPatience))
+      W.renew();
   }
 
   /// A name of another writer may be as long as it likes.
   static constexpr std::size_t MostLoggedName = 80;
   /// How often peers that wait are looked at.
   static constexpr Duration FeedTick = Millis(100);
-  /// A change reaches everyone within milliseconds while all is well.
-  static constexpr Duration BehindPatience = Millis(700);
+  /// Ticks from one comparison with the peers to the next: each copies what
+  /// every member said.
+  static constexpr unsigned CompareEvery = 2;
+  /// No peer is ahead of these.
+  static constexpr std::uint64_t AnyConfigVersion = UINT64_MAX;
+  static constexpr std::uint64_t AnyReplicaRevision = UINT64_MAX;
 
   static KindWatchOptions options(Duration Pause) {
     KindWatchOptions O;
@@ -186,7 +220,8 @@
     H.Away = [this](const Error &Why) {
       logAway("config", Why);
       // Its sibling's call may hang on the same loss without saying so.
-      if (Replicas.listed() && Replicas.storeAnswers())
+      if (Replicas.listed() && Replicas.storeAnswers() &&
+          !ReplicaSource.receivedWithin(BehindPatience))
         Replicas.renew();
     };
     H.Back = [] { logBack("config"); };
@@ -291,10 +326,12 @@
   KindWatch<RelayedStore<Store>, EventLoop> Replicas;
   FeedServer Server;
   bool Started = false; ///< Something was asked for.
-  ReadState Before;     ///< At the last comparison.
+  unsigned Ticks = 0;
+  ReadState Before; ///< At the last comparison.
+  CatchUp ConfigCatchUp;
+  CatchUp ReplicaCatchUp;
   /// The newest word of a peer on replicas that was asked for.
   std::uint64_t FollowedReplicas = 0;
-  Instant SameSince{};
 };
 
 } // namespace shallot
--- a/tests/failure/LargeChangeOnASlowLink.cpp
+++ b/tests/failure/LargeChangeOnASlowLink.cpp
@@ -1,10 +1,10 @@
 // A change that had been confirmed was not in force on hosts with small links:
 // their callers got 404 for routes that were there, and others ran by the old
 // rule, for seconds or for good. A configuration of 4,000 routes takes such a
-// host half a second to receive; it heard of the change from a peer, gave up the
-// answer that was arriving and asked that peer instead, and 0.7 s later did so
-// again. Everything that it had given up went on arriving and left less for the
-// next try.
+// host half a second to receive; it heard of the change from a peer, gave up
+// the answer that was arriving and asked that peer instead, and 0.7 s later did
+// so again. Everything that it had given up went on arriving and left less for
+// the next try.
 //
 //   feed_call_replaced  kind config  bytes 606208  ms 3906  silent_ms 12
 //   feed_call_replaced  kind config  bytes 671744  ms 538   silent_ms 6
