--- a/tests/failure/NetLargeRepliesAreWaitedFor.cpp
+++ b/tests/failure/NetLargeRepliesAreWaitedFor.cpp
@@ -1,8 +1,8 @@
 // Callers see nothing of this but what comes of it: a configuration that never
-// arrives. A reply is so large, or a link so full, that it takes longer than the
-// time in which a dead sender must be noticed. It comes piece by piece; whoever
-// gives up asks for it again from its start. A reply that stops coming, or
-// comes for ever, must still be given up.
+// arrives. A reply is so large, or a link so full, that it takes longer than
+// the time in which a dead sender must be noticed. It comes piece by piece;
+// whoever gives up asks for it again from its start. A reply that stops coming,
+// or comes for ever, must still be given up.
 #include "NetFixture.h"
 #include "RawServer.h"
 #include "SlowLink.h"
@@ -22,7 +22,8 @@
 struct LargeReply : NetFixture {
   Endpoint Far = freeEndpoint("127.0.11.7");
   Endpoint Near = freeEndpoint("127.0.11.7");
-  RawServer Server{Loop, Far, [](const RawRequest &) { return RawAct::Answer; }};
+  RawServer Server{Loop, Far,
+                   [](const RawRequest &) { return RawAct::Answer; }};
   SlowLink Link{Loop, ReplyBytes};
   SlowProxy Proxy{Loop, Near, Far, Link};
   HttpClient Client{Loop};
