net, front, platform: what is more than a reply holds is listed anew

Cause: a reply above the client's limit failed like a lost one, so the watch asked for the same changes again, and for more of them each time.

--- a/packages/front/FeedWire.cpp
+++ b/packages/front/FeedWire.cpp
@@ -97,6 +97,8 @@
 template <typename T>
 Attempt<T> readBody(const HttpReply &R,
                     Result<T> (*Read)(const std::string &)) {
+  if (R.TooLarge)
+    return Error{ResultCode::PlatformHistoryGone, "more than a reply holds"};
   if (!R.arrived())
     return Error{ResultCode::PeerUnreachable, codeLabel(R.Failure)};
   if (R.Status == infoOf(ResultCode::PlatformHistoryGone).HttpStatus)
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -121,7 +121,8 @@
 bool fits(Transfer &T, std::size_t More) {
   T.Bytes += More;
   T.LastByte = T.Clock->now();
-  return T.Bytes <= T.MaxBytes;
+  T.Reply.TooLarge = T.Bytes > T.MaxBytes;
+  return !T.Reply.TooLarge;
 }
 
 std::size_t onBody(char *Data, std::size_t, std::size_t Size, void *Self) {
--- a/packages/net/HttpTypes.h
+++ b/packages/net/HttpTypes.h
@@ -53,6 +53,7 @@
   Duration Took{0};
   std::size_t ReceivedBytes = 0; ///< Of the body, as it came: deflated or not.
   bool NewConnection = false;    ///< A connection was opened for it.
+  bool TooLarge = false;         ///< Given up for its size: UpstreamBadReply.
 
   bool arrived() const { return Failure == ResultCode::Ok; }
 };
