soak: configurations that grow, links with a rate

Cause: neither the soak nor a test had a configuration above 10 KB or a link with a rate, so answers that take long to arrive never occurred. Change: a trouble that adds up to 3,000 routes and changes once more right after, and a rate of 0.1 to 1 MB/s among the troubles of a link.

--- a/tools/soakkit/faults.py
+++ b/tools/soakkit/faults.py
@@ -16,6 +16,8 @@
 QUIET_START = 1.5
 MEAN_GAP = 0.9
 SHORTEST, LONGEST = 0.2, 4.0
+# Routes that the configuration grows by at most: 0.6 MB.
+GROWN = 3000
 
 
 def schedule(rng, seconds):
@@ -179,11 +181,13 @@
 
     async def link_trouble(self, start, length):
         link = self.link(start)
-        how = self.rng.choice(["delay", "cut", "one way", "silence", "reset",
-                               "refuse"])
+        how = self.rng.choice(["delay", "rate", "cut", "one way", "silence",
+                               "reset", "refuse"])
         mark = self.begin(f"link {how}", link.name)
         if how == "delay":
             link.delay = self.rng.uniform(0.01, 0.4)
+        elif how == "rate":
+            link.rate = self.rng.uniform(1e5, 1e6)
         elif how == "cut":
             link.set_cut(UP, DOWN)
         elif how == "one way":
@@ -272,6 +276,15 @@
             await asyncio.sleep(self.rng.uniform(0, 0.4))
         mark.end = time.monotonic()
 
+    async def config_grows(self, _length):
+        """It grows by thousands of routes and changes once more right after."""
+        mark = self.begin("change", "config", planned=True)
+        routes = [f"grown-{n}" for n in range(self.rng.randint(500, GROWN))]
+        await self.world.change_config(more=routes)
+        await asyncio.sleep(self.rng.uniform(0, 1.0))
+        await self.world.change_config(more=routes[1:])
+        mark.end = time.monotonic()
+
     async def config_storm(self, length):
         await self.config_changes(length, self.rng.randint(3, 8))
 
@@ -282,4 +295,5 @@
     "store_reset", "store_slow", "history_dropped", "entries_lapse",
     "store_link", "callers_link", "replica_link", "replica_dies",
     "replica_hangs", "replica_sheds", "replica_fails", "replica_slow",
-    "replica_garbles", "replica_leaves", "config_changes", "config_storm")}
+    "replica_garbles", "replica_leaves", "config_changes", "config_grows",
+    "config_storm")}
--- a/tools/soakkit/proxy.py
+++ b/tools/soakkit/proxy.py
@@ -4,6 +4,7 @@
 does to them can be changed at any moment:
 
     delay      each piece arrives so many seconds later, in order
+    rate       all pieces together arrive at so many bytes a second
     cut        bytes of one direction, or of both, are held until the cut ends
     silence()  open connections fall silent for good; new ones work
     reset()    open connections are reset; new ones work
@@ -56,7 +57,8 @@
 
     def push(self, piece):
         loop = asyncio.get_running_loop()
-        due = max(self.last_due, loop.time() + self.link.delay)
+        size = len(piece) if piece else 0
+        due = max(self.last_due, self.link.sent_at(size) + self.link.delay)
         self.last_due = due
         self.queue.append((due, piece))
         if due <= loop.time():
@@ -84,6 +86,8 @@
         self.listen = listen
         self.target = target
         self.delay = 0.0
+        self.rate = None
+        self.free_at = 0.0  # When all that was given to it has been sent.
         self.cut = frozenset()
         self.refuse = False
         self.flows = set()
@@ -93,6 +97,14 @@
         self.server = await asyncio.get_running_loop().create_server(
             lambda: Flow(self, UP), *self.listen)
 
+    def sent_at(self, size):
+        """When a piece of this size that comes now has been sent."""
+        now = asyncio.get_running_loop().time()
+        if self.rate is None:
+            return now
+        self.free_at = max(self.free_at, now) + size / self.rate
+        return self.free_at
+
     def set_cut(self, *directions):
         self.cut = frozenset(directions)
         for flow in list(self.flows):
@@ -108,6 +120,7 @@
 
     def heal(self):
         self.delay = 0.0
+        self.rate = None
         self.refuse = False
         self.set_cut()
 
