front, fleet: answers are written in a file of their own, troubles named once

Change: AnswerWriting, the counterpart of ReplyReading; isTrouble() beside eventName(), by which a full table is a warning in both.

--- a/packages/daemon/ControlPlane.cpp
+++ b/packages/daemon/ControlPlane.cpp
@@ -15,19 +15,6 @@
 /// What membership and configuration both take for a pause of this process.
 const Duration PauseGap = MembershipOptions().PauseThreshold;
 
-LogLevel levelOf(MembershipEventKind K) {
-  switch (K) {
-  case MembershipEventKind::Failed:
-  case MembershipEventKind::Accused:
-  case MembershipEventKind::Paused:
-  case MembershipEventKind::Superseded:
-  case MembershipEventKind::TableFull:
-    return LogLevel::Warn;
-  default:
-    return LogLevel::Info;
-  }
-}
-
 /// A generation and head as gossip announces them.
 std::uint64_t headNumber(const Head &H) { return hash64(encode(H)); }
 
@@ -116,7 +103,7 @@
 void ControlPlane::apply(const MembershipOutput &Out) {
   for (const MembershipEvent &E : Out.Events) {
     std::string By = E.By.empty() ? "" : " (by " + E.By.str() + ")";
-    Events.add(levelOf(E.Kind),
+    Events.add(isTrouble(E.Kind) ? LogLevel::Warn : LogLevel::Info,
                {Loop.wallTime(), std::string(eventName(E.Kind)), E.Who.str(),
                 E.Evidence + By});
   }
--- a/packages/fleet/Membership.cpp
+++ b/packages/fleet/Membership.cpp
@@ -59,6 +59,19 @@
   return EventNames.at(static_cast<std::size_t>(Kind));
 }
 
+bool isTrouble(MembershipEventKind Kind) {
+  switch (Kind) {
+  case MembershipEventKind::Failed:
+  case MembershipEventKind::Accused:
+  case MembershipEventKind::Paused:
+  case MembershipEventKind::Superseded:
+  case MembershipEventKind::TableFull:
+    return true;
+  default:
+    return false;
+  }
+}
+
 Result<Membership> Membership::make(const MembershipOptions &Options,
                                     Member Self, std::vector<Endpoint> Seeds,
                                     Random &Rng, Instant Now) {
--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -104,6 +104,10 @@
 /// The event's name in logs, such as "member_failed".
 std::string_view eventName(MembershipEventKind Kind);
 
+/// True for events that an operator should look at; the others are the usual
+/// coming and going.
+bool isTrouble(MembershipEventKind Kind);
+
 /// The state's name for people and in JSON, such as "leaving".
 std::string_view stateName(MemberState S);
 
--- /dev/null
+++ b/packages/front/AnswerWriting.cpp
@@ -0,0 +1,89 @@
+//===- AnswerWriting.cpp --------------------------------------------------===//
+#include "front/AnswerWriting.h"
+
+#include <fmt/format.h>
+
+namespace shallot {
+
+namespace {
+
+std::string_view outcomeOf(const ForwardAnswer &A) {
+  if (const auto *M = std::get_if<MergedAnswer>(&A))
+    return M->Missing == 0 ? "complete" : "partial";
+  if (const auto *P = std::get_if<PassedAnswer>(&A))
+    return P->Reply.success() ? "complete" : "replica_failure";
+  return effectText(infoOf(std::get<OwnAnswer>(A).Code).Effect);
+}
+
+CallerReply writeMerged(MergedAnswer M, const HeaderNames &Names) {
+  std::string Signatures;
+  for (const std::string &S : M.Signatures) {
+    Signatures += Signatures.empty() ? "" : ", ";
+    Signatures += S;
+  }
+  CallerReply Reply;
+  Reply.Headers.push_back({Names.Signatures, std::move(Signatures)});
+  if (M.Missing > 0)
+    Reply.Headers.push_back({Names.Missing, std::to_string(M.Missing)});
+  Reply.Body = std::move(M.Records);
+  return Reply;
+}
+
+CallerReply writePassed(PassedAnswer P) {
+  CallerReply Reply;
+  Reply.Status = P.Reply.Status;
+  Reply.Headers = std::move(P.Reply.Headers);
+  Reply.Body = std::move(P.Reply.Body);
+  return Reply;
+}
+
+} // namespace
+
+CallerReply writeOwnAnswer(const OwnAnswer &A, std::string Id) {
+  return callerProblem(A.Code, A.Why, std::move(Id), A.RetryAfter);
+}
+
+CallerReply writeAnswer(ForwardAnswer A, const HeaderNames &Names,
+                        const std::string &Id) {
+  if (auto *M = std::get_if<MergedAnswer>(&A))
+    return writeMerged(std::move(*M), Names);
+  if (auto *P = std::get_if<PassedAnswer>(&A))
+    return writePassed(std::move(*P));
+  return writeOwnAnswer(std::get<OwnAnswer>(A), Id);
+}
+
+void noteAnswer(Metrics &Meter, const std::string &Id, const ForwardRun &Run,
+                const ForwardAnswer &A, Instant Now) {
+  const ForwardAsk &Ask = Run.ask();
+  Duration Took = Now - Ask.Arrived;
+  std::string Outcome(outcomeOf(A));
+  Meter.count("shallot_forward_answers_total",
+              {{"route", Ask.Way->Name}, {"outcome", Outcome}});
+  Meter.latency("shallot_forward_seconds", {{"route", Ask.Way->Name}}, Took);
+  const RunStory &S = Run.story();
+  if (Outcome == "complete" && Took <= Ask.Way->Objective)
+    return;
+  const auto *Own = std::get_if<OwnAnswer>(&A);
+  const auto *Passed = std::get_if<PassedAnswer>(&A);
+  logEvent(LogLevel::Info, "request",
+           {{"id", Id},
+            {"route", Ask.Way->Name},
+            {"config", std::to_string(Ask.Config->version())},
+            {"outcome", Outcome},
+            {"code", Own ? codeLabel(Own->Code) : ""},
+            {"status", Passed ? std::to_string(Passed->Reply.Status) : ""},
+            {"why", Own ? Own->Why : ""},
+            {"took_ms", fmt::format("{:.1f}", toMillisF(Took))},
+            {"waits_ms", std::to_string(toMillis(Ask.CallerWaits))},
+            {"parts", fmt::format("{}/{}", S.PartsIn, S.Parts)},
+            {"sends", std::to_string(S.Sends)},
+            {"hedges", std::to_string(S.Hedges)},
+            {"retries", std::to_string(S.Retries)},
+            {"rejected", std::to_string(S.Rejected)},
+            {"lost", std::to_string(S.Lost)},
+            {"not_sent", std::to_string(S.NotSent)},
+            {"no_budget", std::to_string(S.BudgetRefusals)},
+            {"no_room", std::to_string(S.Waits)}});
+}
+
+} // namespace shallot
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -33,18 +33,6 @@
   return Seeds;
 }
 
-LogLevel levelOf(MembershipEventKind K) {
-  switch (K) {
-  case MembershipEventKind::Failed:
-  case MembershipEventKind::Accused:
-  case MembershipEventKind::Paused:
-  case MembershipEventKind::Superseded:
-    return LogLevel::Warn;
-  default:
-    return LogLevel::Info;
-  }
-}
-
 } // namespace
 
 Result<Membership> FleetLink::join(EventLoop &Loop, const FrontSettings &Set,
@@ -105,7 +93,8 @@
 
 void FleetLink::apply(const MembershipOutput &Out) {
   for (const MembershipEvent &E : Out.Events) {
-    logEvent(levelOf(E.Kind), eventName(E.Kind),
+    logEvent(isTrouble(E.Kind) ? LogLevel::Warn : LogLevel::Info,
+             eventName(E.Kind),
              {{"daemon", E.Who.str()},
               {"by", E.By.str()},
               {"evidence", E.Evidence}});
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -1,11 +1,11 @@
 //===- RequestDesk.cpp ----------------------------------------------------===//
 #include "front/RequestDesk.h"
 
+#include "front/AnswerWriting.h"
 #include "front/ReplyReading.h"
 
 #include <algorithm>
 #include <charconv>
-#include <fmt/format.h>
 
 namespace shallot {
 
@@ -51,18 +51,6 @@
   return Host;
 }
 
-CallerReply ownReply(const OwnAnswer &A, std::string Id) {
-  return callerProblem(A.Code, A.Why, std::move(Id), A.RetryAfter);
-}
-
-std::string_view outcomeOf(const ForwardAnswer &A) {
-  if (const auto *M = std::get_if<MergedAnswer>(&A))
-    return M->Missing == 0 ? "complete" : "partial";
-  if (const auto *P = std::get_if<PassedAnswer>(&A))
-    return P->Reply.success() ? "complete" : "replica_failure";
-  return effectText(infoOf(std::get<OwnAnswer>(A).Code).Effect);
-}
-
 } // namespace
 
 struct RequestDesk::Impl {
@@ -102,7 +90,6 @@
   void send(const JobPtr &J, const StartSend &S);
   void answer(const JobPtr &J, ForwardAnswer A);
   void schedule(const JobPtr &J);
-  void note(const Job &J, const ForwardAnswer &A);
   void tryResting();
 
   TimerQueue &Timers;
@@ -129,7 +116,7 @@
             {"why", A.Why},
             {"config", Config ? std::to_string(Config->version()) : "none"}});
   Meter.count("shallot_forward_refused_total", {{"code", codeLabel(A.Code)}});
-  E->reply(ownReply(A, std::move(Id)));
+  E->reply(writeOwnAnswer(A, std::move(Id)));
 }
 
 std::string RequestDesk::Impl::headFor(const CallerRequest &R) const {
@@ -293,59 +280,8 @@
 void RequestDesk::Impl::answer(const JobPtr &J, ForwardAnswer A) {
   --Unanswered;
   leave(J);
-  note(*J, A);
-  CallerReply Reply;
-  if (auto *M = std::get_if<MergedAnswer>(&A)) {
-    std::string Signatures;
-    for (const std::string &S : M->Signatures) {
-      Signatures += Signatures.empty() ? "" : ", ";
-      Signatures += S;
-    }
-    Reply.Headers.push_back({Names.Signatures, std::move(Signatures)});
-    if (M->Missing > 0)
-      Reply.Headers.push_back({Names.Missing, std::to_string(M->Missing)});
-    Reply.Body = std::move(M->Records);
-  } else if (auto *P = std::get_if<PassedAnswer>(&A)) {
-    Reply.Status = P->Reply.Status;
-    Reply.Headers = std::move(P->Reply.Headers);
-    Reply.Body = std::move(P->Reply.Body);
-  } else {
-    Reply = ownReply(std::get<OwnAnswer>(A), J->Id);
-  }
-  J->E->reply(std::move(Reply));
-}
-
-void RequestDesk::Impl::note(const Job &J, const ForwardAnswer &A) {
-  const ForwardAsk &Ask = J.Run.ask();
-  Duration Took = Timers.now() - Ask.Arrived;
-  std::string Outcome(outcomeOf(A));
-  Meter.count("shallot_forward_answers_total",
-              {{"route", Ask.Way->Name}, {"outcome", Outcome}});
-  Meter.latency("shallot_forward_seconds", {{"route", Ask.Way->Name}}, Took);
-  const RunStory &S = J.Run.story();
-  if (Outcome == "complete" && Took <= Ask.Way->Objective)
-    return;
-  const auto *Own = std::get_if<OwnAnswer>(&A);
-  const auto *Passed = std::get_if<PassedAnswer>(&A);
-  logEvent(LogLevel::Info, "request",
-           {{"id", J.Id},
-            {"route", Ask.Way->Name},
-            {"config", std::to_string(Ask.Config->version())},
-            {"outcome", Outcome},
-            {"code", Own ? codeLabel(Own->Code) : ""},
-            {"status", Passed ? std::to_string(Passed->Reply.Status) : ""},
-            {"why", Own ? Own->Why : ""},
-            {"took_ms", fmt::format("{:.1f}", toMillisF(Took))},
-            {"waits_ms", std::to_string(toMillis(Ask.CallerWaits))},
-            {"parts", fmt::format("{}/{}", S.PartsIn, S.Parts)},
-            {"sends", std::to_string(S.Sends)},
-            {"hedges", std::to_string(S.Hedges)},
-            {"retries", std::to_string(S.Retries)},
-            {"rejected", std::to_string(S.Rejected)},
-            {"lost", std::to_string(S.Lost)},
-            {"not_sent", std::to_string(S.NotSent)},
-            {"no_budget", std::to_string(S.BudgetRefusals)},
-            {"no_room", std::to_string(S.Waits)}});
+  noteAnswer(Meter, J->Id, J->Run, A, Timers.now());
+  J->E->reply(writeAnswer(std::move(A), Names, J->Id));
 }
 
 void RequestDesk::Impl::schedule(const JobPtr &J) {
