tests: the golden session waits until one daemon names the other

Shown by twelve starts: in four of them the asked daemon named the other only 4 to 5 ms after all were ready. Change: the session waits until it does, 10 s at most; the transcript that it expects is unchanged.

--- a/tests/golden/deployment_session.py
+++ b/tests/golden/deployment_session.py
@@ -67,6 +67,13 @@
         self.note(f"version {version} is in force on "
                   f"{self.deployment.daemons} daemons")
 
+    def heard(self, asked, of):
+        """Waits until one daemon names another to callers: that it is ready
+        travels by gossip, a few milliseconds after it says so itself."""
+        d = self.deployment
+        wait_until(f"front-{asked} names front-{of}", 10, lambda:
+                   d.caller_address(of) in addresses(d.resolve(asked, *d.zone(of))))
+
     def settle(self, pattern, event):
         """Waits until every daemon has logged this."""
         for n in range(1, self.deployment.daemons + 1):
@@ -84,6 +91,11 @@
                        sorted(self.deployment.path("").glob("*.log")))
 
 
+def addresses(reply):
+    status, answer = reply
+    return answer["addrs"] if status == 200 else []
+
+
 def plain_signatures(value):
     """Which replica of a service answers, and how many runs it had before,
     differs from run to run."""
@@ -117,6 +129,7 @@
     d.put_config(d.config(7))
     d.start_daemons()
     s.everywhere(7)
+    s.heard(2, 1)
     status, answer = d.resolve(2, *d.zone(1))
     s.note(f"where should a caller of {d.zone(1)[0]} connect? {status} "
            f"{json.dumps(answer)}")
