front, limits: most of the retry allowance is for those who carry callers

Cause: the allowance's constant, 630 second sends of a service in ten seconds, was shared by every daemon that may get a request: two to each of 295, most never used, while 18 carriers were refused second sends.

Change: carriers share four fifths of it, the others the rest. A share that changes hands must not be used twice in one window, so a daemon uses the least part that it was granted over the last window and the time in which all see a change (limits/GrantedShare). GrantedSharesChangeHands tries every history of sets of three daemons with every delay. The first form of that model, in which a set could go before all had seen it, gave twice the bound: such a set is not covered, the header says so, and the unused seventh of the allowance stays for it.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -196,13 +196,13 @@
 bool ForwardRun::spend(ForwardShared &S, const Part &P, bool Hedge,
                        Instant Now) {
   RetryBudget &B = S.Budgets[P.Service];
-  std::size_t Daemons = S.Book.sharing().Daemons;
+  double Share = S.Book.sharing().RetryPart;
   bool Deciding = Parts.size() - Story.PartsIn <= DecidingParts;
   bool Scarce =
-      S.Pressed || B.freePart(S.Rules.Retries, Daemons, Now) < ScarceBudget;
+      S.Pressed || B.freePart(S.Rules.Retries, Share, Now) < ScarceBudget;
   if (Hedge && !Deciding && Scarce)
     return false;
-  if (B.trySpend(S.Rules.Retries, Daemons, Now))
+  if (B.trySpend(S.Rules.Retries, Share, Now))
     return true;
   ++Story.BudgetRefusals;
   return false;
--- a/packages/forward/ReplicaBook.h
+++ b/packages/forward/ReplicaBook.h
@@ -52,8 +52,8 @@
   /// too, and of the others.
   std::size_t InRegion = 1;
   std::size_t Elsewhere = 0;
-  /// Daemons that may send a request a second time.
-  std::size_t Daemons = 1;
+  /// This daemon's part of the constant in the retry allowance.
+  double RetryPart = 1;
 
   std::size_t connected() const { return InRegion + Elsewhere; }
   friend bool operator==(const Sharing &, const Sharing &) = default;
--- a/packages/forward/RetryBudget.cpp
+++ b/packages/forward/RetryBudget.cpp
@@ -7,10 +7,8 @@
 
 namespace {
 
-double allowed(const RetryAllowance &A, double Requests, std::size_t Daemons) {
-  double Share =
-      A.Constant / static_cast<double>(std::max<std::size_t>(1, Daemons));
-  return UsedPartOfAllowance * (A.Ratio * Requests + Share);
+double allowed(const RetryAllowance &A, double Requests, double Part) {
+  return UsedPartOfAllowance * (A.Ratio * Requests + A.Constant * Part);
 }
 
 } // namespace
@@ -46,19 +44,18 @@
   ++slice(A, Now).Requests;
 }
 
-bool RetryBudget::trySpend(const RetryAllowance &A, std::size_t Daemons,
-                           Instant Now) {
+bool RetryBudget::trySpend(const RetryAllowance &A, double Part, Instant Now) {
   Sums S = sums(A, Now);
-  if (S.Extra + 1 > allowed(A, S.Requests, Daemons))
+  if (S.Extra + 1 > allowed(A, S.Requests, Part))
     return false;
   ++slice(A, Now).Extra;
   return true;
 }
 
-double RetryBudget::freePart(const RetryAllowance &A, std::size_t Daemons,
+double RetryBudget::freePart(const RetryAllowance &A, double Part,
                              Instant Now) const {
   Sums S = sums(A, Now);
-  double Room = allowed(A, S.Requests, Daemons);
+  double Room = allowed(A, S.Requests, Part);
   return Room <= 0 ? 0 : std::clamp(1 - S.Extra / Room, 0.0, 1.0);
 }
 
--- a/packages/forward/RetryBudget.h
+++ b/packages/forward/RetryBudget.h
@@ -3,8 +3,8 @@
 // A second send of a request is extra load at the moment when there is too much
 // of it. In any span of Window, the sends of all daemons beyond the first ones
 // may be a given part of the requests plus a constant. Nobody is asked: every
-// daemon keeps to that part of its own requests and to its share of the
-// constant, and the sum then keeps the bound.
+// daemon keeps to that part of its own requests and to its part of the constant
+// (Sharing::RetryPart), and the sum then keeps the bound.
 //
 // Why a window and not a bucket of tokens: a full bucket pays for a storm that
 // the seconds before it did not earn, and the sum over one window then breaks
@@ -41,12 +41,11 @@
 public:
   /// A request for the service came in.
   void request(const RetryAllowance &A, Instant Now);
-  /// Takes one extra send if \p Daemons daemons sharing the allowance leave
-  /// room for it.
-  bool trySpend(const RetryAllowance &A, std::size_t Daemons, Instant Now);
+  /// Takes one extra send if there is room for it when \p Part of the constant
+  /// is this daemon's.
+  bool trySpend(const RetryAllowance &A, double Part, Instant Now);
   /// Part of the window's room that is still free, from 0 to 1.
-  double freePart(const RetryAllowance &A, std::size_t Daemons,
-                  Instant Now) const;
+  double freePart(const RetryAllowance &A, double Part, Instant Now) const;
 
 private:
   static constexpr std::size_t SlicesPerWindow = 20;
--- a/packages/front/EntryAddresses.cpp
+++ b/packages/front/EntryAddresses.cpp
@@ -33,6 +33,38 @@
   return chooseCarriers(those(View, State, Near), Zone, MaxEntryAddresses);
 }
 
+/// The carriers of all zones, and those that may still be serving: suspected
+/// daemons, and those that are leaving.
+std::set<const Member *> allCarriers(const FleetView &View) {
+  std::set<AvailabilityZone> Zones;
+  for (const Member &M : View.Members)
+    Zones.insert(M.Zone);
+  std::set<const Member *> Found;
+  for (const AvailabilityZone &Zone : Zones) {
+    auto InZone = [&](const Member &M) { return M.Zone == Zone; };
+    auto Alive = carriers(View, MemberState::Alive, InZone);
+    Found.insert(Alive.begin(), Alive.end());
+  }
+  for (const Member &M : View.Members)
+    if (M.State == MemberState::Leaving || M.State == MemberState::Suspect)
+      Found.insert(&M);
+  return Found;
+}
+
+/// Daemons that may get a request, this one in any case.
+std::size_t servingDaemons(const FleetView &View, const HostId &Self) {
+  return std::size_t(std::ranges::count_if(View.Members, [&](const Member &M) {
+    return takesNewWork(M) || M.State == MemberState::Leaving ||
+           M.Id.Host == Self;
+  }));
+}
+
+double retryPart(bool Carries, std::size_t Carriers, std::size_t Others) {
+  double OfOthers = Others == 0 ? 0 : OthersRetryPart;
+  return Carries ? (1 - OfOthers) / double(Carriers)
+                 : OfOthers / double(std::max<std::size_t>(1, Others));
+}
+
 std::vector<Endpoint> addresses(const std::vector<const Member *> &Hosts) {
   std::vector<Endpoint> Found;
   Found.reserve(Hosts.size());
@@ -58,30 +90,24 @@
 
 Sharing sharedByCarriers(const FleetView &View, const HostId &Self,
                          const Region &Here) {
-  std::set<AvailabilityZone> Zones;
-  for (const Member &M : View.Members)
-    Zones.insert(M.Zone);
-  std::set<const Member *> Carriers;
-  for (const AvailabilityZone &Zone : Zones) {
-    auto InZone = [&](const Member &M) { return M.Zone == Zone; };
-    auto Alive = carriers(View, MemberState::Alive, InZone);
-    Carriers.insert(Alive.begin(), Alive.end());
-  }
-  // A suspected daemon may well be serving, and one that is leaving still is.
-  for (const Member &M : View.Members)
-    if (M.State == MemberState::Leaving || M.State == MemberState::Suspect ||
-        M.Id.Host == Self)
-      Carriers.insert(&M);
+  std::set<const Member *> Carriers = allCarriers(View);
+  bool SelfCarries = std::ranges::any_of(
+      Carriers, [&](const Member *M) { return M->Id.Host == Self; });
+  std::size_t Others = servingDaemons(View, Self) - Carriers.size();
   Sharing S;
-  S.InRegion = S.Daemons = 0;
+  S.RetryPart = retryPart(SelfCarries, Carriers.size(), Others);
+  S.InRegion = 0;
   for (const Member &M : View.Members)
-    S.Daemons +=
-        takesNewWork(M) || M.State == MemberState::Leaving || M.Id.Host == Self;
+    if (M.Id.Host == Self)
+      Carriers.insert(&M);
   for (const Member *M : Carriers)
     ++(M->Reg == Here ? S.InRegion : S.Elsewhere);
   S.InRegion = std::max<std::size_t>(1, S.InRegion);
-  S.Daemons = std::max<std::size_t>(1, S.Daemons);
   return S;
 }
 
+double equalRetryPart(const FleetView &View, const HostId &Self) {
+  return 1.0 / double(std::max<std::size_t>(1, servingDaemons(View, Self)));
+}
+
 } // namespace shallot
--- a/packages/front/EntryAddresses.h
+++ b/packages/front/EntryAddresses.h
@@ -30,15 +30,24 @@
 std::vector<Endpoint> entryAddresses(const FleetView &View,
                                      const Place &Caller);
 
-/// Who shares what replicas take. Their connections are shared by the daemons
-/// that the callers of some zone are given, with \p Self in any case, and those
-/// that are leaving. Counting every daemon instead leaves a carrier of a mixed
-/// fleet (12 of 62 hosts carry) one connection to each replica, and its second
-/// request at a time goes to another region. The retry allowance is shared by
-/// all that may get a request.
+/// Who shares what replicas take, at this moment. Their connections and most of
+/// the retry allowance are shared by the carriers of all zones, and those that
+/// are leaving, with \p Self in any case. Counting every daemon instead leaves
+/// a carrier of a mixed fleet (12 of 62 hosts carry) one connection to each
+/// replica, and its second request at a time goes to another region; and of an
+/// allowance of 630 second sends in ten seconds two to each of 295 daemons,
+/// most never used.
 Sharing sharedByCarriers(const FleetView &View, const HostId &Self,
                          const Region &Here);
 
+/// Part of the retry allowance's constant that daemons share which carry
+/// nobody: callers that kept an older answer still come to them.
+inline constexpr double OthersRetryPart = 0.2;
+
+/// What a daemon may count on before it has been in the fleet for a window of
+/// the allowance: its part if all daemons had the same.
+double equalRetryPart(const FleetView &View, const HostId &Self);
+
 } // namespace shallot
 
 #endif // SHALLOTSHIFT_FRONT_ENTRYADDRESSES_H
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -141,6 +141,10 @@
   return sharedByCarriers(view(), Set.Host, Set.Here.Reg);
 }
 
+double FleetLink::equalRetryPart() const {
+  return shallot::equalRetryPart(view(), Set.Host);
+}
+
 void FleetLink::announce(const ReadState &S) {
   if (S == Announced)
     return;
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -2,6 +2,7 @@
 #include "front/FrontDaemon.h"
 
 #include "front/EntryAddresses.h"
+#include "shallotshift/limits.h"
 
 #include <algorithm>
 #include <chrono>
@@ -63,9 +64,14 @@
         Timers(Loop), Book(Set.Here, bookOptions(Set)),
         Desk(Loop, Timers, this->Adapter.Headers, Book, {Set.Retries}, Rng,
              Meter),
-        Suspended(suspendedTime()), Load(capacityOf(Set)), LoadAt(Loop.now()) {}
+        Suspended(suspendedTime()), Started(Loop.now()),
+        RetryPart(retrySpan(Set), 1), Load(capacityOf(Set)), LoadAt(Started) {}
 
   static ReplicaBookOptions bookOptions(const FrontSettings &Set);
+  /// Over this time a share of the retry allowance is looked back.
+  static Duration retrySpan(const FrontSettings &Set) {
+    return Set.Retries.Window + ViewSpread;
+  }
   Result<void> open();
   Result<void> openHttp();
   void directory(const ServerRequest &R, const Responder &A);
@@ -73,6 +79,7 @@
   void scrape(const Responder &A);
   void housekeeping();
   void measureLoad();
+  void share(Instant Now);
   void fleetChanged();
   void becomeReady();
   bool ready() const;
@@ -101,6 +108,9 @@
   Instant LeavingSince;
   std::function<void()> Gone;
   Duration Suspended;
+  Instant Started;
+  Sharing Shared; ///< By the fleet as it is now.
+  GrantedShare RetryPart;
   LoadLevel Load;
   Instant LoadAt;
   Duration BusyBefore{};
@@ -153,10 +163,24 @@
   return {};
 }
 
+/// Of the retry allowance this daemon uses the least part that it was granted
+/// over a window: others may have used up what it has gained. It has forgotten
+/// what it used itself before it started, and counts then on no more than
+/// everybody could have.
+void FrontDaemon::Impl::share(Instant Now) {
+  Sharing Usable = Shared;
+  Usable.RetryPart = RetryPart.usable(Now);
+  if (Now - Started < retrySpan(Set))
+    Usable.RetryPart = std::min(Usable.RetryPart, Fleet->equalRetryPart());
+  Book.setSharing(Usable);
+}
+
 void FrontDaemon::Impl::fleetChanged() {
   if (!Fleet)
     return;
-  Book.setSharing(Fleet->sharing());
+  Shared = Fleet->sharing();
+  RetryPart.grant(Shared.RetryPart, Loop.now());
+  share(Loop.now());
   if (OnFleet)
     OnFleet();
 }
@@ -231,6 +255,7 @@
   }
   Suspended = Now;
   Desk.tick();
+  share(Loop.now());
   measureLoad();
   Timers.after(HousekeepingPeriod, [this] { housekeeping(); });
 }
--- a/tests/correctness/EntryAddressesForCallers.cpp
+++ b/tests/correctness/EntryAddressesForCallers.cpp
@@ -91,8 +91,8 @@
   CHECK(ask("z1", "q").size() == MaxEntryAddresses);
 }
 
-TEST_CASE_FIXTURE(ViewFixture,
-                  "connections are shared by those who carry, retries by all") {
+TEST_CASE_FIXTURE(
+    ViewFixture, "connections and most retries are shared by those who carry") {
   for (const char *Zone : {"z1", "z2"}) {
     add(Zone, "r", 500);
     add(Zone, "r", 500);
@@ -101,10 +101,14 @@
   }
   add("z3", "q", 500);
   Sharing S = sharedByCarriers(View, HostId("h1"), Region("r"));
-  CHECK(S == Sharing{4, 1, 21});
+  // Four fifths of the retries for five carriers, the rest for the 16 others.
+  CHECK(S == Sharing{4, 1, 0.8 / 5});
+  HostId Other("h3");
+  CHECK(sharedByCarriers(View, Other, Region("r")).RetryPart == 0.2 / 16);
+  CHECK(equalRetryPart(View, Other) == 1.0 / 21);
   // 63 connections: 9 for each of four carriers, where twenty get one each.
   CHECK(connectionShare(63, Distance::SameZone, S) == 9);
-  CHECK(connectionShare(63, Distance::SameZone, {20, 1, 21}) == 1);
+  CHECK(connectionShare(63, Distance::SameZone, {20, 1, 1}) == 1);
 }
 
 TEST_CASE_FIXTURE(ViewFixture,
@@ -114,9 +118,11 @@
   for (int I = 0; I < 3; ++I)
     add("z1", "r", 120);
   // The one that is leaving still holds its connections.
-  CHECK(sharedByCarriers(View, HostId("h3"), Region("r")) == Sharing{4, 0, 4});
+  CHECK(sharedByCarriers(View, HostId("h3"), Region("r")) ==
+        Sharing{4, 0, 1.0 / 4});
   // Whoever asks counts, even if no caller is sent to it.
   add("z1", "r", 500);
   add("z1", "r", 500);
-  CHECK(sharedByCarriers(View, HostId("h3"), Region("r")) == Sharing{4, 0, 6});
+  CHECK(sharedByCarriers(View, HostId("h3"), Region("r")) ==
+        Sharing{4, 0, 0.2 / 3});
 }
--- a/tests/failure/ConnectionsFollowNeed.cpp
+++ b/tests/failure/ConnectionsFollowNeed.cpp
@@ -13,7 +13,7 @@
 
 struct NeedFixture : ForwardFixture {
   NeedFixture() {
-    Book.setSharing({1, 5, 6});
+    Book.setSharing({1, 5, 1.0 / 6});
     add("far", "a", "there");
   }
   ReplicaPtr choose(bool WithinShare = false) {
--- a/tests/failure/RetryBudgetHoldsInEveryWindow.cpp
+++ b/tests/failure/RetryBudgetHoldsInEveryWindow.cpp
@@ -47,7 +47,7 @@
     std::size_t D = below(Rng, Daemons);
     Budgets[D].request(A, Now);
     Requests.push_back(Now);
-    if (Budgets[D].trySpend(A, Daemons, Now))
+    if (Budgets[D].trySpend(A, 1.0 / Daemons, Now))
       Extras.push_back(Now);
     if (Step == 30000)
       Budgets[0] = RetryBudget();
@@ -61,9 +61,9 @@
   RetryBudget B;
   Instant Now{Seconds(500)};
   unsigned Taken = 0;
-  while (B.trySpend(A, 6, Now))
+  while (B.trySpend(A, 1.0 / 6, Now))
     ++Taken;
   CHECK(Taken == 7); // 0.85 of 52 over 6.
-  CHECK(B.freePart(A, 6, Now) < 0.1);
-  CHECK(B.freePart(A, 6, Now + Seconds(11)) == 1);
+  CHECK(B.freePart(A, 1.0 / 6, Now) < 0.1);
+  CHECK(B.freePart(A, 1.0 / 6, Now + Seconds(11)) == 1);
 }
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -5,7 +5,7 @@
           correctness/SlotQueueServesTheUrgent.cpp
           correctness/SlotsAreDealtOnce.cpp)
 shallot_test(limits_failure PACKAGES limits LABELS failure
-  SOURCES TestMain.cpp failure/ReturnsAreSpread.cpp
+  SOURCES TestMain.cpp failure/ReturnsAreSpread.cpp failure/GrantedSharesChangeHands.cpp
           failure/SlotsChangeHands.cpp)
 
 shallot_bench(bench_overload PACKAGES limits TEST bench_overload
