--- a/packages/front/FeedAnswers.cpp
+++ b/packages/front/FeedAnswers.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr const char *DeflateCoding = "deflate";
-
 /// \p Text in zlib's form; nothing when that is not smaller. The quickest
 /// level: 748 KB of routes become 66 KB in 3.2 ms, the best level saves a tenth
 /// of that for twice the time.
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -121,7 +121,7 @@
             Listed && Most.ConfigVersion > Mine.ConfigVersion,
             moving(ConfigSource, Mine.ConfigVersion != Before.ConfigVersion),
             Loop.now()))
-      askAhead(Mine.ConfigVersion);
+      askAheadOnConfig(Mine.ConfigVersion);
     // A removal that one saw and the other only finds missing in a list leaves
     // the two apart for good: a peer's word on replicas is followed once. A
     // version is followed until it is in force.
@@ -138,34 +138,38 @@
     return Changed || Source.receivedWithin(FeedTick * CompareEvery);
   }
 
-  void askAhead(std::uint64_t Version) {
-    std::optional<PeerAhead> Ahead =
-        D.fleet().ahead({Version, AnyReplicaRevision});
-    if (!Ahead)
-      return;
-    logAhead(*Ahead, "config", Version, Ahead->Read.ConfigVersion);
-    ConfigSource.sources().prefer(Ahead->Peer);
-    Configs.renew();
+  void askAheadOnConfig(std::uint64_t Version) {
+    if (auto Ahead = D.fleet().ahead({Version, AnyReplicaRevision}))
+      askAhead(*Ahead, ConfigSource, Configs,
+               {"config", Version, Ahead->Read.ConfigVersion});
   }
 
   void askAheadOnReplicas(std::uint64_t Revision) {
-    std::optional<PeerAhead> Ahead =
-        D.fleet().ahead({AnyConfigVersion, Revision});
+    auto Ahead = D.fleet().ahead({AnyConfigVersion, Revision});
     if (!Ahead)
       return;
-    logAhead(*Ahead, "replicas", Revision, Ahead->Read.ReplicaRevision);
     FollowedReplicas = std::max(Revision, Ahead->Read.ReplicaRevision);
-    ReplicaSource.sources().prefer(Ahead->Peer);
-    Replicas.renew();
+    askAhead(*Ahead, ReplicaSource, Replicas,
+             {"replicas", Revision, Ahead->Read.ReplicaRevision});
   }
 
-  static void logAhead(const PeerAhead &Ahead, std::string_view Watch,
-                       std::uint64_t Mine, std::uint64_t Its) {
+  /// How far this daemon and a peer have read, for logs.
+  struct Gap {
+    std::string_view Watch;
+    std::uint64_t Mine = 0;
+    std::uint64_t Its = 0;
+  };
+
+  template <typename Watch>
+  static void askAhead(const PeerAhead &Ahead, RelayedStore<Store> &Source,
+                       Watch &W, const Gap &G) {
     logEvent(LogLevel::Info, "peer_has_read_more",
              {{"peer", Ahead.Peer.Id.str()},
-              {"watch", std::string(Watch)},
-              {"mine", std::to_string(Mine)},
-              {"its", std::to_string(Its)}});
+              {"watch", std::string(G.Watch)},
+              {"mine", std::to_string(G.Mine)},
+              {"its", std::to_string(G.Its)}});
+    Source.sources().prefer(Ahead.Peer);
+    W.renew();
   }
 
   void fleetChanged() {
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -23,8 +23,6 @@
 /// would hold a large body back for a 100-continue and, on a 417, make libcurl
 /// send the request again by itself.
 constexpr std::string_view SuppressedHeaders[] = {"Expect:", "Accept:"};
-/// HTTP's name of a body in zlib's form.
-constexpr const char *DeflateCoding = "deflate";
 constexpr std::string_view SuppressedContentType = "Content-Type:";
 
 void initCurlOnce() {
--- a/packages/net/HttpTypes.h
+++ b/packages/net/HttpTypes.h
@@ -16,6 +16,9 @@
   Never, ///< An action: at most one copy may ever leave this process.
 };
 
+/// The content coding (RFC 9110) in which daemons send each other large bodies.
+inline constexpr char DeflateCoding[] = "deflate";
+
 /// The longest that a reply may take that comes piece by piece: 4 MB, the
 /// largest that is taken, on a third of a link of 14 Mbit/s.
 inline constexpr Duration LongestReply = Seconds(8);
