--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -69,9 +69,9 @@
   /// Datagrams of members sent in answer to comparisons: what runs over a long
   /// time, and what a start may take at once. With a burst of 12, 295 daemons
   /// that start together know each other after 12 s and 191 KB sent by each;
-  /// with 250, and ReplyBurst for the seeds, after 3.5 s and 155 KB (virtual
-  /// time). 250 of 1,200 bytes are an eighth of
-  /// a second of a link of 20 Mbit/s.
+  /// with 250, and ReplyBurst for the seeds, after 3.3 s and 152 KB (virtual
+  /// time). 250 of 1,200 bytes are an eighth of a second of a link of 20
+  /// Mbit/s.
   double SyncDatagramsPerSecond = 4;
   double SyncBurst = 250;
   /// A view is settled when nobody new was found for this long.
--- a/packages/fleet/include/shallotshift/fleet.h
+++ b/packages/fleet/include/shallotshift/fleet.h
@@ -2,9 +2,9 @@
 //
 // The public header of package fleet: who is a member (Membership.h) and what
 // members say to each other (GossipMessage.h), where callers connect
-// (EntryDirectory.h), which hosts carry them (CarrierChoice.h, LoadLevel.h), how
-// a daemon starts and stops (Lifecycle.h), and how the
-// configuration reaches every daemon (ConfigSync.h, WatcherChoice.h).
+// (EntryDirectory.h), which hosts carry them (CarrierChoice.h, LoadLevel.h),
+// how a daemon starts and stops (Lifecycle.h), and how the configuration
+// reaches every daemon (ConfigSync.h, WatcherChoice.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FLEET_H
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -236,6 +236,7 @@
   std::uint64_t Version = Desk.config() ? Desk.config()->version() : 0;
   Meter.gauge("shallot_config_version", {}, double(Version));
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
+  Meter.gauge("shallot_load_millicores", {}, double(Fleet->self().Load));
   const GossipSocketStats &G = Fleet->traffic();
   Meter.gauge("shallot_membership_sent_bytes", {}, double(G.SentBytes));
   Meter.gauge("shallot_membership_received_bytes", {}, double(G.ReceivedBytes));
