--- a/standins/ArrivalLog.cpp
+++ b/standins/ArrivalLog.cpp
@@ -25,6 +25,8 @@
     return "cancelled";
   case Fate::Lost:
     return "lost";
+  case Fate::Crashed:
+    return "crashed";
   }
   return "";
 }
--- a/standins/ArrivalLog.h
+++ b/standins/ArrivalLog.h
@@ -26,6 +26,7 @@
   Misled,    ///< It was meant for another replica and did not run.
   Cancelled, ///< The connection closed first.
   Lost,      ///< It ran and its reply was held back.
+  Crashed,   ///< Its replica ended while it ran or waited.
 };
 
 struct Arrival {
--- a/standins/RegisteredReplica.cpp
+++ b/standins/RegisteredReplica.cpp
@@ -4,6 +4,7 @@
 #include "standins/Later.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <cmath>
 #include <fmt/format.h>
 
@@ -168,6 +169,9 @@
   Running.insert(W);
   Log.at(W->Line).BeganAt = Now;
   Log.at(W->Line).How = Fate::Running;
+  if (!Troubles.EndedBy.empty() &&
+      W->Request.Path.find(Troubles.EndedBy) != std::string::npos)
+    return crash();
   Duration Left = fromMillisF(W->Deadline - Now);
   W->Timer.expires_after(std::min(workTime(), Left));
   W->Timer.async_wait([this, W](std::error_code Err) {
@@ -267,10 +271,10 @@
 }
 
 Result<void> RegisteredReplica::control(const Json &Orders) {
-  BOOST_LEAF_CHECK(checkFields(Orders, {"replica", "shed", "errors", "hang",
-                                        "slow", "lose_replies", "extra_replies",
-                                        "short_replies", "bare_replies",
-                                        "work_ms", "state", "die", "become"}));
+  BOOST_LEAF_CHECK(checkFields(
+      Orders, {"replica", "shed", "errors", "hang", "slow", "lose_replies",
+               "extra_replies", "short_replies", "bare_replies", "ended_by",
+               "back_after_ms", "work_ms", "state", "die", "become"}));
   ReplicaTroubles T = Troubles;
   BOOST_LEAF_CHECK(readField(Orders, "shed", T.Shed));
   BOOST_LEAF_CHECK(readField(Orders, "errors", T.Errors));
@@ -280,6 +284,8 @@
   BOOST_LEAF_CHECK(readField(Orders, "extra_replies", T.ExtraReplies));
   BOOST_LEAF_CHECK(readField(Orders, "short_replies", T.ShortReplies));
   BOOST_LEAF_CHECK(readField(Orders, "bare_replies", T.BareReplies));
+  BOOST_LEAF_CHECK(readField(Orders, "ended_by", T.EndedBy));
+  BOOST_LEAF_CHECK(readField(Orders, "back_after_ms", T.BackAfterMs));
   BOOST_LEAF_CHECK(readField(Orders, "work_ms", Shape.WorkMs));
   Troubles = T;
   return controlLife(Orders);
@@ -299,15 +305,41 @@
     BOOST_LEAF_CHECK(readField(Orders["become"], "service", Service));
     become(Id, Service);
   }
-  bool Die = !Server.listening();
+  bool Die = !Server.listening() && !Crashing;
   BOOST_LEAF_CHECK(readField(Orders, "die", Die));
   if (Die)
     Server.shut();
-  else if (!Server.listening())
+  else if (!Server.listening() && !Crashing)
     return Server.listen();
   return {};
 }
 
+/// Its registration stays until it would have lapsed; here, until the successor
+/// replaces it.
+void RegisteredReplica::crash() {
+  if (std::exchange(Crashing, true))
+    return;
+  ++Starts;
+  // Not from within a connection's own callback.
+  asio::post(Io, [this] {
+    std::vector<WorkPtr> All(Waiting.begin(), Waiting.end());
+    All.insert(All.end(), Running.begin(), Running.end());
+    for (const WorkPtr &W : All)
+      end(W, Fate::Crashed);
+    Server.shut();
+    later(Io, Millis(Troubles.BackAfterMs), [this] { startAgain(); });
+  });
+}
+
+void RegisteredReplica::startAgain() {
+  Crashing = false;
+  Store.remove(ReplicaKind, Shape.Id);
+  Shape.Id =
+      fmt::format("{}.{}", Shape.Id.substr(0, Shape.Id.find('.')), Starts);
+  if (attempt([&] { return Server.listen(); }))
+    announce("ready");
+}
+
 void RegisteredReplica::vanish() {
   Store.remove(ReplicaKind, Shape.Id);
   Server.shut();
--- a/standins/RegisteredReplica.h
+++ b/standins/RegisteredReplica.h
@@ -55,6 +55,10 @@
   unsigned ExtraReplies = 0; ///< A second reply behind the first.
   unsigned ShortReplies = 0; ///< Half a body, then the connection closes.
   unsigned BareReplies = 0;  ///< No length; ends with the connection.
+  /// Ends when it begins a request whose path contains this, and starts again
+  /// under another id after BackAfterMs. Empty: nothing ends it.
+  std::string EndedBy;
+  unsigned BackAfterMs = 300;
 };
 
 class RegisteredReplica {
@@ -74,6 +78,8 @@
   void announce(const std::string &State);
   /// Obeys the fields of one order of a test.
   Result<void> control(const Json &Orders);
+  /// How often it ended by a request (ReplicaTroubles::EndedBy).
+  unsigned crashes() const { return Starts - 1; }
 
   /// For tests that want another reply.
   InsteadFn Instead;
@@ -98,6 +104,8 @@
   Result<void> controlLife(const Json &Orders);
   void become(const std::string &Id, const std::string &Service);
   void vanish();
+  void crash();
+  void startAgain();
 
   asio::io_context &Io;
   KindService &Store;
@@ -108,6 +116,8 @@
   std::deque<WorkPtr> Waiting;
   std::set<WorkPtr> Running;
   std::uint64_t Runs = 0;
+  unsigned Starts = 1;
+  bool Crashing = false;
   WireServer Server;
 };
 
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -13,3 +13,13 @@
           ${CMAKE_CURRENT_LIST_DIR}/correctness/soak_sees_broken_promises.py)
 set_tests_properties(soak_sees_broken_promises PROPERTIES LABELS correctness
   ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
+# Real daemons and a request that ends every replica that begins it.
+foreach(SCENARIO repeated restarted store_away innocents)
+  add_test(NAME ending_request_${SCENARIO}
+    COMMAND python3
+            ${CMAKE_CURRENT_LIST_DIR}/failure/requests_that_end_replicas.py
+            ${CMAKE_BINARY_DIR} ${SCENARIO})
+  set_tests_properties(ending_request_${SCENARIO} PROPERTIES LABELS failure
+    TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+endforeach()
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -6,7 +6,7 @@
 #   tools/test.sh --quick    without the linter
 #
 # SHALLOT_JOBS processes run at once, one a core if it is not set.
-# A test that is named in KNOWN-RED.txt ("test, cause, issue" a line) is run and
+# A test that is named in KNOWN-RED.txt (its name first in a line) is run and
 # printed, and does not fail the run. The last line is "N passed, N failed"; it
 # counts tests. The run also fails when the build, the formatter or the linter
 # does, and says so above that line.
