quarantine: evidence against a request, merged over the fleet, and its trials

Change: the core of the mend, without I/O. A fingerprint identifies a request across attempts; a record holds the replica processes that ended under it, each once; from three on only a trial is sent, and the whole fleet makes two, granted by a conditional write. A run that ends well voids the record.

--- /dev/null
+++ b/packages/quarantine/Quarantine.cpp
@@ -0,0 +1,194 @@
+//===- Quarantine.cpp -----------------------------------------------------===//
+#include "quarantine/Quarantine.h"
+
+#include <algorithm>
+
+namespace shallot {
+
+QuarantineRecord Quarantine::known(const Entry &E) {
+  return E.Shared && !E.Clear ? merged(E.Shared->Record, E.Own) : E.Own;
+}
+
+bool Quarantine::needsWrite(const Entry &E) {
+  if (E.Clear)
+    return E.Shared.has_value();
+  if (!E.Share)
+    return false;
+  if (!E.Shared)
+    return E.Own.standing() != Standing::Clear;
+  // The time alone is not worth a write.
+  QuarantineRecord All = known(E);
+  const QuarantineRecord &There = E.Shared->Record;
+  return All.Crashed != There.Crashed || All.Proven != There.Proven ||
+         All.Trials != There.Trials;
+}
+
+/// Brings Unwritten up to date with an entry that has changed, and forgets one
+/// that says nothing.
+void Quarantine::settle(Table::iterator At) {
+  const Entry &E = At->second;
+  if (needsWrite(E))
+    Unwritten.insert(At->first);
+  else
+    Unwritten.erase(At->first);
+  if (!E.Shared && E.Own.standing() == Standing::Clear)
+    Entries.erase(At);
+}
+
+Standing Quarantine::standing(const RequestFingerprint &R) const {
+  auto At = Entries.find(R);
+  return At == Entries.end() ? Standing::Clear : known(At->second).standing();
+}
+
+unsigned Quarantine::crashesOf(const RequestFingerprint &R) const {
+  auto At = Entries.find(R);
+  if (At == Entries.end())
+    return 0;
+  return static_cast<unsigned>(known(At->second).Crashed.size());
+}
+
+void Quarantine::crashed(const QuarantineRecord &Seen) {
+  auto At = Entries.find(Seen.Request);
+  if (At == Entries.end()) {
+    if (Entries.size() >= MostEntries)
+      return;
+    At = Entries.emplace(Seen.Request, Entry{Seen}).first;
+  } else {
+    At->second.Own = merged(Seen, At->second.Own);
+  }
+  settle(At);
+}
+
+void Quarantine::share(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At == Entries.end())
+    return;
+  At->second.Share = true;
+  settle(At);
+}
+
+void Quarantine::trialCrashed(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At == Entries.end())
+    return;
+  At->second.Own.Proven = true;
+  At->second.Share = true;
+  settle(At);
+}
+
+bool Quarantine::succeeded(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At == Entries.end())
+    return false;
+  Entry &E = At->second;
+  E.Own = QuarantineRecord{R};
+  E.Share = false;
+  E.Clear = E.Shared.has_value();
+  settle(At);
+  return true;
+}
+
+void Quarantine::replaceAll(const std::vector<SharedRecord> &Now) {
+  std::set<RequestFingerprint> Kept;
+  for (const SharedRecord &S : Now)
+    Kept.insert(S.Record.Request);
+  for (auto At = Entries.begin(); At != Entries.end();) {
+    auto Next = std::next(At);
+    if (At->second.Shared && !Kept.contains(At->first))
+      dropShared(At);
+    At = Next;
+  }
+  for (const SharedRecord &S : Now)
+    put(S);
+}
+
+void Quarantine::put(SharedRecord Now) {
+  auto [At, New] = Entries.try_emplace(
+      Now.Record.Request, Entry{QuarantineRecord{Now.Record.Request}});
+  Entry &E = At->second;
+  if (E.Shared && Now.Revision <= E.Shared->Revision)
+    return;
+  SharedCount += !E.Shared;
+  E.Shared = std::move(Now);
+  settle(At);
+}
+
+void Quarantine::remove(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At != Entries.end() && At->second.Shared)
+    dropShared(At);
+}
+
+void Quarantine::dropShared(Table::iterator At) {
+  Entry &E = At->second;
+  --SharedCount;
+  E.Shared.reset();
+  E.Own = QuarantineRecord{At->first};
+  E.Share = E.Clear = false;
+  settle(At);
+}
+
+/// The record that gives way to another one: short of a proof before proven,
+/// then the oldest.
+std::optional<QuarantineWrite> Quarantine::makeRoom() const {
+  const SharedRecord *Least = nullptr;
+  auto Before = [](const QuarantineRecord &A, const QuarantineRecord &B) {
+    return std::pair(A.Proven, A.SeenAt) < std::pair(B.Proven, B.SeenAt);
+  };
+  for (const auto &[Request, E] : Entries)
+    if (E.Shared && (!Least || Before(E.Shared->Record, Least->Record)))
+      Least = &*E.Shared;
+  if (!Least)
+    return std::nullopt;
+  return QuarantineWrite{Least->Record, Least->Revision, true};
+}
+
+std::optional<QuarantineWrite> Quarantine::nextWrite() const {
+  if (Unwritten.empty())
+    return std::nullopt;
+  const Entry &E = Entries.at(*Unwritten.begin());
+  if (E.Clear)
+    return QuarantineWrite{E.Shared->Record, E.Shared->Revision, true};
+  if (!E.Shared && SharedCount >= MostShared)
+    return makeRoom();
+  return QuarantineWrite{known(E), E.Shared ? E.Shared->Revision : 0};
+}
+
+std::optional<QuarantineWrite>
+Quarantine::trialWrite(const RequestFingerprint &R) const {
+  auto At = Entries.find(R);
+  if (At == Entries.end())
+    return std::nullopt;
+  const Entry &E = At->second;
+  QuarantineRecord Next = known(E);
+  if (E.Clear || Next.standing() != Standing::OnTrial)
+    return std::nullopt;
+  ++Next.Trials;
+  return QuarantineWrite{std::move(Next), E.Shared ? E.Shared->Revision : 0};
+}
+
+void Quarantine::expire(WallTime Now, bool Writes) {
+  for (auto At = Entries.begin(); At != Entries.end();) {
+    auto Next = std::next(At);
+    Entry &E = At->second;
+    QuarantineRecord Known = known(E);
+    bool Old = Known.SeenAt + EvidenceLifetimeMs < Now;
+    if (Old && !E.Shared) {
+      E.Own = QuarantineRecord{At->first};
+      settle(At);
+    } else if (Old && Writes && Known.standing() == Standing::Suspect) {
+      E.Clear = true;
+      settle(At);
+    }
+    At = Next;
+  }
+}
+
+std::size_t Quarantine::count(Standing S) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Entries, [S](const auto &Item) {
+        return known(Item.second).standing() == S;
+      }));
+}
+
+} // namespace shallot
--- /dev/null
+++ b/packages/quarantine/QuarantineRecord.cpp
@@ -0,0 +1,127 @@
+//===- QuarantineRecord.cpp -----------------------------------------------===//
+#include "quarantine/QuarantineRecord.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace shallot {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char CrashedField[] = "crashed";
+constexpr char TrialsField[] = "trials";
+constexpr char ProvenField[] = "proven";
+constexpr char SeenField[] = "seen_at";
+constexpr char RouteField[] = "route";
+constexpr char PathField[] = "path";
+
+/// What a name or path of another writer may take in every daemon's memory.
+constexpr std::size_t LongestText = 160;
+
+Result<Json> field(const Json &Content, const char *Name,
+                   bool (Json::*HasType)() const noexcept) {
+  auto Found = Content.find(Name);
+  if (Found == Content.end())
+    return fail(ResultCode::MissingField, Name);
+  if (!((*Found).*HasType)())
+    return fail(ResultCode::WrongType, Name);
+  return *Found;
+}
+
+Result<std::string> textField(const Json &Content, const char *Name) {
+  BOOST_LEAF_AUTO(V, field(Content, Name, &Json::is_string));
+  return V.get<std::string>().substr(0, LongestText);
+}
+
+Result<std::vector<std::string>> crashedField(const Json &Content) {
+  BOOST_LEAF_AUTO(List, field(Content, CrashedField, &Json::is_array));
+  std::vector<std::string> Names;
+  for (const Json &Item : List) {
+    if (!Item.is_string())
+      return fail(ResultCode::WrongType, CrashedField);
+    if (Names.size() < EnoughCrashes)
+      Names.push_back(Item.get<std::string>().substr(0, LongestText));
+  }
+  std::ranges::sort(Names);
+  Names.erase(std::unique(Names.begin(), Names.end()), Names.end());
+  return Names;
+}
+
+} // namespace
+
+std::string_view standingName(Standing S) {
+  switch (S) {
+  case Standing::Clear:
+    return "clear";
+  case Standing::Suspect:
+    return "suspect";
+  case Standing::OnTrial:
+    return "on trial";
+  case Standing::Quarantined:
+    return "quarantined";
+  }
+  return {};
+}
+
+Standing QuarantineRecord::standing() const {
+  if (Proven)
+    return Standing::Quarantined;
+  if (Crashed.empty())
+    return Standing::Clear;
+  if (Crashed.size() < EnoughCrashes)
+    return Standing::Suspect;
+  return Trials < MostTrials ? Standing::OnTrial : Standing::Quarantined;
+}
+
+std::string processName(const UpstreamId &Id, std::uint64_t StartedUnixMs) {
+  return StartedUnixMs == 0 ? Id.str()
+                            : fmt::format("{}@{}", Id.str(), StartedUnixMs);
+}
+
+QuarantineRecord merged(const QuarantineRecord &A, const QuarantineRecord &B) {
+  QuarantineRecord M = A;
+  M.Crashed.clear();
+  std::ranges::set_union(A.Crashed, B.Crashed, std::back_inserter(M.Crashed));
+  // The same ones everywhere, so that equal evidence makes equal records.
+  if (M.Crashed.size() > EnoughCrashes)
+    M.Crashed.resize(EnoughCrashes);
+  M.Trials = std::max(A.Trials, B.Trials);
+  M.Proven = A.Proven || B.Proven;
+  M.SeenAt = std::max(A.SeenAt, B.SeenAt);
+  if (M.Route.empty())
+    M.Route = B.Route;
+  if (M.Path.empty())
+    M.Path = B.Path;
+  return M;
+}
+
+Json recordContent(const QuarantineRecord &R) {
+  return {{CrashedField, R.Crashed}, {TrialsField, R.Trials},
+          {ProvenField, R.Proven},   {SeenField, R.SeenAt},
+          {RouteField, R.Route},     {PathField, R.Path}};
+}
+
+Result<QuarantineRecord> readRecord(const std::string &Name,
+                                    const Json &Content) {
+  BOOST_LEAF_AUTO(Request, RequestFingerprint::parse(Name));
+  if (!Content.is_object())
+    return fail(ResultCode::WrongType, "a quarantine record is an object");
+  QuarantineRecord R{std::move(Request)};
+  BOOST_LEAF_ASSIGN(R.Crashed, crashedField(Content));
+  BOOST_LEAF_AUTO(Trials,
+                  field(Content, TrialsField, &Json::is_number_unsigned));
+  R.Trials = std::min(Trials.get<std::uint64_t>(), std::uint64_t{MostTrials});
+  BOOST_LEAF_AUTO(Proven, field(Content, ProvenField, &Json::is_boolean));
+  R.Proven = Proven.get<bool>();
+  BOOST_LEAF_AUTO(Seen, field(Content, SeenField, &Json::is_number_integer));
+  R.SeenAt = Seen.get<WallTime>();
+  BOOST_LEAF_ASSIGN(R.Route, textField(Content, RouteField));
+  BOOST_LEAF_ASSIGN(R.Path, textField(Content, PathField));
+  return R;
+}
+
+} // namespace shallot
--- /dev/null
+++ b/tests/failure/CrashesAreCountedOnce.cpp
@@ -0,0 +1,149 @@
+// What callers see: a search whose replicas crashed is refused, and others that
+// ran beside it are served. What happens: the end of one replica process is
+// seen by several daemons, by both sends of a hedged part and by every shard of
+// a query; innocent requests in flight there see it too. Why processes are
+// counted and not losses: one crash would look like three, and a request that
+// is served a moment later would be kept from replicas for good.
+#include "shallotshift/quarantine.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+
+namespace {
+
+RequestFingerprint request(int N = 1) {
+  return RequestFingerprint::of(
+      {"GET", "a.example", "/x/" + std::to_string(N), "", ""});
+}
+
+QuarantineRecord seen(const std::string &Process, int Request = 1,
+                      WallTime At = 1000) {
+  QuarantineRecord R{request(Request)};
+  R.Crashed = {Process};
+  R.SeenAt = At;
+  return R;
+}
+
+SharedRecord shared(std::vector<std::string> Crashed, std::uint64_t Revision,
+                    int Request = 1, WallTime At = 1000) {
+  QuarantineRecord R{request(Request)};
+  R.Crashed = std::move(Crashed);
+  R.SeenAt = At;
+  return {R, Revision};
+}
+
+} // namespace
+
+TEST_CASE("the end of one process counts once") {
+  Quarantine Q;
+  for (int Seen = 0; Seen < 5; ++Seen)
+    Q.crashed(seen("i-1@7"));
+  Q.put(shared({"i-1@7"}, 3));
+  CHECK(Q.crashesOf(request()) == 1);
+  CHECK(Q.standing(request()) == Standing::Suspect);
+}
+
+TEST_CASE("evidence of several daemons adds up") {
+  Quarantine Q;
+  Q.crashed(seen("i-1"));
+  Q.put(shared({"i-2", "i-3"}, 3));
+  CHECK(Q.standing(request()) == Standing::OnTrial);
+  CHECK(Q.standing(request(2)) == Standing::Clear);
+}
+
+TEST_CASE("a run that ends well voids what was held against a request") {
+  Quarantine Q;
+  Q.crashed(seen("i-1"));
+  Q.crashed(seen("i-2"));
+  CHECK(Q.succeeded(request()));
+  CHECK(Q.standing(request()) == Standing::Clear);
+  CHECK(Q.size() == 0);
+  CHECK_FALSE(Q.nextWrite());
+  CHECK_FALSE(Q.succeeded(request()));
+}
+
+TEST_CASE("a request that was served elsewhere costs no write") {
+  Quarantine Q;
+  Q.crashed(seen("i-1"));
+  CHECK_FALSE(Q.nextWrite());
+  Q.share(request());
+  auto W = Q.nextWrite();
+  REQUIRE(W);
+  CHECK(W->Revision == 0);
+  CHECK(W->Record.Crashed == std::vector<std::string>{"i-1"});
+  Q.put({W->Record, 5});
+  CHECK_FALSE(Q.nextWrite());
+}
+
+TEST_CASE("a success removes the shared record, and counts at once") {
+  Quarantine Q;
+  Q.put(shared({"i-1", "i-2", "i-3"}, 5));
+  CHECK(Q.succeeded(request()));
+  CHECK(Q.standing(request()) == Standing::Clear);
+  auto W = Q.nextWrite();
+  REQUIRE(W);
+  CHECK(W->Removes);
+  CHECK(W->Revision == 5);
+  // Meanwhile another daemon added to it: that is removed as well.
+  Q.put(shared({"i-1", "i-2", "i-4"}, 6));
+  CHECK(Q.standing(request()) == Standing::Clear);
+  CHECK(Q.nextWrite()->Revision == 6);
+  Q.remove(request());
+  CHECK_FALSE(Q.nextWrite());
+  CHECK(Q.size() == 0);
+  CHECK(Q.shared() == 0);
+}
+
+TEST_CASE("a list that lacks a record forgets it") {
+  Quarantine Q;
+  Q.put(shared({"i-1", "i-2", "i-3"}, 5));
+  Q.put(shared({"i-1"}, 6, 2));
+  Q.replaceAll({shared({"i-1"}, 6, 2)});
+  CHECK(Q.standing(request()) == Standing::Clear);
+  CHECK(Q.standing(request(2)) == Standing::Suspect);
+}
+
+TEST_CASE("an older state of a record is ignored") {
+  Quarantine Q;
+  Q.put(shared({"i-1", "i-2", "i-3"}, 5));
+  Q.put(shared({"i-1"}, 4));
+  CHECK(Q.standing(request()) == Standing::OnTrial);
+}
+
+TEST_CASE("a suspicion is forgotten, and what is more than one is not") {
+  Quarantine Q;
+  Q.put(shared({"i-1"}, 5, 1));
+  Q.put(shared({"i-1", "i-2", "i-3"}, 6, 2));
+  Q.crashed(seen("i-9", 3));
+  Q.expire(1000 + EvidenceLifetimeMs, true);
+  CHECK(Q.size() == 3);
+  Q.expire(1001 + EvidenceLifetimeMs, false);
+  CHECK(Q.size() == 2); // Removing from the store is another daemon's.
+  CHECK_FALSE(Q.nextWrite());
+  Q.expire(1001 + EvidenceLifetimeMs, true);
+  REQUIRE(Q.nextWrite());
+  CHECK(Q.nextWrite()->Record.Request == request(1));
+  CHECK(Q.standing(request(2)) == Standing::OnTrial);
+}
+
+TEST_CASE("a flood of distinct requests is bounded, here and in the store") {
+  Quarantine Q;
+  for (int N = 0; N < int(MostEntries) + 500; ++N)
+    Q.crashed(seen("i-1", N));
+  CHECK(Q.size() == MostEntries);
+  Quarantine Full;
+  for (int N = 0; N < int(MostShared); ++N)
+    Full.put(shared({"i-1"}, N + 1, N, 1000 + N));
+  Full.crashed(seen("i-2", 999'999, 50'000));
+  Full.share(request(999'999));
+  auto W = Full.nextWrite();
+  REQUIRE(W);
+  CHECK(W->Removes);
+  CHECK(W->Record.Request == request(0)); // The oldest gives way.
+  Full.remove(request(0));
+  W = Full.nextWrite();
+  REQUIRE(W);
+  CHECK_FALSE(W->Removes);
+  CHECK(W->Record.Request == request(999'999));
+}
