forward: a request whose replicas crash is at one replica at a time

Change: from the first replica that crashed under it, and until a run of it ends well, a request is not hedged, and its parts wait for each other. With the third crashed replica and no run that ended well it is given up at once. An attempt may begin so (Caution) when earlier ones crashed replicas.

Measured in the state machine: 4 shards that all crash end after 3 replies with no second send, before it was one for each part; a request beside it goes on in all parts with its first reply. Found by the new test on the way: a hedge that is due and held made the run ask for ticks without pause; it is not due while held. Nothing tells a run of crashes yet.

--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -122,13 +122,18 @@
   }
   bool NothingRan = nothingRan();
   std::string Why = fmt::format(
-      "{} of {} parts in, {} sends, {} rejected, {} lost, {} not sent",
+      "{} of {} parts in, {} sends, {} rejected, {} lost, {} not sent, {} "
+      "replicas crashed",
       Story.PartsIn, Parts.size(), Story.Sends, Story.Rejected, Story.Lost,
-      Story.NotSent);
+      Story.NotSent, Story.Crashed);
   if (NothingRan)
     finish(Out, OwnAnswer{ResultCode::UpstreamShed, NoReplicaRetry, Why}, Now);
+  else if (Ask.Care == Caution::OneSend && Story.Crashed > 0)
+    finish(Out, OwnAnswer{ResultCode::RequestCrashes, {}, Why}, Now);
   else if (Ask.Way->Kind == Repetition::AtMostOnce)
     finish(Out, OwnAnswer{ResultCode::OutcomeUnknown, {}, Why}, Now);
+  else if (crashesEnough())
+    finish(Out, OwnAnswer{ResultCode::ReplicasCrashed, {}, Why}, Now);
   else if (TimedOut)
     finish(Out, OwnAnswer{ResultCode::DeadlineExceeded, {}, Why}, Now);
   else
@@ -175,7 +180,7 @@
   if (Fan && !CutoffSeen)
     Next = std::min(Next, Cutoff);
   for (const Sent &X : Sends)
-    if (X.Open && !Parts[X.Part].In)
+    if (X.Open && !Parts[X.Part].In && !careful())
       Next = std::min(Next, X.HedgeAt);
   for (const Part &P : Parts)
     Next = std::min(Next, P.RetryAt);
--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -95,12 +95,84 @@
   makeParts(S, Now);
   if (refuseAtOnce(S, Out, Now))
     return Out;
-  for (unsigned I = 0; I < Parts.size(); ++I)
-    trySend(S, I, Out, Now);
+  if (careful())
+    holdAll();
+  else
+    for (unsigned I = 0; I < Parts.size(); ++I)
+      trySend(S, I, Out, Now);
+  sendHeld(S, Out, Now);
   settle(Out, Now);
   return Out;
 }
 
+void ForwardRun::holdAll() {
+  for (Part &P : Parts)
+    P.Held = true;
+  AnyHeld = true;
+}
+
+/// The failure: one request crashes whatever runs it. Sent on to another
+/// replica for each part that it lost, and hedged, it empties all shards in one
+/// attempt; so it is at one replica at a time until a run of it ends well.
+bool ForwardRun::careful() const {
+  bool Suspected = Ask.Care != Caution::None || Story.Crashed > 0;
+  return Suspected && !succeeded();
+}
+
+/// Nothing more of it is sent.
+bool ForwardRun::crashesEnough() const {
+  if (succeeded() || (Ask.Care == Caution::None && Story.Crashed == 0))
+    return false;
+  if (Ask.Care == Caution::OneSend)
+    return !Sends.empty() && OpenSends == 0;
+  return Story.Crashed > 0 &&
+         Ask.CrashedBefore + Story.Crashed >= EnoughCrashes;
+}
+
+/// Whether another send may start while the request is suspected.
+bool ForwardRun::mayStartOne() const {
+  bool Waits = std::ranges::any_of(
+      Parts, [](const Part &P) { return P.RetryAt != Instant::max(); });
+  return OpenSends == 0 && !Waits && !crashesEnough();
+}
+
+/// Sends held parts: all of them, or while careful() one, when nothing else of
+/// the request is under way.
+void ForwardRun::sendHeld(ForwardShared &S, RunOutput &Out, Instant Now) {
+  if (!AnyHeld)
+    return;
+  // Begun anywhere, so that the first shard is not every suspect's first.
+  std::size_t First = below(S.Rng, Parts.size());
+  for (std::size_t N = 0; N < Parts.size(); ++N) {
+    auto Index = static_cast<unsigned>((First + N) % Parts.size());
+    Part &P = Parts[Index];
+    if (!P.Held)
+      continue;
+    if (careful() && !mayStartOne())
+      return;
+    P.Held = false;
+    if (P.Sends == 0)
+      trySend(S, Index, Out, Now);
+    else
+      tryAgain(S, Index, P.LastEnd, Out, Now);
+  }
+  AnyHeld = false;
+}
+
+/// A send of part \p Index has ended as \p Last: what is to be sent next, of
+/// this part and of those that were held.
+void ForwardRun::goOn(ForwardShared &S, unsigned Index, SendEnd Last,
+                      RunOutput &Out, Instant Now) {
+  Part &P = Parts[Index];
+  if (!careful()) {
+    tryAgain(S, Index, Last, Out, Now);
+  } else if (!P.In && !P.GivenUp && P.Open == 0) {
+    P.Held = AnyHeld = true;
+    P.LastEnd = Last;
+  }
+  sendHeld(S, Out, Now);
+}
+
 ReplicaPtr ForwardRun::pick(ForwardShared &S, const Part &P, unsigned Index,
                             Instant Now) const {
   auto Info = Ask.Config->services().find(P.Service);
@@ -229,6 +301,8 @@
 }
 
 void ForwardRun::hedge(ForwardShared &S, RunOutput &Out, Instant Now) {
+  if (careful())
+    return;
   std::size_t Count = Sends.size();
   for (std::size_t I = 0; I < Count; ++I) {
     if (!Sends[I].Open || Sends[I].HedgeAt > Now)
@@ -321,6 +395,7 @@
   case SendEnd::Lost:
   case SendEnd::Abandoned:
     ++Story.Lost;
+    Story.Crashed += Result.ReplicaCrashed;
     return;
   case SendEnd::Answered:
     break;
@@ -375,8 +450,10 @@
   bool Final = P.HasReply && !P.In && !mayRetryStatus(P.Reply.Status);
   if (Final)
     P.GivenUp = true; // Another replica would say the same.
-  if (Now < End)
-    tryAgain(S, Index, Result.How, Out, Now);
+  if (crashesEnough())
+    answerFailure(Out, Now, false);
+  else if (Now < End)
+    goOn(S, Index, Result.How, Out, Now);
   settle(Out, Now);
   return Out;
 }
@@ -392,6 +469,7 @@
   if (Now < End) {
     hedge(S, Out, Now);
     lookForRoom(S, Out, Now);
+    sendHeld(S, Out, Now);
   }
   settle(Out, Now);
   return Out;
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -23,6 +23,12 @@
 //   after that                                      when the least share is in
 //   the caller's deadline or the route's timeout    an error, or what is there
 //
+// A request whose replicas crash may be what crashes them. From the first crash
+// on, and until a run of it ends well, it is at one replica at a time, is not
+// hedged, and is given up when EnoughCrashes replicas have ended under it
+// (package quarantine). A request that only ran beside the guilty one needs one
+// reply for all of its parts to go on at once.
+//
 // How to drive it: call begin() once, replied() for each send that ended and
 // tick() when nextTick() has come; do what comes back. After the answer it
 // still wants ticks until done(): replies under way get a little time to
@@ -37,6 +43,7 @@
 #include "forward/RetryBudget.h"
 #include "forward/WorkEstimate.h"
 #include "shallotshift/limits.h"
+#include "shallotshift/quarantine.h"
 
 #include <optional>
 
@@ -65,6 +72,8 @@
   std::optional<Duration> Opened;
   /// The connection was new and was reset, as a replica does above its cap.
   bool ConnectionRefused = false;
+  /// The replica's process ended while it had the request.
+  bool ReplicaCrashed = false;
 };
 
 /// What the operator and the settings allow all requests.
@@ -88,12 +97,21 @@
   bool Pressed = false;
 };
 
+/// How a request is sent under which replicas crashed in earlier attempts.
+enum class Caution : std::uint8_t {
+  None,
+  OneAtATime, ///< To one replica, until a run ends well.
+  OneSend,    ///< A trial: to one replica, and to no other unless it ends well.
+};
+
 /// A caller's request, as far as the decisions need it.
 struct ForwardAsk {
   std::shared_ptr<const ServingConfig> Config;
   const Route *Way = nullptr; ///< Of Config.
   Instant Arrived;
   Duration CallerWaits{}; ///< The caller's own deadline, from Arrived.
+  Caution Care = Caution::None;
+  unsigned CrashedBefore = 0; ///< Replicas, in earlier attempts.
 };
 
 /// A send to start.
@@ -141,6 +159,7 @@
   unsigned Rejected = 0;
   unsigned Lost = 0;
   unsigned NotSent = 0;
+  unsigned Crashed = 0; ///< Replicas that ended while they had it.
   unsigned BudgetRefusals = 0;
   unsigned Waits = 0; ///< Times that no replica had room.
 
@@ -168,6 +187,8 @@
   /// It makes room for others: it is answered, or only waits for stragglers. A
   /// slow replica holds queries for long and gives no reason to start fewer.
   bool makesRoom() const { return Answered || CutoffSeen || enough(); }
+  /// A replica's run of it ended well.
+  bool succeeded() const { return Story.PartsIn > 0; }
   /// What it has seen of the load at replicas, for the admission of others.
   LoadSample load(Instant Now) const;
 
@@ -185,6 +206,9 @@
     /// Wait at the replica that replied last, if it said how many wait there.
     Duration Queued{};
     bool FoundFull = false; ///< A replica turned a send away for its queue.
+    /// Waits until a run of the request has ended well.
+    bool Held = false;
+    SendEnd LastEnd = SendEnd::Abandoned; ///< Of a held part's last send.
   };
   struct Sent {
     unsigned Part = 0;
@@ -206,6 +230,13 @@
                   Instant Now) const;
   void tryAgain(ForwardShared &S, unsigned Index, SendEnd Last, RunOutput &Out,
                 Instant Now);
+  bool careful() const;
+  bool crashesEnough() const;
+  bool mayStartOne() const;
+  void holdAll();
+  void goOn(ForwardShared &S, unsigned Index, SendEnd Last, RunOutput &Out,
+            Instant Now);
+  void sendHeld(ForwardShared &S, RunOutput &Out, Instant Now);
   void hedge(ForwardShared &S, RunOutput &Out, Instant Now);
   void lookForRoom(ForwardShared &S, RunOutput &Out, Instant Now);
   Instant hedgeAt(ForwardShared &S, const Part &P, const ReplicaPtr &To,
@@ -236,6 +267,7 @@
   std::vector<Part> Parts;
   std::vector<Sent> Sends;
   std::size_t OpenSends = 0;
+  bool AnyHeld = false; ///< Some part may be.
   bool CutoffSeen = false;
   bool Answered = false;
   Instant Began;
--- /dev/null
+++ b/tests/failure/CrashingRequestsAreSentOnce.cpp
@@ -0,0 +1,169 @@
+// What callers see: one search ends every replica that begins it, and for
+// seconds nobody's searches are answered. What happens: each of its parts loses
+// its replica within milliseconds and is sent on to the next one at once, so
+// that two attempts empty all shards. Why it is told from others: a request
+// that only ran beside it, or whose replica ended for another reason, has a
+// part that ends well; until one has, it is at one replica at a time.
+#include "ForwardFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+using namespace shallot::test;
+
+namespace {
+
+struct CrashFixture : ForwardFixture {
+  CrashFixture() {
+    for (const char *Shard : {"a", "b", "c", "d"})
+      for (const char *Zone : {"here", "there", "far"})
+        add(std::string(Shard) + "-" + Zone, Shard, Zone);
+  }
+
+  static ShardFanOut shards() {
+    ShardFanOut F;
+    for (const char *Name : {"a", "b", "c", "d"})
+      F.Shards.emplace_back(Name);
+    F.MostRecords = 3;
+    F.LeastShare = 0.5;
+    return F;
+  }
+  static SendResult crashed() {
+    SendResult S = ended(SendEnd::Lost);
+    S.ReplicaCrashed = true;
+    return S;
+  }
+  ForwardRun careful(const Route &R, Caution Care, unsigned Before) {
+    ForwardAsk A = run(R).ask();
+    A.Care = Care;
+    A.CrashedBefore = Before;
+    return ForwardRun(std::move(A));
+  }
+  RunOutput reply(ForwardRun &R, unsigned Send, SendResult Result) {
+    Now += Millis(5);
+    return R.replied(Shared, Send, std::move(Result), Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(CrashFixture, "nothing is sent again while all it had ends") {
+  ForwardRun R = run(route(shards()));
+  REQUIRE(R.begin(Shared, Now).Start.size() == 4);
+  for (unsigned Send : {0, 1, 2}) {
+    RunOutput Out = reply(R, Send, crashed());
+    CHECK(Out.Start.empty());
+    if (Send < 2)
+      CHECK_FALSE(Out.Answer);
+    else
+      CHECK(own(Out).Code == ResultCode::ReplicasCrashed);
+  }
+  CHECK(R.story().Crashed == 3);
+  // The last one is left to end; nobody is asked in its place.
+  CHECK(reply(R, 3, crashed()).Start.empty());
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a request in flight beside it goes on") {
+  ForwardRun R = run(route(shards()));
+  R.begin(Shared, Now);
+  CHECK(reply(R, 0, crashed()).Start.empty());
+  CHECK(reply(R, 1, crashed()).Start.empty());
+  // One of its parts is in: it is not this request. All others go on at once.
+  RunOutput Out = reply(R, 2, answered());
+  CHECK(Out.Start.size() == 2);
+  CHECK(R.succeeded());
+  CHECK(reply(R, 3, answered()).Start.empty());
+  reply(R, 4, answered());
+  Out = reply(R, 5, answered());
+  REQUIRE(Out.Answer);
+  CHECK(std::get<MergedAnswer>(*Out.Answer).Missing == 0);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "two replicas that ended are tried on from") {
+  ForwardRun R = run(route(shards()));
+  R.begin(Shared, Now);
+  reply(R, 0, crashed());
+  reply(R, 1, crashed());
+  reply(R, 2, ended(SendEnd::Rejected));
+  RunOutput Out = reply(R, 3, ended(SendEnd::Rejected));
+  CHECK(Out.Start.size() == 1); // One, and nothing beside it.
+  Out = reply(R, 4, answered());
+  CHECK(Out.Start.size() == 3);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a suspect is at one replica at a time") {
+  ForwardRun R = careful(route(shards()), Caution::OneAtATime, 1);
+  CHECK(R.begin(Shared, Now).Start.size() == 1);
+  // It is not hedged, however long it takes.
+  CHECK(tickUntil(R, Now + Millis(60)).Start.empty());
+  SUBCASE("until a run ends well") {
+    CHECK(reply(R, 0, answered()).Start.size() == 3);
+  }
+  SUBCASE("and is given up with the third replica in all") {
+    CHECK(reply(R, 0, crashed()).Start.size() == 1);
+    RunOutput Out = reply(R, 1, crashed());
+    CHECK(Out.Start.empty());
+    CHECK(own(Out).Code == ResultCode::ReplicasCrashed);
+  }
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a trial is one send") {
+  ForwardRun R = careful(route(shards()), Caution::OneSend, EnoughCrashes);
+  REQUIRE(R.begin(Shared, Now).Start.size() == 1);
+  SUBCASE("a crash is final, and invites nobody to come back") {
+    RunOutput Out = reply(R, 0, crashed());
+    CHECK(Out.Start.empty());
+    CHECK(own(Out).Code == ResultCode::RequestCrashes);
+    CHECK(own(Out).RetryAfter == Duration(0));
+  }
+  SUBCASE("a full replica proves nothing, and that nothing ran") {
+    RunOutput Out = reply(R, 0, ended(SendEnd::Rejected));
+    CHECK(Out.Start.empty());
+    CHECK(own(Out).Code == ResultCode::UpstreamShed);
+    CHECK(own(Out).RetryAfter > Duration(0));
+  }
+  SUBCASE("a lost reply is not sent for again") {
+    RunOutput Out = reply(R, 0, ended(SendEnd::Lost));
+    CHECK(Out.Start.empty());
+    REQUIRE(Out.Answer);
+  }
+  SUBCASE("a run that ends well is answered whole") {
+    CHECK(reply(R, 0, answered()).Start.size() == 3);
+  }
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a plain request goes on to another replica") {
+  ForwardRun R = run(route(ServiceName("a")));
+  R.begin(Shared, Now);
+  RunOutput Out = reply(R, 0, crashed());
+  REQUIRE(Out.Start.size() == 1);
+  CHECK(tickUntil(R, Now + Millis(100)).Start.empty());
+  Out = reply(R, 1, answered());
+  CHECK(std::holds_alternative<PassedAnswer>(*Out.Answer));
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "an action that crashed its replica is unknown") {
+  ForwardRun R = run(route(ServiceName("a"), Repetition::AtMostOnce));
+  R.begin(Shared, Now);
+  RunOutput Out = reply(R, 0, crashed());
+  CHECK(Out.Start.empty());
+  CHECK(own(Out).Code == ResultCode::OutcomeUnknown);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a held part waits for room like any other") {
+  ForwardRun R = careful(route(shards()), Caution::OneAtATime, 1);
+  // Every replica has as many sends as it may.
+  std::vector<ForwardRun> Others;
+  Book.setSharing({300, 300, 1.0 / 600});
+  for (int N = 0; N < 8; ++N)
+    Others.push_back(run(route(shards())));
+  for (ForwardRun &O : Others)
+    O.begin(Shared, Now);
+  R.begin(Shared, Now);
+  RunOutput Out = tickUntil(R, Now + Millis(30));
+  // Whatever there is room for, it is one send at most, and it ends.
+  CHECK(R.story().Sends <= 1);
+  tickUntil(R, Now + Seconds(1));
+  CHECK(R.answered());
+}
--- a/tests/forward.cmake
+++ b/tests/forward.cmake
@@ -4,6 +4,7 @@
           correctness/RoutesMatchLongestPrefix.cpp)
 shallot_test(forward_failure PACKAGES forward LABELS failure
   SOURCES TestMain.cpp failure/ActionsAreForwardedOnce.cpp failure/ConnectionsFollowNeed.cpp
+          failure/CrashingRequestsAreSentOnce.cpp
           failure/DeadReplicasRest.cpp failure/OverloadIsTurnedAway.cpp failure/PartsAreMissing.cpp
           failure/ReplicasStartAgain.cpp
           failure/RetryBudgetHoldsInEveryWindow.cpp
