front: a daemon finds out which requests crash replicas, and stops sending them

Cause: a lost send was held against the replica only (first hypothesis), and the run sent the request on (second). The third hypothesis, replicas that end of something else, is told apart from now on: when a connection breaks and no run of the request has ended well, the daemon looks whether the process still has other connections or accepts a new one (http1/CrashCheck). Refused: it ended.

--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -170,6 +170,12 @@
 public:
   explicit ForwardRun(ForwardAsk Ask) : Ask(std::move(Ask)) {}
 
+  /// Replicas crashed under earlier attempts, \p Before of them. To be called
+  /// before begin().
+  void beCareful(Caution Care, unsigned Before) {
+    Ask.Care = Care;
+    Ask.CrashedBefore = Before;
+  }
   RunOutput begin(ForwardShared &S, Instant Now);
   RunOutput replied(ForwardShared &S, unsigned Send, SendResult Result,
                     Instant Now);
--- a/packages/front/AnswerWriting.cpp
+++ b/packages/front/AnswerWriting.cpp
@@ -52,7 +52,7 @@
   return writeOwnAnswer(std::get<OwnAnswer>(A), Id);
 }
 
-void noteAnswer(Metrics &Meter, const std::string &Id, const ForwardRun &Run,
+void noteAnswer(Metrics &Meter, const NamedRequest &Name, const ForwardRun &Run,
                 const ForwardAnswer &A, Instant Now) {
   const ForwardAsk &Ask = Run.ask();
   Duration Took = Now - Ask.Arrived;
@@ -66,7 +66,8 @@
   const auto *Own = std::get_if<OwnAnswer>(&A);
   const auto *Passed = std::get_if<PassedAnswer>(&A);
   logEvent(LogLevel::Info, "request",
-           {{"id", Id},
+           {{"id", Name.Id},
+            {"fingerprint", Name.Print.str()},
             {"route", Ask.Way->Name},
             {"config", std::to_string(Ask.Config->version())},
             {"outcome", Outcome},
@@ -81,6 +82,7 @@
             {"retries", std::to_string(S.Retries)},
             {"rejected", std::to_string(S.Rejected)},
             {"lost", std::to_string(S.Lost)},
+            {"crashed", std::to_string(S.Crashed)},
             {"not_sent", std::to_string(S.NotSent)},
             {"no_budget", std::to_string(S.BudgetRefusals)},
             {"no_room", std::to_string(S.Waits)}});
--- a/packages/front/AnswerWriting.h
+++ b/packages/front/AnswerWriting.h
@@ -9,6 +9,7 @@
 #define SHALLOTSHIFT_FRONT_ANSWERWRITING_H
 
 #include "front/HeaderNames.h"
+#include "front/QuarantineGate.h"
 #include "shallotshift/forward.h"
 #include "shallotshift/http1.h"
 #include "shallotshift/telemetry.h"
@@ -24,9 +25,9 @@
 /// A refusal or a failure of our own.
 CallerReply writeOwnAnswer(const OwnAnswer &A, std::string Id);
 
-/// Counts \p A, the answer of \p Run to the request \p Id, and logs it if it is
-/// not whole or came after the route's objective.
-void noteAnswer(Metrics &Meter, const std::string &Id, const ForwardRun &Run,
+/// Counts \p A, the answer of \p Run to the request \p Name, and logs it if it
+/// is not whole or came after the route's objective.
+void noteAnswer(Metrics &Meter, const NamedRequest &Name, const ForwardRun &Run,
                 const ForwardAnswer &A, Instant Now);
 
 } // namespace shallot
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -51,17 +51,24 @@
   return Host;
 }
 
+OwnAnswer overloadAnswer(const Verdict &V) {
+  return {V.Code, V.RetryAfter, "more than the replicas can take"};
+}
+
 } // namespace
 
 struct RequestDesk::Impl {
   /// One request on its way.
   struct Job {
-    Job(ExchangePtr E, ForwardAsk Ask) : E(std::move(E)), Run(std::move(Ask)) {}
+    Job(ExchangePtr E, ForwardAsk Ask, NamedRequest Name)
+        : E(std::move(E)), Run(std::move(Ask)), Name(std::move(Name)) {}
 
     ExchangePtr E;
     ForwardRun Run;
-    std::string Id;
-    std::string Head; ///< Method, target and headers for every send.
+    NamedRequest Name;
+    bool Trial = false;   ///< A trial was granted for it.
+    bool Cleared = false; ///< That a run ended well was noted.
+    std::string Head;     ///< Method, target and headers for every send.
     std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
     TimerQueue::Key Timer = 0;
     Instant TimerAt = Instant::max();
@@ -73,7 +80,7 @@
        ReplicaBook &Book, ForwardRules Rules, Random &Rng, Metrics &Meter)
       : Timers(Timers), Names(std::move(Names)),
         Pool(Loop, Timers, {}), Shared{Book, Budgets, Work, Rng, Rules},
-        Meter(Meter) {}
+        Meter(Meter), Gate(Loop, Pool, Timers, Meter) {}
   ~Impl() { Timers.cancel(AdmissionTimer); }
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
@@ -81,13 +88,19 @@
   void handle(const ExchangePtr &E);
   void refuse(const ExchangePtr &E, const OwnAnswer &A);
   std::string headFor(const CallerRequest &R) const;
+  void vet(const JobPtr &J);
+  void askTrial(const JobPtr &J);
   void admit(const JobPtr &J);
   void start(const JobPtr &J);
-  void turnAway(const JobPtr &J, const Verdict &V);
+  void turnAway(const JobPtr &J, OwnAnswer A);
   void leave(const JobPtr &J);
   void pollAdmission();
   void apply(const JobPtr &J, RunOutput Out);
   void send(const JobPtr &J, const StartSend &S);
+  void sendEnded(const JobPtr &J, unsigned Send, const ReplicaEntry &To,
+                 UpstreamReply Reply);
+  void replied(const JobPtr &J, unsigned Send, SendResult Result);
+  void noteFailure(const JobPtr &J);
   void answer(const JobPtr &J, ForwardAnswer A);
   void schedule(const JobPtr &J);
   void tryResting();
@@ -99,6 +112,7 @@
   WorkBook Work;
   ForwardShared Shared;
   Metrics &Meter;
+  QuarantineGate Gate;
   std::shared_ptr<const ServingConfig> Config;
   RouteAdmission Admit;
   TicketId LastTicket = 0;
@@ -152,8 +166,9 @@
   Ask.Arrived = R.Arrived;
   Ask.CallerWaits = readDeadline(headerValue(R.Headers, Names.Deadline))
                         .value_or(Way->Timeout);
-  auto J = std::make_shared<Job>(E, std::move(Ask));
-  J->Id = std::string(headerValue(R.Headers, Names.RequestId));
+  std::string Id(headerValue(R.Headers, Names.RequestId));
+  auto J = std::make_shared<Job>(
+      E, std::move(Ask), nameRequest(R, Host, Way->Name, std::move(Id)));
   J->Head = headFor(R);
   Jobs.insert(J);
   ++Unanswered;
@@ -166,8 +181,39 @@
     Meter.count("shallot_forward_gone_total");
     leave(J);
     apply(J, J->Run.callerGone(Timers.now()));
+    noteFailure(J);
+  });
+  vet(J);
+}
+
+/// A request under which replicas crashed is refused at once, or waits for the
+/// grant of a trial; it takes no place among those that wait for replicas.
+void RequestDesk::Impl::vet(const JobPtr &J) {
+  switch (Gate.standing(J->Name)) {
+  case Standing::Clear:
+  case Standing::Suspect:
+    admit(J);
+    return;
+  case Standing::OnTrial:
+    askTrial(J);
+    return;
+  case Standing::Quarantined:
+    turnAway(J, quarantinedAnswer());
+    return;
+  }
+}
+
+void RequestDesk::Impl::askTrial(const JobPtr &J) {
+  Gate.requestTrial(J->Name, [this, Weak = std::weak_ptr(J)](bool Granted) {
+    JobPtr J = Weak.lock();
+    if (!J || J->Run.answered())
+      return; // Its caller has gone.
+    J->Trial = Granted;
+    if (Granted)
+      admit(J);
+    else
+      turnAway(J, noTrialAnswer());
   });
-  admit(J);
 }
 
 /// Starts it, lets it wait for its turn, or turns it away at once.
@@ -185,22 +231,32 @@
     pollAdmission();
     return;
   case Turn::Refuse:
-    turnAway(J, V);
+    J->Ticket = 0; // It has no place there.
+    turnAway(J, overloadAnswer(V));
     return;
   }
 }
 
+/// Other attempts may have crashed replicas while this one waited.
 void RequestDesk::Impl::start(const JobPtr &J) {
+  Standing Now = J->Trial ? Standing::OnTrial : Gate.standing(J->Name);
+  if (Now == Standing::Quarantined)
+    return turnAway(J, quarantinedAnswer());
+  if (Now == Standing::OnTrial && !J->Trial)
+    return turnAway(J, noTrialAnswer());
+  if (Now != Standing::Clear)
+    J->Run.beCareful(J->Trial ? Caution::OneSend : Caution::OneAtATime,
+                     Gate.crashesOf(J->Name));
   apply(J, J->Run.begin(Shared, Timers.now()));
 }
 
 /// Nothing of it was sent: it leaves as if its caller had gone, and the caller
-/// is told when to come back.
-void RequestDesk::Impl::turnAway(const JobPtr &J, const Verdict &V) {
-  J->Ticket = 0;
+/// is told when to come back, if it should.
+void RequestDesk::Impl::turnAway(const JobPtr &J, OwnAnswer A) {
+  if (TicketId Ticket = std::exchange(J->Ticket, 0))
+    Admit.done(Ticket, {}, Timers.now());
   J->Run.callerGone(Timers.now());
-  OwnAnswer A{V.Code, V.RetryAfter, "more than the replicas can take"};
-  answer(J, A);
+  answer(J, std::move(A));
   Jobs.erase(J);
 }
 
@@ -224,10 +280,12 @@
       continue;
     JobPtr J = At->second;
     Waiting.erase(At);
-    if (E.Final.What == Turn::Start)
+    if (E.Final.What == Turn::Start) {
       start(J);
-    else
-      turnAway(J, E.Final);
+      continue;
+    }
+    J->Ticket = 0;
+    turnAway(J, overloadAnswer(E.Final));
   }
   Shared.Pressed = !Waiting.empty();
   Timers.cancel(AdmissionTimer);
@@ -261,29 +319,63 @@
   U.Bytes = requestText(J->Head, Extra, R.Body);
   U.ToHead = R.Method == "HEAD";
   U.EchoName = Names.RequestId;
-  U.EchoValue = J->Id;
+  U.EchoValue = J->Name.Id;
   bool Once = J->Run.ask().Way->Kind == Repetition::AtMostOnce;
   bool Far = S.To->distance() == Distance::OtherRegion;
   U.MostKept =
       (Far ? FarIdle : NearIdle).Most + S.To->allowance().extra(Timers.now());
   U.LeastKept = (Far ? FarIdle : NearIdle).Least;
   U.MostIdle = Once ? MostIdleForOnce : MostIdle;
-  bool KeepHeaders = J->Run.ask().Way->fanOut() == nullptr;
-  auto Done = [this, J, Send = S.Send, KeepHeaders](UpstreamReply Reply) {
+  auto Done = [this, J, Send = S.Send, To = S.To](UpstreamReply Reply) {
     J->Calls[Send] = 0;
-    SendResult Result = readReply(Names, std::move(Reply), KeepHeaders);
-    apply(J, J->Run.replied(Shared, Send, std::move(Result), Timers.now()));
+    sendEnded(J, Send, To->entry(), std::move(Reply));
   };
   if (J->Calls.size() <= S.Send)
     J->Calls.resize(S.Send + 1, 0);
   J->Calls[S.Send] = Pool.send(std::move(U), std::move(Done));
 }
 
+/// Before a run of the request has ended well, a broken connection may mean
+/// that the request crashed its replica. That is found out before the run goes
+/// on: it would send the request to the next one.
+void RequestDesk::Impl::sendEnded(const JobPtr &J, unsigned Send,
+                                  const ReplicaEntry &To, UpstreamReply Reply) {
+  bool MayBeCrash =
+      Reply.How == CallEnd::Lost && Reply.ClosedByPeer && !J->Run.succeeded();
+  bool KeepHeaders = J->Run.ask().Way->fanOut() == nullptr;
+  SendResult Result = readReply(Names, std::move(Reply), KeepHeaders);
+  if (!MayBeCrash)
+    return replied(J, Send, std::move(Result));
+  Gate.sendLost(J->Name, To, [this, J, Send, Result](bool Crashed) {
+    SendResult Known = Result;
+    Known.ReplicaCrashed = Crashed;
+    replied(J, Send, std::move(Known));
+  });
+}
+
+void RequestDesk::Impl::replied(const JobPtr &J, unsigned Send,
+                                SendResult Result) {
+  bool Late = J->Run.answered() && Result.ReplicaCrashed;
+  apply(J, J->Run.replied(Shared, Send, std::move(Result), Timers.now()));
+  if (J->Run.succeeded() && !std::exchange(J->Cleared, true))
+    Gate.succeeded(J->Name);
+  if (Late)
+    noteFailure(J);
+}
+
+/// What crashed under an attempt without success is for the other daemons to
+/// know, also when the caller did not wait for its end.
+void RequestDesk::Impl::noteFailure(const JobPtr &J) {
+  if (!J->Run.succeeded())
+    Gate.attemptFailed(J->Name, J->Run.story(), J->Trial);
+}
+
 void RequestDesk::Impl::answer(const JobPtr &J, ForwardAnswer A) {
   --Unanswered;
   leave(J);
-  noteAnswer(Meter, J->Id, J->Run, A, Timers.now());
-  J->E->reply(writeAnswer(std::move(A), Names, J->Id));
+  noteFailure(J);
+  noteAnswer(Meter, J->Name, J->Run, A, Timers.now());
+  J->E->reply(writeAnswer(std::move(A), Names, J->Name.Id));
 }
 
 void RequestDesk::Impl::schedule(const JobPtr &J) {
@@ -311,7 +403,8 @@
 
 void RequestDesk::Impl::tryResting() {
   for (const ReplicaPtr &R : Shared.Book.dueTrials(Timers.now()))
-    Pool.tryConnect(R->entry().At, [this, R](bool Worked) {
+    Pool.tryConnect(R->entry().At, [this, R](ConnectEnd How) {
+      bool Worked = How == ConnectEnd::Opened;
       logEvent(LogLevel::Info, "replica_tried",
                {{"replica", R->entry().Id.str()},
                 {"service", R->entry().Service.str()},
@@ -360,4 +453,6 @@
   return I->Pool.counters();
 }
 
+QuarantineGate &RequestDesk::quarantine() { return I->Gate; }
+
 } // namespace shallot
--- a/packages/front/RequestDesk.h
+++ b/packages/front/RequestDesk.h
@@ -10,6 +10,7 @@
 #define SHALLOTSHIFT_FRONT_REQUESTDESK_H
 
 #include "front/HeaderNames.h"
+#include "front/QuarantineGate.h"
 #include "shallotshift/forward.h"
 #include "shallotshift/http1.h"
 #include "shallotshift/telemetry.h"
@@ -43,6 +44,8 @@
   /// Requests that came so far.
   std::uint64_t handled() const;
   const UpstreamPoolCounters &connectionCounters() const;
+  /// What is known of requests under which replicas crashed.
+  QuarantineGate &quarantine();
 
 private:
   struct Impl;
--- a/packages/http1/StreamSocket.cpp
+++ b/packages/http1/StreamSocket.cpp
@@ -42,8 +42,12 @@
   Socket.async_connect(At, [Self = shared_from_this(),
                             Done = std::move(Done)](const asio::error_code &E) {
     BusyTime Busy(Self->Loop);
-    if (!Self->Ended)
-      Done(!E);
+    if (Self->Ended)
+      return;
+    bool Refused = E == asio::error::connection_refused;
+    Done(!E        ? ConnectEnd::Opened
+         : Refused ? ConnectEnd::Refused
+                   : ConnectEnd::Failed);
   });
 }
 
--- a/packages/http1/StreamSocket.h
+++ b/packages/http1/StreamSocket.h
@@ -10,6 +10,7 @@
 #ifndef SHALLOTSHIFT_HTTP1_STREAMSOCKET_H
 #define SHALLOTSHIFT_HTTP1_STREAMSOCKET_H
 
+#include "http1/ConnectEnd.h"
 #include "shallotshift/net.h"
 
 #include <array>
@@ -30,7 +31,7 @@
 public:
   using DataFn = std::function<void(std::string_view)>;
   using EndFn = std::function<void(StreamEnd)>;
-  using ConnectFn = std::function<void(bool)>;
+  using ConnectFn = std::function<void(ConnectEnd)>;
 
   explicit StreamSocket(EventLoop &Loop);
   /// Takes over an accepted connection.
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -61,7 +61,7 @@
     bool Sent = false;
     Instant SentAt;
     TimerQueue::Key ConnectTimer = 0;
-    std::function<void(bool)> Trial;
+    std::function<void(ConnectEnd)> Trial;
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -70,7 +70,7 @@
 
   LinkPtr takeIdle(const UpstreamRequest &Request);
   LinkPtr connect(const Endpoint &To);
-  void connected(const LinkPtr &L, bool Worked);
+  void connected(const LinkPtr &L, ConnectEnd How);
   void transmit(const LinkPtr &L);
   void data(const LinkPtr &L, std::string_view Bytes);
   void ended(const LinkPtr &L, StreamEnd How);
@@ -125,20 +125,20 @@
   std::weak_ptr<Impl> Guard = weak_from_this();
   L->ConnectTimer = Timers.after(Options.ConnectTimeout, [Guard, L] {
     if (auto Self = Guard.lock())
-      Self->connected(L, false);
+      Self->connected(L, ConnectEnd::Failed);
   });
-  L->Socket->connect(To, [Guard, L](bool Worked) {
+  L->Socket->connect(To, [Guard, L](ConnectEnd How) {
     if (auto Self = Guard.lock())
-      Self->connected(L, Worked);
+      Self->connected(L, How);
   });
   return L;
 }
 
-void UpstreamPool::Impl::connected(const LinkPtr &L, bool Worked) {
+void UpstreamPool::Impl::connected(const LinkPtr &L, ConnectEnd How) {
   Timers.cancel(L->ConnectTimer);
   if (auto Trial = std::exchange(L->Trial, nullptr))
-    Trial(Worked);
-  if (!Worked) {
+    Trial(How);
+  if (How != ConnectEnd::Opened) {
     UpstreamReply Reply;
     Reply.How = CallEnd::NotSent;
     Reply.Why = "no connection";
@@ -252,6 +252,7 @@
   UpstreamReply Reply;
   Reply.How = L->Sent ? CallEnd::Lost : CallEnd::NotSent;
   Reply.Why = Why;
+  Reply.ClosedByPeer = Why == Reset || Why == ClosedEarly;
   Reply.ConnectionRefused =
       Why == Reset && L->Fresh && L->Reader->state() == ReadState::Waiting;
   close(L);
@@ -348,10 +349,17 @@
 }
 
 void UpstreamPool::tryConnect(const Endpoint &To,
-                              std::function<void(bool)> Done) {
+                              std::function<void(ConnectEnd)> Done) {
   I->connect(To)->Trial = std::move(Done);
 }
 
+bool UpstreamPool::connectedTo(const Endpoint &To) const {
+  return I->Idle.contains(To) ||
+         std::ranges::any_of(I->Calls, [&](const auto &Item) {
+           return Item.second->To == To && Item.second->Connected;
+         });
+}
+
 void UpstreamPool::trimIdle(Instant Since) {
   std::vector<Impl::LinkPtr> Unneeded;
   for (const auto &[To, Links] : I->Idle) {
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -14,6 +14,7 @@
 #ifndef SHALLOTSHIFT_HTTP1_UPSTREAMPOOL_H
 #define SHALLOTSHIFT_HTTP1_UPSTREAMPOOL_H
 
+#include "http1/ConnectEnd.h"
 #include "http1/TimerQueue.h"
 
 #include <functional>
@@ -57,6 +58,8 @@
   std::optional<Duration> Opened;
   /// The connection was new and was reset with nothing read from it.
   bool ConnectionRefused = false;
+  /// The other end closed or reset the connection before the reply was whole.
+  bool ClosedByPeer = false;
   std::string_view Why; ///< For logs: "reset", "closed early", "bad bytes", ..
 };
 
@@ -92,7 +95,9 @@
   /// Nobody waits for it: its connection is closed, so that the replica stops.
   void drop(CallId Id);
   /// Opens a connection and keeps it if it works.
-  void tryConnect(const Endpoint &To, std::function<void(bool)> Done);
+  void tryConnect(const Endpoint &To, std::function<void(ConnectEnd)> Done);
+  /// A connection to \p To is open, idle or not.
+  bool connectedTo(const Endpoint &To) const;
   /// Closes idle connections beyond LeastKept that were not used since \p
   /// Since.
   void trimIdle(Instant Since);
--- a/packages/http1/include/shallotshift/http1.h
+++ b/packages/http1/include/shallotshift/http1.h
@@ -2,8 +2,8 @@
 //
 // The public header of package http1: callers' connections (CallerServer.h) and
 // what passes on them (CallerMessages.h), kept connections to replicas
-// (UpstreamPool.h), messages as bytes (MessageText.h) and short timers
-// (TimerQueue.h). All on the one thread of an EventLoop.
+// (UpstreamPool.h), whether a replica's process ended (CrashCheck.h), messages
+// as bytes (MessageText.h) and short timers (TimerQueue.h). All on the one thread of an EventLoop.
 // docs/design/forwarding.md says why the general client and server of package
 // net do not do here.
 //
@@ -13,6 +13,7 @@
 
 #include "http1/CallerMessages.h"
 #include "http1/CallerServer.h"
+#include "http1/CrashCheck.h"
 #include "http1/MessageText.h"
 #include "http1/TimerQueue.h"
 #include "http1/UpstreamPool.h"
--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -16,11 +16,11 @@
     return false;
   if (!E.Shared)
     return E.Own.standing() != Standing::Clear;
-  // The time alone is not worth a write.
+  // Neither the time nor other names of as many processes are worth a write.
   QuarantineRecord All = known(E);
   const QuarantineRecord &There = E.Shared->Record;
-  return All.Crashed != There.Crashed || All.Proven != There.Proven ||
-         All.Trials != There.Trials;
+  return All.Crashed.size() > There.Crashed.size() ||
+         All.Proven != There.Proven;
 }
 
 /// Brings Unwritten up to date with an entry that has changed, and forgets one
@@ -88,14 +88,15 @@
   return true;
 }
 
-void Quarantine::replaceAll(const std::vector<SharedRecord> &Now) {
+void Quarantine::replaceAll(const std::vector<SharedRecord> &Now,
+                            std::uint64_t Revision) {
   std::set<RequestFingerprint> Kept;
   for (const SharedRecord &S : Now)
     Kept.insert(S.Record.Request);
   for (auto At = Entries.begin(); At != Entries.end();) {
     auto Next = std::next(At);
-    if (At->second.Shared && !Kept.contains(At->first))
-      dropShared(At);
+    if (!Kept.contains(At->first))
+      remove(At->first, Revision);
     At = Next;
   }
   for (const SharedRecord &S : Now)
@@ -113,14 +114,13 @@
   settle(At);
 }
 
-void Quarantine::remove(const RequestFingerprint &R) {
+void Quarantine::remove(const RequestFingerprint &R, std::uint64_t Revision) {
   auto At = Entries.find(R);
-  if (At != Entries.end() && At->second.Shared)
-    dropShared(At);
-}
-
-void Quarantine::dropShared(Table::iterator At) {
+  if (At == Entries.end())
+    return;
   Entry &E = At->second;
+  if (!E.Shared || Revision < E.Shared->Revision)
+    return;
   --SharedCount;
   E.Shared.reset();
   E.Own = QuarantineRecord{At->first};
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -79,12 +79,14 @@
   /// True when something had been held against it.
   bool succeeded(const RequestFingerprint &R);
 
-  void replaceAll(const std::vector<SharedRecord> &Now);
+  /// All records there are, as listed at \p Revision.
+  void replaceAll(const std::vector<SharedRecord> &Now, std::uint64_t Revision);
   /// An older revision than the known one is ignored.
   void put(SharedRecord Now);
   /// The record is gone from the store: another daemon saw a run end well, an
   /// operator removed it, or it expired. Nothing is held against it any more.
-  void remove(const RequestFingerprint &R);
+  /// A removal before the known revision is ignored.
+  void remove(const RequestFingerprint &R, std::uint64_t Revision);
 
   /// What is to be written next; nothing when the store has it all. The same
   /// again until the store's record changes.
@@ -112,7 +114,6 @@
   static QuarantineRecord known(const Entry &E);
   static bool needsWrite(const Entry &E);
   void settle(Table::iterator At);
-  void dropShared(Table::iterator At);
   std::optional<QuarantineWrite> makeRoom() const;
 
   Table Entries;
--- a/tests/failure/CrashesAreCountedOnce.cpp
+++ b/tests/failure/CrashesAreCountedOnce.cpp
@@ -89,7 +89,7 @@
   Q.put(shared({"i-1", "i-2", "i-4"}, 6));
   CHECK(Q.standing(request()) == Standing::Clear);
   CHECK(Q.nextWrite()->Revision == 6);
-  Q.remove(request());
+  Q.remove(request(), 6);
   CHECK_FALSE(Q.nextWrite());
   CHECK(Q.size() == 0);
   CHECK(Q.shared() == 0);
@@ -99,7 +99,7 @@
   Quarantine Q;
   Q.put(shared({"i-1", "i-2", "i-3"}, 5));
   Q.put(shared({"i-1"}, 6, 2));
-  Q.replaceAll({shared({"i-1"}, 6, 2)});
+  Q.replaceAll({shared({"i-1"}, 6, 2)}, 7);
   CHECK(Q.standing(request()) == Standing::Clear);
   CHECK(Q.standing(request(2)) == Standing::Suspect);
 }
@@ -111,6 +111,16 @@
   CHECK(Q.standing(request()) == Standing::OnTrial);
 }
 
+TEST_CASE("news of the store that is older than a record takes nothing back") {
+  Quarantine Q;
+  Q.put(shared({"i-1", "i-2", "i-3"}, 9)); // Written by this daemon itself.
+  Q.remove(request(), 8);                  // It had been removed before that.
+  Q.replaceAll({}, 8);
+  CHECK(Q.standing(request()) == Standing::OnTrial);
+  Q.replaceAll({}, 9);
+  CHECK(Q.standing(request()) == Standing::Clear);
+}
+
 TEST_CASE("a suspicion is forgotten, and what is more than one is not") {
   Quarantine Q;
   Q.put(shared({"i-1"}, 5, 1));
@@ -141,7 +151,7 @@
   REQUIRE(W);
   CHECK(W->Removes);
   CHECK(W->Record.Request == request(0)); // The oldest gives way.
-  Full.remove(request(0));
+  Full.remove(request(0), 1);
   W = Full.nextWrite();
   REQUIRE(W);
   CHECK_FALSE(W->Removes);
--- a/tests/failure/CrashingRequestsAreSentOnce.cpp
+++ b/tests/failure/CrashingRequestsAreSentOnce.cpp
@@ -34,10 +34,9 @@
     return S;
   }
   ForwardRun careful(const Route &R, Caution Care, unsigned Before) {
-    ForwardAsk A = run(R).ask();
-    A.Care = Care;
-    A.CrashedBefore = Before;
-    return ForwardRun(std::move(A));
+    ForwardRun Run = run(R);
+    Run.beCareful(Care, Before);
+    return Run;
   }
   RunOutput reply(ForwardRun &R, unsigned Send, SendResult Result) {
     Now += Millis(5);
--- a/tests/failure/TrialsAreBoundedInTheFleet.cpp
+++ b/tests/failure/TrialsAreBoundedInTheFleet.cpp
@@ -50,7 +50,7 @@
     Quarantine &Q = Tables[below(Rng, Tables.size())];
     switch (below(Rng, 6)) {
     case 0: // It hears from the store.
-      Q.replaceAll(Shop.all());
+      Q.replaceAll(Shop.all(), Shop.Revision);
       return;
     case 1: // It is killed and starts without a memory.
       Q = Quarantine();
@@ -127,19 +127,19 @@
            F.Shop.Records.begin()->second.Record.Crashed.size() < EnoughCrashes)
       F.step(Rng);
     for (Quarantine &Q : F.Tables)
-      Q.replaceAll(F.Shop.all());
+      Q.replaceAll(F.Shop.all(), F.Shop.Revision);
     unsigned UsualBefore = F.Usual;
     for (int Step = 0; Step < 200; ++Step) {
       Quarantine &Q = F.Tables[below(Rng, F.Tables.size())];
       if (below(Rng, 5) == 0) { // A start reads the list before it is ready.
         Q = Quarantine();
-        Q.replaceAll(F.Shop.all());
+        Q.replaceAll(F.Shop.all(), F.Shop.Revision);
       }
       F.attempt(Q, Rng);
       if (auto W = Q.nextWrite())
         F.Shop.write(*W);
       if (below(Rng, 3) == 0)
-        Q.replaceAll(F.Shop.all());
+        Q.replaceAll(F.Shop.all(), F.Shop.Revision);
     }
     CHECK(F.Usual == UsualBefore);
     CHECK(F.Trials <= MostTrials);
@@ -153,14 +153,14 @@
   F.Tables[0].share(deadly());
   REQUIRE(F.Shop.write(*F.Tables[0].nextWrite()));
   for (Quarantine &Q : F.Tables)
-    Q.replaceAll(F.Shop.all());
+    Q.replaceAll(F.Shop.all(), F.Shop.Revision);
   Quarantine &Q = F.Tables[1];
   REQUIRE(F.Shop.write(*Q.trialWrite(deadly())));
-  Q.replaceAll(F.Shop.all());
+  Q.replaceAll(F.Shop.all(), F.Shop.Revision);
   Q.succeeded(deadly());
   REQUIRE(F.Shop.write(*Q.nextWrite()));
   for (Quarantine &Each : F.Tables) {
-    Each.replaceAll(F.Shop.all());
+    Each.replaceAll(F.Shop.all(), F.Shop.Revision);
     CHECK(Each.standing(deadly()) == Standing::Clear);
   }
 }
--- a/tests/http1.cmake
+++ b/tests/http1.cmake
@@ -3,4 +3,5 @@
 shallot_test(http1_failure PACKAGES http1 LABELS failure
   SOURCES TestMain.cpp failure/CallersLeave.cpp
           failure/RepliesBeforeTheBodyIsRead.cpp
-          failure/RepliesWithoutLength.cpp failure/StrayBytesBelongToNobody.cpp)
+          failure/ProcessesThatEndAreTold.cpp failure/RepliesWithoutLength.cpp
+          failure/StrayBytesBelongToNobody.cpp)
