front, platform: daemons share what they know of requests that crash replicas

What callers saw: the request came to another daemon each time, and each daemon emptied the shards anew; a daemon that had started again did so too.

Cause: evidence was one daemon's own, and gone with it (first hypothesis).

Change: evidence of an attempt without success is written into the platform's store, under a kind of our own, by conditional writes; daemons read it as they read the configuration, from the store or from each other, and say in the gossip how far they have read it. A trial is one such write, so the whole fleet makes two for a request.

Why this holds: the store survives the loss of all hosts; a daemon that starts, or comes back from a cut, lists the records before or soon after it has its configuration; no bound holds while the store itself is in trouble.

Other searches are still never told to stay away.

By the way: the two ways to ask a peer that is ahead, alike but for names, are one (front/FollowedKind).

--- a/packages/fleet/GossipMessage.h
+++ b/packages/fleet/GossipMessage.h
@@ -72,6 +72,8 @@
   /// The configuration that the sender has in force.
   std::uint64_t ConfigGeneration = 0;
   std::uint64_t ConfigHead = 0; ///< Hash of its head.
+  /// How far the sender has read the records of requests that crash replicas.
+  std::uint64_t QuarantineRevision = 0;
   /// SyncReply: parts that differ and that the replier wants in return.
   /// SyncPush: parts that are sent.
   std::uint64_t Buckets = 0;
--- a/packages/fleet/MemberTable.cpp
+++ b/packages/fleet/MemberTable.cpp
@@ -187,6 +187,7 @@
     return;
   R.ConfigGeneration = M.ConfigGeneration;
   R.ConfigHead = M.ConfigHead;
+  R.QuarantineRevision = M.QuarantineRevision;
 }
 
 void MemberTable::setFailed(const HostId &Host, const HostId &Accuser,
@@ -223,7 +224,7 @@
   else if (Dead.insert(Host).second)
     R.DeadSince = Now;
   if (OldId != R.Fact.Who.Id)
-    R.ConfigGeneration = R.ConfigHead = 0;
+    R.ConfigGeneration = R.ConfigHead = R.QuarantineRevision = 0;
   addToDigest(R);
   show(R, OldId);
 }
--- a/packages/fleet/Membership.cpp
+++ b/packages/fleet/Membership.cpp
@@ -148,6 +148,10 @@
   I->ConfigHead = Head;
 }
 
+void Membership::setQuarantineRevision(std::uint64_t Revision) {
+  I->QuarantineRevision = Revision;
+}
+
 const FleetView &Membership::view() const { return I->Table.view(); }
 const Member &Membership::self() const { return I->Self.Who; }
 bool Membership::mayAct(Instant Now) const { return I->whyNot(Now).empty(); }
@@ -161,8 +165,8 @@
   std::vector<PeerConfig> Configs;
   for (const auto &[Host, R] : I->Table.records())
     if (internal::isLive(R) && Host != I->Self.Who.Id.Host)
-      Configs.push_back(
-          {R.Fact.Who.Id, R.ConfigGeneration, R.ConfigHead, R.HeardAt});
+      Configs.push_back({R.Fact.Who.Id, R.ConfigGeneration, R.ConfigHead,
+                         R.QuarantineRevision, R.HeardAt});
   return Configs;
 }
 
--- a/packages/fleet/MembershipNews.cpp
+++ b/packages/fleet/MembershipNews.cpp
@@ -316,6 +316,7 @@
   M.Sequence = Sequence;
   M.ConfigGeneration = ConfigGeneration;
   M.ConfigHead = ConfigHead;
+  M.QuarantineRevision = QuarantineRevision;
   return M;
 }
 
--- a/packages/front/FeedServer.cpp
+++ b/packages/front/FeedServer.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Peers that wait at once. A region of a fleet of 1,700 has 250 daemons with
-/// two kinds each.
+/// three kinds each.
 constexpr std::size_t MaxWaiting = 1000;
 
 /// The failure: two daemons that lost the store ask each other, each passes on
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -132,7 +132,7 @@
   logEvent(LogLevel::Warn, "rejoined",
            {{"incarnation", std::to_string(Incarnation + 1)}});
   Members = std::move(*M);
-  Members.setConfig(Announced.ConfigVersion, Announced.ReplicaRevision);
+  sayRead();
   apply(Members.setSelfLoad(Load, Loop.now()));
   OnChanged();
 }
@@ -149,7 +149,12 @@
   if (S == Announced)
     return;
   Announced = S;
-  Members.setConfig(S.ConfigVersion, S.ReplicaRevision);
+  sayRead();
+}
+
+void FleetLink::sayRead() {
+  Members.setConfig(Announced.ConfigVersion, Announced.ReplicaRevision);
+  Members.setQuarantineRevision(Announced.QuarantineRevision);
 }
 
 ReadState FleetLink::furthest() const {
@@ -157,6 +162,8 @@
   for (const PeerConfig &P : Members.peerConfigs()) {
     Most.ConfigVersion = std::max(Most.ConfigVersion, P.Generation);
     Most.ReplicaRevision = std::max(Most.ReplicaRevision, P.Head);
+    Most.QuarantineRevision =
+        std::max(Most.QuarantineRevision, P.QuarantineRevision);
   }
   return Most;
 }
@@ -165,12 +172,13 @@
   std::vector<PeerAhead> Near;
   std::vector<PeerAhead> Far;
   for (const PeerConfig &P : Members.peerConfigs()) {
-    if (P.Generation <= S.ConfigVersion && P.Head <= S.ReplicaRevision)
+    if (P.Generation <= S.ConfigVersion && P.Head <= S.ReplicaRevision &&
+        P.QuarantineRevision <= S.QuarantineRevision)
       continue;
     for (const Member &M : view().Members)
       if (M.Id == P.Who && M.State == MemberState::Alive)
         (M.Reg == Set.Here.Reg ? Near : Far)
-            .push_back({M, {P.Generation, P.Head}});
+            .push_back({M, {P.Generation, P.Head, P.QuarantineRevision}});
   }
   const std::vector<PeerAhead> &From = Near.empty() ? Far : Near;
   if (From.empty())
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -21,6 +21,7 @@
 struct ReadState {
   std::uint64_t ConfigVersion = 0;
   std::uint64_t ReplicaRevision = 0;
+  std::uint64_t QuarantineRevision = 0;
 
   friend bool operator==(const ReadState &, const ReadState &) = default;
 };
@@ -78,6 +79,7 @@
                                  MemberState State);
   void tick();
   void apply(const MembershipOutput &Out);
+  void sayRead();
   void outrun(std::uint64_t Incarnation);
 
   EventLoop &Loop;
--- /dev/null
+++ b/packages/front/FollowedKind.h
@@ -0,0 +1,106 @@
+//===- FollowedKind.h - One kind of the store's objects ---------*- C++ -*-===//
+//
+// A watch of one kind, through the store or a peer, with what is needed to
+// leave a source that is of no use: how long peers have been ahead, and which
+// word of theirs was followed already.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_FOLLOWEDKIND_H
+#define SHALLOTSHIFT_FRONT_FOLLOWEDKIND_H
+
+#include "front/CatchUp.h"
+#include "front/FrontDaemon.h"
+#include "front/RelayedStore.h"
+#include "shallotshift/store.h"
+
+#include <string>
+
+namespace shallot {
+
+template <CallableStore Store> class FollowedKind {
+public:
+  /// \p Label is the kind's name in logs.
+  FollowedKind(EventLoop &Loop, HttpClient &Http, Store &S, FrontDaemon &D,
+               std::string Kind, std::string Label, KindWatchOptions O,
+               KindWatchHooks H)
+      : Loop(Loop), D(D), Label(std::move(Label)),
+        Source(Loop, Http, S,
+               FeedSources(D.settings().Host, D.settings().Here.Reg),
+               D.random(), D.metrics()),
+        Objects(Source, Loop, std::move(Kind), O, D.random(), std::move(H)) {}
+
+  KindWatch<RelayedStore<Store>, EventLoop> &watch() { return Objects; }
+  const KindWatch<RelayedStore<Store>, EventLoop> &watch() const {
+    return Objects;
+  }
+  FeedSources &sources() { return Source.sources(); }
+
+  /// The fleet has changed. A host with a full link answers no probes and is
+  /// suspected, also by those whom it is sending an answer to.
+  void fleetChanged() {
+    sources().update(D.view());
+    if (Source.lost() && !Source.receivedWithin(BehindPatience))
+      Objects.renew();
+  }
+
+  /// A watch of another kind was lost: this one's call may hang on the same
+  /// loss without saying so.
+  void doubt() {
+    if (Objects.listed() && Objects.storeAnswers() &&
+        !Source.receivedWithin(BehindPatience))
+      Objects.renew();
+  }
+
+  /// The failure: the daemon that this one relies on hears nothing, and does
+  /// not know it yet. Every message of the membership says how far its sender
+  /// has read (\p Field); whoever hears of more and gets nothing (CatchUp) asks
+  /// one that has it. To be called every \p Period.
+  ///
+  /// A removal that one saw and the other only finds missing in a list leaves
+  /// the two apart for good: with \p Once a peer's word is followed once, and
+  /// else until this daemon has it.
+  void compare(const ReadState &Mine, std::uint64_t ReadState::*Field,
+               bool Once, bool Ready, Duration Period) {
+    std::uint64_t Read = Mine.*Field;
+    std::uint64_t Known = Once ? std::max(Read, Followed) : Read;
+    bool Moving =
+        Read != std::exchange(Before, Read) || Source.receivedWithin(Period);
+    bool Ahead = Ready && D.fleet().furthest().*Field > Known;
+    if (Behind.due(Ahead, Moving, Loop.now()))
+      askAhead(Field, Known);
+  }
+
+private:
+  /// No peer is ahead of this.
+  static constexpr std::uint64_t Any = UINT64_MAX;
+
+  void askAhead(std::uint64_t ReadState::*Field, std::uint64_t Known) {
+    ReadState Wanted{Any, Any, Any};
+    Wanted.*Field = Known;
+    std::optional<PeerAhead> Ahead = D.fleet().ahead(Wanted);
+    if (!Ahead)
+      return;
+    std::uint64_t Its = Ahead->Read.*Field;
+    Followed = std::max(Known, Its);
+    logEvent(LogLevel::Info, "peer_has_read_more",
+             {{"peer", Ahead->Peer.Id.str()},
+              {"watch", Label},
+              {"mine", std::to_string(Known)},
+              {"its", std::to_string(Its)}});
+    sources().prefer(Ahead->Peer);
+    Objects.renew();
+  }
+
+  EventLoop &Loop;
+  FrontDaemon &D;
+  std::string Label;
+  RelayedStore<Store> Source;
+  KindWatch<RelayedStore<Store>, EventLoop> Objects;
+  CatchUp Behind;
+  std::uint64_t Before = 0;   ///< Read at the last comparison.
+  std::uint64_t Followed = 0; ///< The newest word of a peer that was asked for.
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_FOLLOWEDKIND_H
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -61,6 +61,8 @@
   /// A configuration older than the one in force is ignored.
   void install(ServingConfig Config);
   ReplicaBook &replicas();
+  /// What is known of requests under which replicas crashed.
+  QuarantineGate &quarantine();
   /// The replicas were listed once, so that their absence means something.
   void replicasListed();
   /// Answers what peers ask.
--- /dev/null
+++ b/packages/front/QuarantineSync.h
@@ -0,0 +1,213 @@
+//===- QuarantineSync.h - What the fleet knows of crashes -------*- C++ -*-===//
+//
+// Writes a daemon's evidence into the store, where every daemon reads it, and
+// asks the store for trials. The store is what survives the loss of all hosts
+// at once, and its conditional writes are what daemons that have not heard of
+// each other agree by.
+//
+// One write at a time, and a bounded number of them: a flood of distinct
+// requests that crash replicas costs the fleet FleetWritesPerSecond. What could
+// not be written is tried again; a trial that could not be written at once is
+// refused, since whoever waits for it is a caller.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_QUARANTINESYNC_H
+#define SHALLOTSHIFT_FRONT_QUARANTINESYNC_H
+
+#include "front/QuarantineGate.h"
+#include "shallotshift/store.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+namespace shallot {
+
+/// Of all daemons together: a tenth of what the smallest stores take.
+inline constexpr double FleetWritesPerSecond = 40;
+/// Of one daemon, whatever the size of the fleet.
+inline constexpr double LeastWritesPerSecond = 0.1;
+inline constexpr double MostWritesPerSecond = 2;
+/// Writes that one daemon may make at once: a request that crashes replicas
+/// takes three or four.
+inline constexpr double WriteBurst = 12;
+
+/// How often writes that found no token, and suspicions that are too old, are
+/// looked at.
+inline constexpr Duration QuarantineTick = Millis(500);
+
+template <KindWriter Store, TimerSource Time> class QuarantineSync {
+public:
+  /// \p Kind is that of the records in the store.
+  QuarantineSync(Time &T, Store &S, std::string Kind, Quarantine &Table,
+                 Random &Rng)
+      : T(T), S(S), Kind(std::move(Kind)), Table(Table), Rng(Rng),
+        Wait(FirstBackoff, MostBackoff), TokensAt(T.now()) {}
+  QuarantineSync(const QuarantineSync &) = delete;
+  QuarantineSync &operator=(const QuarantineSync &) = delete;
+
+  /// Daemons that share the store.
+  void setMembers(std::size_t Count) {
+    double Share =
+        FleetWritesPerSecond / double(std::max<std::size_t>(1, Count));
+    PerSecond = std::clamp(Share, LeastWritesPerSecond, MostWritesPerSecond);
+  }
+
+  /// Writes what the store lacks, if anything.
+  void pump() {
+    if (Busy)
+      return;
+    std::optional<QuarantineWrite> W = Table.nextWrite();
+    if (!W || !takeToken())
+      return;
+    Busy = true;
+    write(*W, [this](bool Answered) {
+      Busy = false;
+      if (Answered) {
+        Wait.reset();
+        return pump();
+      }
+      Busy = true; // Until the store may answer again.
+      T.after(Wait.next(Rng), guarded([this] {
+                Busy = false;
+                pump();
+              }));
+    });
+  }
+
+  /// Counts a trial of \p R in the store. \p Done is called once, never before
+  /// this returns; without a clear answer of the store the trial is refused.
+  void requestTrial(const RequestFingerprint &R,
+                    QuarantineGate::TrialCallback Done) {
+    tryTrial(R, TrialTries, std::move(Done));
+  }
+
+  /// To be called every QuarantineTick. \p Prunes: this daemon removes old
+  /// suspicions from the store.
+  void tick(WallTime Now, bool Prunes) {
+    Table.expire(Now, Prunes);
+    pump();
+  }
+
+  /// A record as the store has it; nothing when it cannot be read.
+  static std::optional<SharedRecord> readShared(const KindObject &O) {
+    auto R = attempt([&] { return readRecord(O.Name, O.Content); });
+    if (R)
+      return SharedRecord{std::move(*R), O.Revision};
+    logEvent(LogLevel::Warn, "quarantine_record_unreadable",
+             {{"object", O.Name.substr(0, MostLoggedName)},
+              {"code", codeLabel(R.error().Code)},
+              {"why", R.error().Detail}});
+    return std::nullopt;
+  }
+
+private:
+  static constexpr Duration FirstBackoff = Millis(150);
+  static constexpr Duration MostBackoff = Millis(1500);
+  static constexpr std::size_t MostLoggedName = 80;
+  /// A write that met another daemon's is made anew on top of that.
+  static constexpr int TrialTries = 3;
+
+  template <typename F> auto guarded(F Fn) {
+    return [Weak = std::weak_ptr(Alive), Fn = std::move(Fn)](auto &&...Args) {
+      if (!Weak.expired())
+        Fn(std::forward<decltype(Args)>(Args)...);
+    };
+  }
+
+  bool takeToken() {
+    double Passed = toMillisF(T.now() - TokensAt) / 1000;
+    TokensAt = T.now();
+    Tokens = std::min(WriteBurst, Tokens + Passed * PerSecond);
+    if (Tokens < 1)
+      return false;
+    Tokens -= 1;
+    return true;
+  }
+
+  /// \p Done is told whether the store answered; the table has its answer.
+  void write(const QuarantineWrite &W, std::function<void(bool)> Done) {
+    auto Written = guarded(
+        [this, W, Done = std::move(Done)](Attempt<KindWriteReply> Reply) {
+          if (Reply)
+            take(W, *Reply);
+          else
+            logFailed(W, Reply.error());
+          Done(bool(Reply));
+        });
+    const std::string &Name = W.Record.Request.str();
+    if (W.Removes)
+      S.removeObject(Kind, Name, W.Revision, std::move(Written));
+    else
+      S.writeObject(Kind, Name, recordContent(W.Record), W.Revision,
+                    std::move(Written));
+  }
+
+  /// Whether the write took effect or met another one, the store says how the
+  /// object is now.
+  void take(const QuarantineWrite &W, const KindWriteReply &Reply) {
+    logWritten(W, Reply.Applied);
+    if (W.Removes && Reply.Applied)
+      return Table.remove(W.Record.Request, W.Revision);
+    if (!Reply.Now)
+      return Table.remove(W.Record.Request, UINT64_MAX);
+    if (auto Shared = readShared(*Reply.Now))
+      Table.put(std::move(*Shared));
+  }
+
+  void tryTrial(const RequestFingerprint &R, int Tries,
+                QuarantineGate::TrialCallback Done) {
+    std::optional<QuarantineWrite> W = Table.trialWrite(R);
+    if (Tries == 0 || !W || !takeToken()) {
+      T.after(Duration(0), guarded([Done] { Done(false); }));
+      return;
+    }
+    auto Written = guarded([this, R, W = *W, Tries, Done = std::move(Done)](
+                               Attempt<KindWriteReply> Reply) {
+      if (!Reply) {
+        logFailed(W, Reply.error());
+        return Done(false);
+      }
+      take(W, *Reply);
+      if (Reply->Applied)
+        Done(true);
+      else
+        tryTrial(R, Tries - 1, Done);
+    });
+    S.writeObject(Kind, R.str(), recordContent(W->Record), W->Revision,
+                  std::move(Written));
+  }
+
+  static void logWritten(const QuarantineWrite &W, bool Applied) {
+    logEvent(LogLevel::Info, "quarantine_record_written",
+             {{"fingerprint", W.Record.Request.str()},
+              {"removed", W.Removes ? "yes" : "no"},
+              {"standing", std::string(standingName(W.Record.standing()))},
+              {"trials", std::to_string(W.Record.Trials)},
+              {"revision", std::to_string(W.Revision)},
+              {"applied", Applied ? "yes" : "no"}});
+  }
+
+  static void logFailed(const QuarantineWrite &W, const Error &Why) {
+    logEvent(LogLevel::Warn, "quarantine_record_not_written",
+             {{"fingerprint", W.Record.Request.str()},
+              {"code", codeLabel(Why.Code)},
+              {"why", Why.Detail}});
+  }
+
+  Time &T;
+  Store &S;
+  std::string Kind;
+  Quarantine &Table;
+  Random &Rng;
+  Backoff Wait;
+  bool Busy = false; ///< A write is out, or waits after a failure.
+  double PerSecond = MostWritesPerSecond;
+  double Tokens = WriteBurst;
+  Instant TokensAt;
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_QUARANTINESYNC_H
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -32,6 +32,9 @@
 constexpr IdleBounds FarIdle{3, 1};
 constexpr Duration IdleFor = Millis(400);
 constexpr Duration LongestDeadline = Seconds(300);
+/// The store grants a trial in milliseconds. While it is slow a caller does
+/// better to come back than to wait for it.
+constexpr Duration MostTrialWait = Millis(250);
 
 std::optional<Duration> readDeadline(std::string_view Text) {
   double Ms = 0;
@@ -204,16 +207,20 @@
 }
 
 void RequestDesk::Impl::askTrial(const JobPtr &J) {
-  Gate.requestTrial(J->Name, [this, Weak = std::weak_ptr(J)](bool Granted) {
+  auto Told = [this, Weak = std::weak_ptr(J)](bool Granted) {
     JobPtr J = Weak.lock();
     if (!J || J->Run.answered())
-      return; // Its caller has gone.
+      return; // Its caller has gone, or was told to come back.
+    Timers.cancel(J->Timer);
+    J->Timer = 0;
     J->Trial = Granted;
     if (Granted)
       admit(J);
     else
       turnAway(J, noTrialAnswer());
-  });
+  };
+  J->Timer = Timers.after(MostTrialWait, [Told] { Told(false); });
+  Gate.requestTrial(J->Name, Told);
 }
 
 /// Starts it, lets it wait for its turn, or turns it away at once.
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -1,19 +1,20 @@
 //===- ServingFeed.h - From the store to the daemon -------------*- C++ -*-===//
 //
-// Watches the configuration and the replicas' registrations in the store and
-// hands them to a FrontDaemon, directly or through a peer, and passes them on
-// to peers. What the objects look like is the deployment's: it gives the two
-// functions that read them. An object that cannot be read is logged and left
-// out; the configuration in force stays.
+// Watches the configuration, the replicas' registrations and the records of
+// requests that crash replicas in the store and hands them to a FrontDaemon,
+// directly or through a peer, and passes them on to peers. What the objects
+// look like is the deployment's: it gives the two functions that read them. An
+// object that cannot be read is logged and left out; the configuration in force
+// stays.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_SERVINGFEED_H
 #define SHALLOTSHIFT_FRONT_SERVINGFEED_H
 
-#include "front/CatchUp.h"
 #include "front/FeedServer.h"
+#include "front/FollowedKind.h"
 #include "front/FrontDaemon.h"
-#include "front/RelayedStore.h"
+#include "front/QuarantineSync.h"
 #include "shallotshift/store.h"
 
 #include <string>
@@ -24,6 +25,7 @@
   std::string ConfigKind;
   std::string ConfigName; ///< The one object of that kind that counts.
   std::string ReplicaKind;
+  std::string QuarantineKind; ///< Of our own.
   std::function<Result<ServingConfig>(const KindObject &)> ReadConfig;
   std::function<Result<ReplicaEntry>(const KindObject &)> ReadReplica;
 };
@@ -51,17 +53,27 @@
 /// other seeds are on their way.
 inline constexpr Duration PeersSettle = Millis(40);
 
-template <CallableStore Store> class ServingFeed {
+/// The watch of records of requests that crash replicas. They are few and
+/// change seldom, and each call is paid for. That its connection fell silent is
+/// noticed by the other watches, and by peers that have read more.
+inline constexpr Duration QuarantineWatchWait = Seconds(15);
+inline constexpr Duration QuarantineFirstBackoff = Millis(600);
+inline constexpr Duration QuarantineMostBackoff = Seconds(4);
+
+template <typename Store>
+requires CallableStore<Store> && KindWriter<Store>
+class ServingFeed {
 public:
   ServingFeed(EventLoop &Loop, HttpClient &Http, Store &S, FrontDaemon &D,
               ServingForms F)
       : Loop(Loop), D(D), Forms(std::move(F)),
-        ConfigSource(Loop, Http, S, sources(D), D.random(), D.metrics()),
-        ReplicaSource(Loop, Http, S, sources(D), D.random(), D.metrics()),
-        Configs(ConfigSource, Loop, Forms.ConfigKind, options(ConfigPause),
-                D.random(), configHooks()),
-        Replicas(ReplicaSource, Loop, Forms.ReplicaKind, options(ReplicaPause),
-                 D.random(), replicaHooks()),
+        Configs(Loop, Http, S, D, Forms.ConfigKind, "config",
+                options(ConfigPause), configHooks()),
+        Replicas(Loop, Http, S, D, Forms.ReplicaKind, "replicas",
+                 options(ReplicaPause), replicaHooks()),
+        Records(Loop, Http, S, D, Forms.QuarantineKind, "quarantine",
+                recordOptions(), recordHooks()),
+        Sync(Loop, S, Forms.QuarantineKind, D.quarantine().table(), D.random()),
         Server(
             D.timers(), [this](const std::string &Kind) { return view(Kind); },
             [this](const std::string &Kind) { return age(Kind); }) {}
@@ -71,29 +83,50 @@
     D.servePeers([this](const ServerRequest &R, const Responder &A) {
       Server.handle(R, A);
     });
+    D.quarantine().connect(
+        [this](const RequestFingerprint &R, QuarantineGate::TrialCallback Fn) {
+          Sync.requestTrial(R, std::move(Fn));
+        },
+        [this] { Sync.pump(); });
     tick();
     Loop.after(FirstPeersWait, [this] { startOnce(); });
   }
 
 private:
+  using Kind = FollowedKind<Store>;
+
   void startOnce() {
     if (std::exchange(Started, true))
       return;
-    Configs.start();
-    Replicas.start();
+    Configs.watch().start();
+    Replicas.watch().start();
+    Records.watch().start();
   }
 
-  FeedView view(const std::string &Kind) const {
-    if (Kind == Forms.ConfigKind)
-      return {&Configs.cache(), Configs.listed()};
-    if (Kind == Forms.ReplicaKind)
-      return {&Replicas.cache(), Replicas.listed()};
+  FeedView view(const std::string &Name) const {
+    for (const Kind *K : {&Configs, &Replicas, &Records})
+      if (Name == nameOf(*K))
+        return {&K->watch().cache(), K->watch().listed()};
     return {};
   }
 
-  Duration age(const std::string &Kind) const {
+  const std::string &nameOf(const Kind &K) const {
+    return &K == &Configs    ? Forms.ConfigKind
+           : &K == &Replicas ? Forms.ReplicaKind
+                             : Forms.QuarantineKind;
+  }
+
+  /// The records' own call waits for long; that the store answers the others
+  /// says as much of it.
+  Duration age(const std::string &Name) const {
+    Instant Config = Configs.watch().heardAt();
+    Instant Replica = Replicas.watch().heardAt();
     Instant Heard =
-        Kind == Forms.ConfigKind ? Configs.heardAt() : Replicas.heardAt();
+        std::max(Records.watch().heardAt(), std::min(Config, Replica));
+    if (Name == Forms.ConfigKind)
+      Heard = Config;
+    if (Name == Forms.ReplicaKind)
+      Heard = Replica;
     return Loop.now() - Heard;
   }
 
@@ -102,91 +135,31 @@
     D.fleet().announce(readState());
     if (++Ticks % CompareEvery == 0)
       compareWithPeers();
+    if (Ticks % SyncEvery == 0)
+      Sync.tick(Loop.wallTime(), Records.sources().watchesStore());
     Loop.after(FeedTick, [this] { tick(); });
   }
 
   ReadState readState() const {
-    return {D.configVersion(), Replicas.cache().lastChange()};
+    return {D.configVersion(), Replicas.watch().cache().lastChange(),
+            Records.watch().cache().lastChange()};
   }
 
-  /// The failure: the daemon that this one relies on hears nothing, and does
-  /// not know it yet. Every message of the membership says how far its sender
-  /// has read; whoever hears of more and gets nothing (CatchUp) asks one that
-  /// has it.
   void compareWithPeers() {
     ReadState Mine = readState();
-    ReadState Most = D.fleet().furthest();
-    bool Listed = Configs.listed();
-    if (ConfigCatchUp.due(
-            Listed && Most.ConfigVersion > Mine.ConfigVersion,
-            moving(ConfigSource, Mine.ConfigVersion != Before.ConfigVersion),
-            Loop.now()))
-      askAheadOnConfig(Mine.ConfigVersion);
-    // A removal that one saw and the other only finds missing in a list leaves
-    // the two apart for good: a peer's word on replicas is followed once. A
-    // version is followed until it is in force.
-    std::uint64_t Followed = std::max(Mine.ReplicaRevision, FollowedReplicas);
-    if (ReplicaCatchUp.due(Listed && Most.ReplicaRevision > Followed,
-                           moving(ReplicaSource, Mine.ReplicaRevision !=
-                                                     Before.ReplicaRevision),
-                           Loop.now()))
-      askAheadOnReplicas(Followed);
-    Before = Mine;
-  }
-
-  static bool moving(const RelayedStore<Store> &Source, bool Changed) {
-    return Changed || Source.receivedWithin(FeedTick * CompareEvery);
-  }
-
-  void askAheadOnConfig(std::uint64_t Version) {
-    if (auto Ahead = D.fleet().ahead({Version, AnyReplicaRevision}))
-      askAhead(*Ahead, ConfigSource, Configs,
-               {"config", Version, Ahead->Read.ConfigVersion});
-  }
-
-  void askAheadOnReplicas(std::uint64_t Revision) {
-    auto Ahead = D.fleet().ahead({AnyConfigVersion, Revision});
-    if (!Ahead)
-      return;
-    FollowedReplicas = std::max(Revision, Ahead->Read.ReplicaRevision);
-    askAhead(*Ahead, ReplicaSource, Replicas,
-             {"replicas", Revision, Ahead->Read.ReplicaRevision});
-  }
-
-  /// How far this daemon and a peer have read, for logs.
-  struct Gap {
-    std::string_view Watch;
-    std::uint64_t Mine = 0;
-    std::uint64_t Its = 0;
-  };
-
-  template <typename Watch>
-  static void askAhead(const PeerAhead &Ahead, RelayedStore<Store> &Source,
-                       Watch &W, const Gap &G) {
-    logEvent(LogLevel::Info, "peer_has_read_more",
-             {{"peer", Ahead.Peer.Id.str()},
-              {"watch", std::string(G.Watch)},
-              {"mine", std::to_string(G.Mine)},
-              {"its", std::to_string(G.Its)}});
-    Source.sources().prefer(Ahead.Peer);
-    W.renew();
+    bool Ready = Configs.watch().listed();
+    Duration Period = FeedTick * CompareEvery;
+    Configs.compare(Mine, &ReadState::ConfigVersion, false, Ready, Period);
+    Replicas.compare(Mine, &ReadState::ReplicaRevision, true, Ready, Period);
+    Records.compare(Mine, &ReadState::QuarantineRevision, true, Ready, Period);
   }
 
   void fleetChanged() {
     if (!Started && D.view().Members.size() > 1)
       Loop.after(PeersSettle, [this] { startOnce(); });
-    ConfigSource.sources().update(D.view());
-    ReplicaSource.sources().update(D.view());
-    leaveLost(ConfigSource, Configs);
-    leaveLost(ReplicaSource, Replicas);
-  }
-
-  /// A host with a full link answers no probes and is suspected, also by those
-  /// whom it is sending an answer to.
-  template <typename Watch>
-  static void leaveLost(const RelayedStore<Store> &Source, Watch &W) {
-    if (Source.lost() && !Source.receivedWithin(BehindPatience))
-      W.renew();
+    for (Kind *K : {&Configs, &Replicas, &Records})
+      K->fleetChanged();
+    Sync.setMembers(D.view().Members.size());
   }
 
   /// A name of another writer may be as long as it likes.
@@ -196,9 +169,7 @@
   /// Ticks from one comparison with the peers to the next: each copies what
   /// every member said.
   static constexpr unsigned CompareEvery = 2;
-  /// No peer is ahead of these.
-  static constexpr std::uint64_t AnyConfigVersion = UINT64_MAX;
-  static constexpr std::uint64_t AnyReplicaRevision = UINT64_MAX;
+  static constexpr unsigned SyncEvery = QuarantineTick / FeedTick;
 
   static KindWatchOptions options(Duration Pause) {
     KindWatchOptions O;
@@ -207,8 +178,12 @@
     return O;
   }
 
-  static FeedSources sources(const FrontDaemon &D) {
-    return {D.settings().Host, D.settings().Here.Reg};
+  static KindWatchOptions recordOptions() {
+    KindWatchOptions O;
+    O.Wait = QuarantineWatchWait;
+    O.FirstBackoff = QuarantineFirstBackoff;
+    O.MostBackoff = QuarantineMostBackoff;
+    return O;
   }
 
   KindWatchHooks configHooks() {
@@ -223,12 +198,13 @@
     };
     H.Away = [this](const Error &Why) {
       logAway("config", Why);
-      // Its sibling's call may hang on the same loss without saying so.
-      if (Replicas.listed() && Replicas.storeAnswers() &&
-          !ReplicaSource.receivedWithin(BehindPatience))
-        Replicas.renew();
+      Replicas.doubt();
+      Records.doubt();
+    };
+    H.Back = [this] {
+      logBack("config");
+      storeIsBack();
     };
-    H.Back = [] { logBack("config"); };
     H.Advanced = [this] { Server.advanced(Forms.ConfigKind); };
     return H;
   }
@@ -240,15 +216,64 @@
     H.Away = [this](const Error &Why) {
       logAway("replicas", Why);
       D.replicas().storeAway();
+      Records.doubt();
     };
     H.Back = [this] {
       logBack("replicas");
       D.replicas().storeBack(Loop.now());
+      storeIsBack();
     };
     H.Advanced = [this] { Server.advanced(Forms.ReplicaKind); };
     return H;
   }
 
+  KindWatchHooks recordHooks() {
+    KindWatchHooks H;
+    H.All = [this](const std::vector<KindObject> &Now) { takeRecords(Now); };
+    H.Changed = [this](const KindChange &C) { takeRecord(C); };
+    H.Away = [](const Error &Why) { logAway("quarantine", Why); };
+    H.Back = [this] {
+      logBack("quarantine");
+      Sync.pump();
+    };
+    H.Advanced = [this] { Server.advanced(Forms.QuarantineKind); };
+    return H;
+  }
+
+  /// The records' own next try may be seconds away.
+  void storeIsBack() {
+    if (!Records.watch().storeAnswers())
+      Records.watch().renew();
+  }
+
+  void takeRecords(const std::vector<KindObject> &Now) {
+    std::vector<SharedRecord> All;
+    for (const KindObject &O : Now)
+      if (auto R = QuarantineSync<Store, EventLoop>::readShared(O))
+        All.push_back(std::move(*R));
+    logEvent(LogLevel::Info, "quarantine_listed",
+             {{"count", std::to_string(All.size())},
+              {"revision", std::to_string(Records.watch().revision())}});
+    D.quarantine().table().replaceAll(All, Records.watch().revision());
+    Sync.pump();
+  }
+
+  void takeRecord(const KindChange &C) {
+    Quarantine &Table = D.quarantine().table();
+    auto Name =
+        attempt([&] { return RequestFingerprint::parse(C.Object.Name); });
+    if (Name && C.Removed)
+      Table.remove(*Name, C.Object.Revision);
+    if (!C.Removed)
+      if (auto R = QuarantineSync<Store, EventLoop>::readShared(C.Object))
+        Table.put(std::move(*R));
+    if (Name)
+      logEvent(LogLevel::Info, "quarantine_record",
+               {{"fingerprint", Name->str()},
+                {"standing", std::string(standingName(Table.standing(*Name)))},
+                {"revision", std::to_string(C.Object.Revision)}});
+  }
+
   static void logAway(std::string_view What, const Error &Why) {
     logEvent(LogLevel::Warn, "store_lost",
              {{"watch", std::string(What)},
@@ -293,7 +318,7 @@
         Entries.push_back(std::move(*E));
     logEvent(LogLevel::Info, "replicas_listed",
              {{"count", std::to_string(Entries.size())},
-              {"revision", std::to_string(Replicas.revision())}});
+              {"revision", std::to_string(Replicas.watch().revision())}});
     D.replicas().replaceAll(std::move(Entries), Loop.now());
     D.replicasListed();
   }
@@ -324,18 +349,13 @@
   EventLoop &Loop;
   FrontDaemon &D;
   ServingForms Forms;
-  RelayedStore<Store> ConfigSource;
-  RelayedStore<Store> ReplicaSource;
-  KindWatch<RelayedStore<Store>, EventLoop> Configs;
-  KindWatch<RelayedStore<Store>, EventLoop> Replicas;
+  Kind Configs;
+  Kind Replicas;
+  Kind Records;
+  QuarantineSync<Store, EventLoop> Sync;
   FeedServer Server;
   bool Started = false; ///< Something was asked for.
   unsigned Ticks = 0;
-  ReadState Before; ///< At the last comparison.
-  CatchUp ConfigCatchUp;
-  CatchUp ReplicaCatchUp;
-  /// The newest word of a peer on replicas that was asked for.
-  std::uint64_t FollowedReplicas = 0;
 };
 
 } // namespace shallot
--- a/packages/peer/GossipCodec.cpp
+++ b/packages/peer/GossipCodec.cpp
@@ -93,6 +93,7 @@
   To.setTargetPort(M.TargetGossip.Port);
   To.setConfigGeneration(M.ConfigGeneration);
   To.setConfigHead(M.ConfigHead);
+  To.setQuarantineRevision(M.QuarantineRevision);
   To.setBuckets(M.Buckets);
   if (!M.Digests.empty())
     To.setDigests(
@@ -113,6 +114,7 @@
   M.TargetGossip = endpoint(From.getTargetIp(), From.getTargetPort());
   M.ConfigGeneration = From.getConfigGeneration();
   M.ConfigHead = From.getConfigHead();
+  M.QuarantineRevision = From.getQuarantineRevision();
   M.Buckets = From.getBuckets();
   // Lengths are checked before anything is allocated for them: a list of
   // nothings of any length fits into a few bytes.
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -137,4 +137,5 @@
   buckets @9 :UInt64;
   digests @10 :List(UInt32);
   updates @11 :List(GossipMember);
+  quarantineRevision @12 :UInt64;
 }
--- a/packages/store/ObjectStore.h
+++ b/packages/store/ObjectStore.h
@@ -111,6 +111,24 @@
   Store.watchKind(Kind, Revision, Wait, OnChanges);
 };
 
+/// What a conditional write of an object came to. Where the condition did not
+/// hold, Now is the object as it is; nothing: there is none.
+struct KindWriteReply {
+  bool Applied = false;
+  std::optional<KindObject> Now;
+};
+
+/// A store whose objects of kinds can be written. \p Revision is what the
+/// object must have; 0: there must be none. An error leaves open whether the
+/// write was done (mayHaveTakenEffect).
+template <typename S>
+concept KindWriter = requires(S &Store, std::string Kind, std::string Name,
+                              nlohmann::json Content, std::uint64_t Revision,
+                              StoreCallback<KindWriteReply> OnDone) {
+  Store.writeObject(Kind, Name, Content, Revision, OnDone);
+  Store.removeObject(Kind, Name, Revision, OnDone);
+};
+
 /// A clock with timers, such as EventLoop.
 template <typename T>
 concept TimerSource = requires(T &Time, Duration D, std::function<void()> Fn) {
