forward, quarantine: what is still open may clear a request; a success voids writes

Change: a request is given up when nothing of it is open. A success while a write is on its way voids what that write leaves behind. A daemon whose trial was refused looks again: the request may be cleared by then.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -119,12 +119,14 @@
   return Suspected && !succeeded();
 }
 
-/// Nothing more of it is sent.
+/// Nothing more of it is sent. What is still open may end well: where replicas
+/// of many shards end at one moment for another reason, three of them are lost
+/// before the first reply comes.
 bool ForwardRun::crashesEnough() const {
-  if (succeeded() || (Ask.Care == Caution::None && Story.Crashed == 0))
+  if (!careful() || OpenSends > 0)
     return false;
   if (Ask.Care == Caution::OneSend)
-    return !Sends.empty() && OpenSends == 0;
+    return !Sends.empty();
   return Story.Crashed > 0 &&
          Ask.CrashedBefore + Story.Crashed >= EnoughCrashes;
 }
--- a/packages/front/QuarantineSync.h
+++ b/packages/front/QuarantineSync.h
@@ -61,9 +61,9 @@
     if (!W || !takeToken())
       return;
     Busy = true;
-    write(*W, [this](bool Answered) {
+    write(*W, [this](WriteEnd End) {
       Busy = false;
-      if (Answered) {
+      if (End != WriteEnd::Failed) {
         Wait.reset();
         return pump();
       }
@@ -125,15 +125,25 @@
     return true;
   }
 
-  /// \p Done is told whether the store answered; the table has its answer.
-  void write(const QuarantineWrite &W, std::function<void(bool)> Done) {
+  /// How a write ended. The table has the store's answer, if there was one.
+  enum class WriteEnd : std::uint8_t {
+    Applied,
+    Met,    ///< The record was another one than the write expected.
+    Failed, ///< No answer; it may have taken effect.
+  };
+
+  void write(const QuarantineWrite &W, std::function<void(WriteEnd)> Done) {
+    Table.writeBegins(W.Record.Request);
     auto Written = guarded(
         [this, W, Done = std::move(Done)](Attempt<KindWriteReply> Reply) {
           if (Reply)
             take(W, *Reply);
           else
             logFailed(W, Reply.error());
-          Done(bool(Reply));
+          Table.writeEnded(W.Record.Request);
+          Done(!Reply           ? WriteEnd::Failed
+               : Reply->Applied ? WriteEnd::Applied
+                                : WriteEnd::Met);
         });
     const std::string &Name = W.Record.Request.str();
     if (W.Removes)
@@ -162,20 +172,12 @@
       T.after(Duration(0), guarded([Done] { Done(false); }));
       return;
     }
-    auto Written = guarded([this, R, W = *W, Tries, Done = std::move(Done)](
-                               Attempt<KindWriteReply> Reply) {
-      if (!Reply) {
-        logFailed(W, Reply.error());
-        return Done(false);
-      }
-      take(W, *Reply);
-      if (Reply->Applied)
-        Done(true);
-      else
+    write(*W, [this, R, Tries, Done = std::move(Done)](WriteEnd End) {
+      if (End == WriteEnd::Met)
         tryTrial(R, Tries - 1, Done);
+      else
+        Done(End == WriteEnd::Applied);
     });
-    S.writeObject(Kind, R.str(), recordContent(W->Record), W->Revision,
-                  std::move(Written));
   }
 
   static void logWritten(const QuarantineWrite &W, bool Applied) {
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -215,9 +215,11 @@
     J->Timer = 0;
     J->Trial = Granted;
     if (Granted)
-      admit(J);
-    else
-      turnAway(J, noTrialAnswer());
+      return admit(J);
+    // Others may have cleared or proven it meanwhile.
+    if (Gate.standing(J->Name) != Standing::OnTrial)
+      return vet(J);
+    turnAway(J, noTrialAnswer());
   };
   J->Timer = Timers.after(MostTrialWait, [Told] { Told(false); });
   Gate.requestTrial(J->Name, Told);
--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -31,7 +31,7 @@
     Unwritten.insert(At->first);
   else
     Unwritten.erase(At->first);
-  if (!E.Shared && E.Own.standing() == Standing::Clear)
+  if (!E.Shared && E.Writes == 0 && E.Own.standing() == Standing::Clear)
     Entries.erase(At);
 }
 
@@ -83,11 +83,25 @@
   Entry &E = At->second;
   E.Own = QuarantineRecord{R};
   E.Share = false;
-  E.Clear = E.Shared.has_value();
+  E.Clear = E.Shared || E.Writes > 0;
   settle(At);
   return true;
 }
 
+void Quarantine::writeBegins(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At != Entries.end())
+    ++At->second.Writes;
+}
+
+void Quarantine::writeEnded(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At == Entries.end() || At->second.Writes == 0)
+    return;
+  --At->second.Writes;
+  settle(At);
+}
+
 void Quarantine::replaceAll(const std::vector<SharedRecord> &Now,
                             std::uint64_t Revision) {
   std::set<RequestFingerprint> Kept;
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -91,6 +91,10 @@
   /// What is to be written next; nothing when the store has it all. The same
   /// again until the store's record changes.
   std::optional<QuarantineWrite> nextWrite() const;
+  /// A write of the record of \p R is on its way, or has ended. A run that ends
+  /// well meanwhile voids what the write leaves behind.
+  void writeBegins(const RequestFingerprint &R);
+  void writeEnded(const RequestFingerprint &R);
   /// The write that grants a trial; nothing when none is left.
   std::optional<QuarantineWrite> trialWrite(const RequestFingerprint &R) const;
   /// Forgets suspicions that are too old; \p Writes: this daemon removes them
@@ -106,8 +110,9 @@
   struct Entry {
     QuarantineRecord Own; ///< Seen here and not in Shared.
     std::optional<SharedRecord> Shared;
-    bool Share = false; ///< Own is to be written.
-    bool Clear = false; ///< Shared is to be removed, and counts no more.
+    bool Share = false;  ///< Own is to be written.
+    bool Clear = false;  ///< Shared is to be removed, and counts no more.
+    unsigned Writes = 0; ///< On their way.
   };
   using Table = std::map<RequestFingerprint, Entry>;
 
--- a/tests/failure/CrashesAreCountedOnce.cpp
+++ b/tests/failure/CrashesAreCountedOnce.cpp
@@ -95,6 +95,25 @@
   CHECK(Q.shared() == 0);
 }
 
+TEST_CASE("a success while the record is being written voids it as well") {
+  Quarantine Q;
+  Q.crashed(seen("i-1"));
+  Q.share(request());
+  auto W = Q.nextWrite();
+  REQUIRE(W);
+  Q.writeBegins(request());
+  Q.succeeded(request());
+  CHECK(Q.standing(request()) == Standing::Clear);
+  Q.put({W->Record, 5}); // The store has it now.
+  Q.writeEnded(request());
+  CHECK(Q.standing(request()) == Standing::Clear);
+  REQUIRE(Q.nextWrite());
+  CHECK(Q.nextWrite()->Removes);
+  CHECK(Q.nextWrite()->Revision == 5);
+  Q.remove(request(), 5);
+  CHECK(Q.size() == 0);
+}
+
 TEST_CASE("a list that lacks a record forgets it") {
   Quarantine Q;
   Q.put(shared({"i-1", "i-2", "i-3"}, 5));
