tests: the product's own interface has the same fault (listed red); random troubles

requests_that_end_replicas.py has a fifth scenario, troubles: daemons are killed and paused, the store is busy, silent and resets, by seed.

--- a/standins/UpstreamControl.cpp
+++ b/standins/UpstreamControl.cpp
@@ -52,7 +52,8 @@
       {"upstream", "freeze", "silent_existing", "shed", "drain", "cold", "die",
        "index_versions", "partition_version", "partition_versions", "mislabel",
        "reply_twice_late", "die_before_reply_next_action", "close_before_reply",
-       "report_load", "service_ms", "straggle_one_in"}));
+       "report_load", "service_ms", "straggle_one_in", "ended_by",
+       "back_after_ms"}));
   ReplicaFaults F = Faults;
   std::string Drain = F.DrainRefuse     ? "refuse"
                       : F.DrainAnnounce ? "announce"
@@ -67,6 +68,8 @@
                              F.DieBeforeReplyNextAction));
   BOOST_LEAF_CHECK(readField(Orders, "close_before_reply", F.CloseBeforeReply));
   BOOST_LEAF_CHECK(readField(Orders, "report_load", F.ReportLoad));
+  BOOST_LEAF_CHECK(readField(Orders, "ended_by", F.EndedBy));
+  BOOST_LEAF_CHECK(readField(Orders, "back_after_ms", F.BackAfterMs));
   BOOST_LEAF_CHECK(readField(Orders, "service_ms", S.ServiceMs));
   BOOST_LEAF_CHECK(readField(Orders, "straggle_one_in", S.StraggleOneIn));
   if (Drain != "no" && Drain != "announce" && Drain != "refuse")
@@ -128,6 +131,7 @@
           {"cancelled_by_close", Counts.CancelledByClose},
           {"deadline_passed", Counts.DeadlinePassed},
           {"version_gone", Counts.VersionGone},
+          {"ended", Counts.Ended},
           {"refused", Counts.Refused},
           {"while_draining", Counts.WhileDraining},
           {"stragglers", Counts.Stragglers}};
--- a/standins/UpstreamReplica.cpp
+++ b/standins/UpstreamReplica.cpp
@@ -4,6 +4,7 @@
 #include "standins/UpstreamRecords.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <chrono>
 #include <cmath>
 #include <fmt/format.h>
@@ -184,6 +185,9 @@
     return W->Connection->reply(Reply);
   }
   Running.insert(W);
+  if (!Faults.EndedBy.empty() &&
+      W->Request.Body.find(Faults.EndedBy) != std::string::npos)
+    return crash();
   Clock::time_point Ready = Clock::now() + serviceTime();
   // An action once begun is run to its end; a search stops at its deadline.
   W->Timer.expires_at(W->Action ? Ready : std::min(Ready, W->Deadline));
@@ -193,6 +197,20 @@
   });
 }
 
+void UpstreamReplica::crash() {
+  ++Counts.Ended;
+  // Not from within a connection's own callback.
+  asio::post(Io, [this] {
+    if (!Server.listening())
+      return; // Two of them were begun together.
+    Server.shut();
+    later(Io, Millis(Faults.BackAfterMs), [this] {
+      if (!attempt([&] { return Server.listen(); }))
+        fmt::print(stderr, "upstream-standin: {} cannot listen\n", S.Name);
+    });
+  });
+}
+
 void UpstreamReplica::finish(const WorkPtr &W) {
   Running.erase(W);
   if (W->Action)
--- a/standins/UpstreamReplica.h
+++ b/standins/UpstreamReplica.h
@@ -37,6 +37,10 @@
   unsigned ReplyTwiceLate = 0;
   unsigned DieBeforeReplyNextAction = 0; ///< Runs it, then closes unanswered.
   unsigned CloseBeforeReply = 0;         ///< The same for any request.
+  /// Ends when it begins a request whose body contains this, and listens again
+  /// after BackAfterMs. Empty: nothing ends it.
+  std::string EndedBy;
+  unsigned BackAfterMs = 1000;
 };
 
 struct ReplicaCounts {
@@ -57,6 +61,7 @@
   std::uint64_t Refused = 0; ///< Shed or draining.
   std::uint64_t WhileDraining = 0;
   std::uint64_t Stragglers = 0;
+  std::uint64_t Ended = 0; ///< By a request (ReplicaFaults::EndedBy).
 };
 
 class UpstreamReplica {
@@ -90,6 +95,7 @@
   void answer(const WorkPtr &W);
   void runAction(const WorkPtr &W);
   void drop(const WorkPtr &W);
+  void crash();
   Duration serviceTime();
   WireReply labelled(const WireRequest &R, int Status);
   std::string servable() const;
--- a/tests/failure/requests_that_end_replicas.py
+++ b/tests/failure/requests_that_end_replicas.py
@@ -9,11 +9,13 @@
 repetition. Four seconds after its third replica has ended the request may reach
 replicas three times more at most, whichever daemon it comes to.
 
-    requests_that_end_replicas.py BUILD SCENARIO
+    requests_that_end_replicas.py BUILD SCENARIO [SEED]
 """
 
 import http.client
 import pathlib
+import random
+import signal
 import sys
 import threading
 import time
@@ -33,10 +35,13 @@
 
 
 class Scenario:
-    def __init__(self, build, net):
+    def __init__(self, build, net, seed):
         self.deployment = Deployment(build, net, shards=4)
+        self.random = random.Random(seed)
         self.requests = 0
         self.lock = threading.Lock()
+        self.asked = {}         # By request id: the daemon, and when.
+        self.disturbed = []     # (daemon or "store", from, until), in ms.
 
     # Callers --------------------------------------------------------------
 
@@ -45,6 +50,7 @@
         with self.lock:
             self.requests += 1
             request = request or f"q-{self.requests}"
+            self.asked[request] = (daemon, now_ms())
         at = self.deployment.caller_address(daemon)
         connection = http.client.HTTPConnection(at, timeout=5)
         try:
@@ -76,13 +82,23 @@
         return [a for a in self.deployment.arrivals() if a["target"] == path
                 and a["how"] != "misled"]
 
+    def calm(self, request):
+        """Neither its daemon nor the store was disturbed in the window before
+        the request was asked; nobody else must have learned in time."""
+        daemon, at = self.asked[request]
+        return not any(
+            whom in (daemon, "store") and since <= at
+            and until >= at - WINDOW_S * 1000
+            for whom, since, until in self.disturbed)
+
     def check_bound(self):
         """Nothing more than the bound reached a replica once it was known."""
         lines = self.reached()
         ended = sorted(a["ended_at"] for a in lines if a["how"] == "crashed")
         assert len(ended) >= ENOUGH_CRASHES, f"only {len(ended)} replicas ended"
         known = ended[ENOUGH_CRASHES - 1] + WINDOW_S * 1000
-        later = [a for a in lines if a["read_at"] > known]
+        later = [a for a in lines
+                 if a["read_at"] > known and self.calm(a["request"])]
         print(f"{len(ended)} replicas ended, {len(later)} sends later")
         assert len(later) <= MOST_SENDS_LATER, \
             f"{len(later)} sends after all had to know, {len(ended)} ended"
@@ -183,6 +199,52 @@
             n % 3 + 1, f"/sweep/innocent-{n}") == 200)
 
 
+def troubles(s):
+    """Daemons are killed, paused and cut from the store by its silence, in series
+    and overlapping, while the request comes to any of them."""
+    s.make_deadly()
+    end = time.monotonic() + 30
+    busy_until = {n: 0.0 for n in (1, 2, 3, "store")}
+
+    def trouble():
+        whom = s.random.choice([1, 2, 3, 1, 2, 3, "store"])
+        length = s.random.uniform(0.3, 2.5)
+        if busy_until[whom] > time.monotonic():
+            return
+        busy_until[whom] = time.monotonic() + length
+        threading.Thread(target=disturb, args=(s, whom, length)).start()
+
+    while time.monotonic() < end:
+        if s.random.random() < 0.3 and time.monotonic() < end - 8:
+            trouble()
+        daemon = s.random.choice((1, 2, 3))
+        if busy_until[daemon] < time.monotonic():
+            s.ask_twice(daemon, DEADLY)
+        time.sleep(s.random.uniform(0.2, 0.8))
+    s.check_bound()
+
+
+def disturb(s, whom, length):
+    d = s.deployment
+    since = now_ms()
+    if whom == "store":
+        d.order_store(mode=s.random.choice(["busy", "silent", "reset"]))
+        time.sleep(length)
+        d.order_store(mode="serving")
+    elif s.random.random() < 0.5:
+        s.start_again([whom])
+    else:
+        d.signal(whom, signal.SIGSTOP)
+        time.sleep(length)
+        d.signal(whom, signal.SIGCONT)
+    s.disturbed.append((whom, since, now_ms()))
+
+
+def now_ms():
+    """As the replicas' log has it."""
+    return time.monotonic() * 1000
+
+
 def end_copies(s, copy):
     """Every shard's replica of this copy ends, whatever it runs, and is back
     after a while."""
@@ -199,13 +261,15 @@
                 print(f"{name} has just ended by itself: {gone}")
 
 
-SCENARIOS = {f.__name__: f for f in (repeated, restarted, store_away, innocents)}
+SCENARIOS = {f.__name__: f for f in (repeated, restarted, store_away, innocents,
+                                     troubles)}
 
 
 def main():
-    build, name = sys.argv[1:]
-    net = f"127.0.{50 + sorted(SCENARIOS).index(name)}"
-    s = Scenario(build, net)
+    build, name = sys.argv[1:3]
+    seed = int(sys.argv[3]) if len(sys.argv) > 3 else 1
+    net = f"127.{50 + sorted(SCENARIOS).index(name)}.{seed % 250}"
+    s = Scenario(build, net, seed)
     with s.deployment:
         s.start()
         SCENARIOS[name](s)
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -15,7 +15,7 @@
   ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 
 # Real daemons and a request that ends every replica that begins it.
-foreach(SCENARIO repeated restarted store_away innocents)
+foreach(SCENARIO repeated restarted store_away innocents troubles)
   add_test(NAME ending_request_${SCENARIO}
     COMMAND python3
             ${CMAKE_CURRENT_LIST_DIR}/failure/requests_that_end_replicas.py
@@ -23,3 +23,11 @@
   set_tests_properties(ending_request_${SCENARIO} PROPERTIES LABELS failure
     TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 endforeach()
+
+# The same in the product's own interface.
+add_test(NAME ending_search_own_interface
+  COMMAND python3
+          ${CMAKE_CURRENT_LIST_DIR}/failure/searches_that_end_upstreams.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(ending_search_own_interface PROPERTIES LABELS failure
+  TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
