front: evidence is shared 300 ms after a crash, whatever its attempt does

Cause: evidence was shared with the end of its attempt. An attempt that goes on at a replica that hangs ends with its caller's deadline, 4 s at the longest route, and the fleet would count on without it for as long as the bound allows.

Change: what a run that ended well has not cleared by then is shared. The peers' furthest word is worked out once for the three watches. What is read of a caller's request has its own file (RequestReading), and so has what a run holds back (ForwardCaution); no change in behaviour.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -1,7 +1,8 @@
 //===- ForwardRun.cpp -----------------------------------------------------===//
 //
 // Sends, second sends and replies. When and how it answers is in
-// ForwardAnswer.cpp.
+// ForwardAnswer.cpp, what is held back of a suspected request in
+// ForwardCaution.cpp.
 //
 //===----------------------------------------------------------------------===//
 #include "forward/ForwardRun.h"
@@ -105,76 +106,6 @@
   return Out;
 }
 
-void ForwardRun::holdAll() {
-  for (Part &P : Parts)
-    P.Held = true;
-  AnyHeld = true;
-}
-
-/// The failure: one request crashes whatever runs it. Sent on to another
-/// replica for each part that it lost, and hedged, it empties all shards in one
-/// attempt; so it is at one replica at a time until a run of it ends well.
-bool ForwardRun::careful() const {
-  bool Suspected = Ask.Care != Caution::None || Story.Crashed > 0;
-  return Suspected && !succeeded();
-}
-
-/// Nothing more of it is sent. What is still open may end well: where replicas
-/// of many shards end at one moment for another reason, three of them are lost
-/// before the first reply comes.
-bool ForwardRun::crashesEnough() const {
-  if (!careful() || OpenSends > 0)
-    return false;
-  if (Ask.Care == Caution::OneSend)
-    return !Sends.empty();
-  return Story.Crashed > 0 &&
-         Ask.CrashedBefore + Story.Crashed >= EnoughCrashes;
-}
-
-/// Whether another send may start while the request is suspected.
-bool ForwardRun::mayStartOne() const {
-  bool Waits = std::ranges::any_of(
-      Parts, [](const Part &P) { return P.RetryAt != Instant::max(); });
-  return OpenSends == 0 && !Waits && !crashesEnough();
-}
-
-/// Sends held parts: all of them, or while careful() one, when nothing else of
-/// the request is under way.
-void ForwardRun::sendHeld(ForwardShared &S, RunOutput &Out, Instant Now) {
-  if (!AnyHeld)
-    return;
-  // Begun anywhere, so that the first shard is not every suspect's first.
-  std::size_t First = below(S.Rng, Parts.size());
-  for (std::size_t N = 0; N < Parts.size(); ++N) {
-    auto Index = static_cast<unsigned>((First + N) % Parts.size());
-    Part &P = Parts[Index];
-    if (!P.Held)
-      continue;
-    if (careful() && !mayStartOne())
-      return;
-    P.Held = false;
-    if (P.Sends == 0)
-      trySend(S, Index, Out, Now);
-    else
-      tryAgain(S, Index, P.LastEnd, Out, Now);
-  }
-  AnyHeld = false;
-}
-
-/// A send of part \p Index has ended as \p Last: what is to be sent next, of
-/// this part and of those that were held.
-void ForwardRun::goOn(ForwardShared &S, unsigned Index, SendEnd Last,
-                      RunOutput &Out, Instant Now) {
-  Part &P = Parts[Index];
-  if (!careful()) {
-    tryAgain(S, Index, Last, Out, Now);
-  } else if (!P.In && !P.GivenUp && P.Open == 0) {
-    P.Held = AnyHeld = true;
-    P.LastEnd = Last;
-  }
-  sendHeld(S, Out, Now);
-}
-
 ReplicaPtr ForwardRun::pick(ForwardShared &S, const Part &P, unsigned Index,
                             Instant Now) const {
   auto Info = Ask.Config->services().find(P.Service);
--- a/packages/front/FollowedKind.h
+++ b/packages/front/FollowedKind.h
@@ -54,19 +54,19 @@
   /// The failure: the daemon that this one relies on hears nothing, and does
   /// not know it yet. Every message of the membership says how far its sender
   /// has read (\p Field); whoever hears of more and gets nothing (CatchUp) asks
-  /// one that has it. To be called every \p Period.
+  /// one that has it. To be called every \p Period, with how far this daemon
+  /// and the furthest of its peers have read.
   ///
   /// A removal that one saw and the other only finds missing in a list leaves
   /// the two apart for good: with \p Once a peer's word is followed once, and
   /// else until this daemon has it.
-  void compare(const ReadState &Mine, std::uint64_t ReadState::*Field,
-               bool Once, bool Ready, Duration Period) {
+  void compare(const ReadState &Mine, const ReadState &Most,
+               std::uint64_t ReadState::*Field, bool Once, Duration Period) {
     std::uint64_t Read = Mine.*Field;
     std::uint64_t Known = Once ? std::max(Read, Followed) : Read;
     bool Moving =
         Read != std::exchange(Before, Read) || Source.receivedWithin(Period);
-    bool Ahead = Ready && D.fleet().furthest().*Field > Known;
-    if (Behind.due(Ahead, Moving, Loop.now()))
+    if (Behind.due(Most.*Field > Known, Moving, Loop.now()))
       askAhead(Field, Known);
   }
 
--- a/packages/front/QuarantineGate.cpp
+++ b/packages/front/QuarantineGate.cpp
@@ -12,6 +12,11 @@
 /// Of a path in a record, for operators.
 constexpr std::size_t MostPathBytes = 120;
 
+/// An attempt whose replica crashed is usually served by another one within
+/// this. What is not cleared by then is shared, also while the attempt waits:
+/// at a replica that hangs it may wait for as long as its caller does.
+constexpr Duration ClearedWithin = Millis(300);
+
 /// A trial that another daemon makes is over by then.
 constexpr Duration TrialRetry = Millis(400);
 
@@ -73,6 +78,9 @@
   Seen.Route = R.Route;
   Seen.Path = R.Path;
   Table.crashed(Seen);
+  Unshared.push_back({R.Print, Timers.now() + ClearedWithin});
+  if (ShareTimer == 0)
+    ShareTimer = Timers.after(ClearedWithin, [this] { shareOverdue(); });
   Meter.count("shallot_replica_crashes_seen_total", {{"route", R.Route}});
   logEvent(LogLevel::Warn, "replica_crashed",
            {{"replica", Seen.Crashed.front()},
@@ -83,6 +91,25 @@
             {"crashes", std::to_string(crashesOf(R))}});
 }
 
+QuarantineGate::~QuarantineGate() { Timers.cancel(ShareTimer); }
+
+void QuarantineGate::share(const RequestFingerprint &R) {
+  Table.share(R);
+  if (OnUnwritten)
+    OnUnwritten();
+}
+
+void QuarantineGate::shareOverdue() {
+  ShareTimer = 0;
+  while (!Unshared.empty() && Unshared.front().ShareAt <= Timers.now()) {
+    share(Unshared.front().Print);
+    Unshared.pop_front();
+  }
+  if (!Unshared.empty())
+    ShareTimer =
+        Timers.at(Unshared.front().ShareAt, [this] { shareOverdue(); });
+}
+
 void QuarantineGate::succeeded(const NamedRequest &R) {
   if (!Table.succeeded(R.Print))
     return;
@@ -97,11 +124,8 @@
     return;
   if (Trial)
     Table.trialCrashed(R.Print);
-  else
-    Table.share(R.Print);
+  share(R.Print);
   logStanding(R, "request_suspected");
-  if (OnUnwritten)
-    OnUnwritten();
 }
 
 void QuarantineGate::logStanding(const NamedRequest &R,
--- a/packages/front/QuarantineGate.h
+++ b/packages/front/QuarantineGate.h
@@ -18,6 +18,7 @@
 #include "shallotshift/quarantine.h"
 #include "shallotshift/telemetry.h"
 
+#include <deque>
 #include <functional>
 #include <string>
 
@@ -43,7 +44,10 @@
 
   QuarantineGate(EventLoop &Loop, UpstreamPool &Pool, TimerQueue &Timers,
                  Metrics &Meter)
-      : Loop(Loop), Meter(Meter), Check(Pool, Timers) {}
+      : Loop(Loop), Timers(Timers), Meter(Meter), Check(Pool, Timers) {}
+  ~QuarantineGate();
+  QuarantineGate(const QuarantineGate &) = delete;
+  QuarantineGate &operator=(const QuarantineGate &) = delete;
 
   Quarantine &table() { return Table; }
   /// Who grants trials, and who is told that something is to be written.
@@ -68,12 +72,23 @@
 
 private:
   void noteCrash(const NamedRequest &R, const ReplicaEntry &To);
+  void share(const RequestFingerprint &R);
+  void shareOverdue();
   void logStanding(const NamedRequest &R, std::string_view Event);
 
+  /// Evidence that may be cleared by an attempt that still runs.
+  struct Fresh {
+    RequestFingerprint Print;
+    Instant ShareAt;
+  };
+
   EventLoop &Loop;
+  TimerQueue &Timers;
   Metrics &Meter;
   CrashCheck Check;
   Quarantine Table;
+  std::deque<Fresh> Unshared; ///< In order of time.
+  TimerQueue::Key ShareTimer = 0;
   TrialFn OnTrial;
   std::function<void()> OnUnwritten;
 };
--- a/packages/front/QuarantineSync.h
+++ b/packages/front/QuarantineSync.h
@@ -161,8 +161,11 @@
       return Table.remove(W.Record.Request, W.Revision);
     if (!Reply.Now)
       return Table.remove(W.Record.Request, UINT64_MAX);
-    if (auto Shared = readShared(*Reply.Now))
-      Table.put(std::move(*Shared));
+    // What cannot be read says nothing, and gives way to the next write.
+    std::optional<SharedRecord> There = readShared(*Reply.Now);
+    Table.put(There ? std::move(*There)
+                    : SharedRecord{QuarantineRecord{W.Record.Request},
+                                   Reply.Now->Revision});
   }
 
   void tryTrial(const RequestFingerprint &R, int Tries,
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -3,9 +3,7 @@
 
 #include "front/AnswerWriting.h"
 #include "front/ReplyReading.h"
-
-#include <algorithm>
-#include <charconv>
+#include "front/RequestReading.h"
 
 namespace shallot {
 
@@ -31,29 +29,10 @@
 constexpr IdleBounds NearIdle{8, 2};
 constexpr IdleBounds FarIdle{3, 1};
 constexpr Duration IdleFor = Millis(400);
-constexpr Duration LongestDeadline = Seconds(300);
 /// The store grants a trial in milliseconds. While it is slow a caller does
 /// better to come back than to wait for it.
 constexpr Duration MostTrialWait = Millis(250);
 
-std::optional<Duration> readDeadline(std::string_view Text) {
-  double Ms = 0;
-  auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
-  if (Error != std::errc() || Ms < 0)
-    return std::nullopt;
-  return std::min<Duration>(fromMillisF(Ms), LongestDeadline);
-}
-
-/// "search.example" of "Search.Example:80".
-std::string hostOf(std::string_view Value) {
-  std::string Host(Value.substr(0, Value.find(':')));
-  std::ranges::transform(Host, Host.begin(), [](char C) {
-    return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
-  });
-  return Host;
-}
-
 OwnAnswer overloadAnswer(const Verdict &V) {
   return {V.Code, V.RetryAfter, "more than the replicas can take"};
 }
@@ -90,7 +69,6 @@
 
   void handle(const ExchangePtr &E);
   void refuse(const ExchangePtr &E, const OwnAnswer &A);
-  std::string headFor(const CallerRequest &R) const;
   void vet(const JobPtr &J);
   void askTrial(const JobPtr &J);
   void admit(const JobPtr &J);
@@ -137,19 +115,6 @@
   E->reply(writeOwnAnswer(A, std::move(Id)));
 }
 
-std::string RequestDesk::Impl::headFor(const CallerRequest &R) const {
-  std::string_view Connection = headerValue(R.Headers, "Connection");
-  HttpHeaders Kept;
-  for (const HttpHeader &H : R.Headers) {
-    bool Ours = sameHeaderName(H.Name, Names.Deadline) ||
-                sameHeaderName(H.Name, Names.Wanted) ||
-                sameHeaderName(H.Name, "Expect");
-    if (!Ours && !isHopHeader(H.Name, Connection))
-      Kept.push_back(H);
-  }
-  return requestHead(R.Method, R.Target, Kept);
-}
-
 void RequestDesk::Impl::handle(const ExchangePtr &E) {
   const CallerRequest &R = E->request();
   if (!Config) {
@@ -172,7 +137,7 @@
   std::string Id(headerValue(R.Headers, Names.RequestId));
   auto J = std::make_shared<Job>(
       E, std::move(Ask), nameRequest(R, Host, Way->Name, std::move(Id)));
-  J->Head = headFor(R);
+  J->Head = forwardedHead(R, Names);
   Jobs.insert(J);
   ++Unanswered;
   ++Handled;
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -147,11 +147,13 @@
 
   void compareWithPeers() {
     ReadState Mine = readState();
-    bool Ready = Configs.watch().listed();
+    // Until the configuration was listed nobody is behind.
+    ReadState Most =
+        Configs.watch().listed() ? D.fleet().furthest() : ReadState();
     Duration Period = FeedTick * CompareEvery;
-    Configs.compare(Mine, &ReadState::ConfigVersion, false, Ready, Period);
-    Replicas.compare(Mine, &ReadState::ReplicaRevision, true, Ready, Period);
-    Records.compare(Mine, &ReadState::QuarantineRevision, true, Ready, Period);
+    Configs.compare(Mine, Most, &ReadState::ConfigVersion, false, Period);
+    Replicas.compare(Mine, Most, &ReadState::ReplicaRevision, true, Period);
+    Records.compare(Mine, Most, &ReadState::QuarantineRevision, true, Period);
   }
 
   void fleetChanged() {
