--- a/tests/failure/CrashingRequestsAreSentOnce.cpp
+++ b/tests/failure/CrashingRequestsAreSentOnce.cpp
@@ -159,9 +159,11 @@
 TEST_CASE_FIXTURE(CrashFixture, "a held part waits for room like any other") {
   ForwardRun R = careful(route(shards()), Caution::OneAtATime, 1);
   // Every replica has as many sends as it may.
+  constexpr int OthersCount = 8;
   std::vector<ForwardRun> Others;
+  Others.reserve(OthersCount);
   Book.setSharing({300, 300, 1.0 / 600});
-  for (int N = 0; N < 8; ++N)
+  for (int N = 0; N < OthersCount; ++N)
     Others.push_back(run(route(shards())));
   for (ForwardRun &O : Others)
     O.begin(Shared, Now);
--- a/tests/failure/QuarantineWritesAreBounded.cpp
+++ b/tests/failure/QuarantineWritesAreBounded.cpp
@@ -54,9 +54,7 @@
               const std::function<void()> &Apply) {
     ++Calls;
     if (Away)
-      return after(Millis(800), [Done] {
-        Done(Error{ResultCode::PlatformDown, "away"});
-      });
+      return fail(std::move(Done), "away");
     auto At = Objects.find(Name);
     std::uint64_t Has = At == Objects.end() ? 0 : At->second.Revision;
     KindWriteReply Reply{Has == If, std::nullopt};
@@ -67,11 +65,15 @@
       Reply.Now = At->second;
     if (LoseReplies > 0) {
       --LoseReplies;
-      return after(Millis(800), [Done] {
-        Done(Error{ResultCode::PlatformDown, "lost"});
-      });
+      return fail(std::move(Done), "lost");
     }
-    after(Millis(4), [Done, Reply] { Done(Reply); });
+    after(Millis(4), [Done = std::move(Done), Reply] { Done(Reply); });
+  }
+
+  void fail(StoreCallback<KindWriteReply> Done, const char *Why) {
+    after(Millis(800), [Done = std::move(Done), Why] {
+      Done(Error{ResultCode::PlatformDown, Why});
+    });
   }
 
   Instant Now{Seconds(1000)};
