base, fleet, front: one token bucket

QuarantineSync had TokenBucket of package fleet written again, but for a rate that follows the size of the fleet. The bucket is in package base now and has setRate(); behaviour is unchanged.

--- a/packages/base/TokenBucket.h
+++ b/packages/base/TokenBucket.h
@@ -1,17 +1,18 @@
-//===- TokenBucket.h - A bounded rate of messages ---------------*- C++ -*-===//
+//===- TokenBucket.h - A bounded rate ---------------------------*- C++ -*-===//
 //
-// Inside of package fleet: lets Burst messages go at once and PerSecond for
-// good, so that no number of askers makes a daemon send more.
+// Lets Burst events happen at once and PerSecond for good, so that no number of
+// askers makes a daemon do more of what costs others.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_FLEET_TOKENBUCKET_H
-#define SHALLOTSHIFT_FLEET_TOKENBUCKET_H
+#ifndef SHALLOTSHIFT_BASE_TOKENBUCKET_H
+#define SHALLOTSHIFT_BASE_TOKENBUCKET_H
 
-#include "shallotshift/base.h"
+#include "base/Time.h"
 
 #include <algorithm>
+#include <chrono>
 
-namespace shallot::internal {
+namespace shallot {
 
 class TokenBucket {
 public:
@@ -20,22 +21,32 @@
 
   /// True, and one token less, when one was left.
   bool take(Instant Now) {
-    double Passed = std::chrono::duration<double>(Now - At).count();
-    Tokens = std::min(Burst, Tokens + std::max(0.0, Passed) * PerSecond);
-    At = Now;
+    refill(Now);
     if (Tokens < 1)
       return false;
     Tokens -= 1;
     return true;
   }
 
+  /// From \p Now on tokens come at another rate.
+  void setRate(double PerSecondNow, Instant Now) {
+    refill(Now);
+    PerSecond = PerSecondNow;
+  }
+
 private:
+  void refill(Instant Now) {
+    double Passed = std::chrono::duration<double>(Now - At).count();
+    Tokens = std::min(Burst, Tokens + std::max(0.0, Passed) * PerSecond);
+    At = Now;
+  }
+
   double PerSecond;
   double Burst;
   double Tokens;
   Instant At;
 };
 
-} // namespace shallot::internal
+} // namespace shallot
 
-#endif // SHALLOTSHIFT_FLEET_TOKENBUCKET_H
+#endif // SHALLOTSHIFT_BASE_TOKENBUCKET_H
--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -3,7 +3,8 @@
 // The public header of package base: names of things (Ids.h), time without a
 // clock (Time.h), numbered result codes (ResultCode.h), results (Result.h),
 // header lines (HttpHeader.h), the query of a URL (QueryText.h), hashing
-// (Hash.h) and random numbers that are passed in (Random.h).
+// (Hash.h), random numbers that are passed in (Random.h) and bounded rates
+// (TokenBucket.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_BASE_H
@@ -18,5 +19,6 @@
 #include "base/Result.h"
 #include "base/ResultCode.h"
 #include "base/Time.h"
+#include "base/TokenBucket.h"
 
 #endif // SHALLOTSHIFT_BASE_H
--- a/packages/fleet/MembershipState.h
+++ b/packages/fleet/MembershipState.h
@@ -11,7 +11,6 @@
 #include "fleet/BroadcastQueue.h"
 #include "fleet/MemberTable.h"
 #include "fleet/Membership.h"
-#include "fleet/TokenBucket.h"
 
 #include <deque>
 #include <optional>
@@ -161,10 +160,10 @@
   Duration SmoothedRtt = Millis(0);
   Duration RttDeviation = Millis(0);
   unsigned Slowness = 0; ///< localHealth().
-  internal::TokenBucket Replies;
+  TokenBucket Replies;
 
   // Comparison of tables.
-  internal::TokenBucket SyncDatagrams;
+  TokenBucket SyncDatagrams;
   std::vector<internal::RunningSync> Syncs;
   Instant NextSyncAt;
   bool TablesEqual = false; ///< The last comparison found (nearly) nothing.
--- a/packages/front/QuarantineSync.h
+++ b/packages/front/QuarantineSync.h
@@ -42,7 +42,8 @@
   QuarantineSync(Time &T, Store &S, std::string Kind, Quarantine &Table,
                  Random &Rng)
       : T(T), S(S), Kind(std::move(Kind)), Table(Table), Rng(Rng),
-        Wait(FirstBackoff, MostBackoff), TokensAt(T.now()) {}
+        Wait(FirstBackoff, MostBackoff),
+        Writes(MostWritesPerSecond, WriteBurst, T.now()) {}
   QuarantineSync(const QuarantineSync &) = delete;
   QuarantineSync &operator=(const QuarantineSync &) = delete;
 
@@ -50,7 +51,8 @@
   void setMembers(std::size_t Count) {
     double Share =
         FleetWritesPerSecond / double(std::max<std::size_t>(1, Count));
-    PerSecond = std::clamp(Share, LeastWritesPerSecond, MostWritesPerSecond);
+    Writes.setRate(std::clamp(Share, LeastWritesPerSecond, MostWritesPerSecond),
+                   T.now());
   }
 
   /// Writes what the store lacks, if anything.
@@ -58,7 +60,7 @@
     if (Busy)
       return;
     std::optional<QuarantineWrite> W = Table.nextWrite();
-    if (!W || !takeToken())
+    if (!W || !Writes.take(T.now()))
       return;
     Busy = true;
     write(*W, [this](WriteEnd End) {
@@ -115,16 +117,6 @@
     };
   }
 
-  bool takeToken() {
-    double Passed = toMillisF(T.now() - TokensAt) / 1000;
-    TokensAt = T.now();
-    Tokens = std::min(WriteBurst, Tokens + Passed * PerSecond);
-    if (Tokens < 1)
-      return false;
-    Tokens -= 1;
-    return true;
-  }
-
   /// How a write ended. The table has the store's answer, if there was one.
   enum class WriteEnd : std::uint8_t {
     Applied,
@@ -171,7 +163,7 @@
   void tryTrial(const RequestFingerprint &R, int Tries,
                 QuarantineGate::TrialCallback Done) {
     std::optional<QuarantineWrite> W = Table.trialWrite(R);
-    if (Tries == 0 || !W || !takeToken()) {
+    if (Tries == 0 || !W || !Writes.take(T.now())) {
       T.after(Duration(0), guarded([Done] { Done(false); }));
       return;
     }
@@ -207,9 +199,7 @@
   Random &Rng;
   Backoff Wait;
   bool Busy = false; ///< A write is out, or waits after a failure.
-  double PerSecond = MostWritesPerSecond;
-  double Tokens = WriteBurst;
-  Instant TokensAt;
+  TokenBucket Writes;
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
