--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -76,6 +76,8 @@
   settle(At);
 }
 
+void Quarantine::trialUnused(const RequestFingerprint &) {}
+
 bool Quarantine::succeeded(const RequestFingerprint &R) {
   auto At = Entries.find(R);
   if (At == Entries.end())
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -76,6 +76,8 @@
   void share(const RequestFingerprint &R);
   /// The send of a granted trial crashed its replica.
   void trialCrashed(const RequestFingerprint &R);
+  /// A granted trial ended before anything of it reached a replica.
+  void trialUnused(const RequestFingerprint &R);
   /// True when something had been held against it.
   bool succeeded(const RequestFingerprint &R);
 
--- a/tests/failure/CrashesAreCountedOnce.cpp
+++ b/tests/failure/CrashesAreCountedOnce.cpp
@@ -156,6 +156,48 @@
   CHECK(Q.standing(request(2)) == Standing::OnTrial);
 }
 
+TEST_CASE("a request whose trials told nothing is tried again after a while") {
+  Quarantine Q;
+  SharedRecord Untold = shared({"i-1", "i-2", "i-3"}, 5);
+  Untold.Record.Trials = MostTrials;
+  SharedRecord Guilty = shared({"i-1", "i-2", "i-3"}, 6, 2);
+  Guilty.Record.Proven = true;
+  Q.put(Untold);
+  Q.put(Guilty);
+  WallTime Later = 1001 + EvidenceLifetimeMs;
+  Q.expire(Later, false);
+  CHECK_FALSE(Q.nextWrite()); // Renewing is another daemon's.
+  Q.expire(Later, true);
+  auto W = Q.nextWrite();
+  REQUIRE(W);
+  CHECK(W->Record.Request == request());
+  CHECK_FALSE(W->Removes);
+  CHECK(W->Revision == 5);
+  CHECK(W->Record.Trials == 0);
+  Q.put({W->Record, 7});
+  CHECK(Q.standing(request()) == Standing::OnTrial);
+  CHECK(Q.standing(request(2)) == Standing::Quarantined);
+  Q.expire(Later, true);
+  CHECK_FALSE(Q.nextWrite());
+}
+
+TEST_CASE("a trial that reached no replica is given back, once") {
+  Quarantine Q;
+  Q.put(shared({"i-1", "i-2", "i-3"}, 5));
+  auto Granted = Q.trialWrite(request());
+  REQUIRE(Granted);
+  Q.put({Granted->Record, 6});
+  Q.trialUnused(request());
+  auto W = Q.nextWrite();
+  REQUIRE(W);
+  CHECK(W->Revision == 6);
+  CHECK(W->Record.Trials == 0);
+  // The reply to this write may be lost after it was done: it is not repeated.
+  Q.writeBegins(request());
+  Q.writeEnded(request());
+  CHECK_FALSE(Q.nextWrite());
+}
+
 TEST_CASE("a flood of distinct requests is bounded, here and in the store") {
   Quarantine Q;
   for (int N = 0; N < int(MostEntries) + 500; ++N)
--- a/tests/failure/TrialsAreBoundedInTheFleet.cpp
+++ b/tests/failure/TrialsAreBoundedInTheFleet.cpp
@@ -56,14 +56,26 @@
       Q = Quarantine();
       return;
     case 2: // It writes what the others should know.
-      if (auto W = Q.nextWrite())
-        Shop.write(*W);
+      writeNext(Q, Rng);
       return;
     default:
       attempt(Q, Rng);
     }
   }
 
+  /// The store's answer may be lost, whether the write was done or not.
+  void writeNext(Quarantine &Q, Random &Rng) {
+    auto W = Q.nextWrite();
+    if (!W)
+      return;
+    Q.writeBegins(deadly());
+    Shop.write(*W);
+    auto Now = Shop.Records.find(deadly());
+    if (below(Rng, 3) != 0 && Now != Shop.Records.end())
+      Q.put(Now->second);
+    Q.writeEnded(deadly());
+  }
+
   /// The request comes to a daemon.
   void attempt(Quarantine &Q, Random &Rng) {
     switch (Q.standing(deadly())) {
@@ -84,6 +96,11 @@
       return;
     if (below(Rng, 4) == 0)
       return; // The reply is lost: nothing is sent.
+    if (below(Rng, 4) == 0) { // No replica is up: it reaches none.
+      Q.put(Shop.Records.at(deadly()));
+      Q.trialUnused(deadly());
+      return;
+    }
     ++Trials;
     if (below(Rng, 3) == 0)
       return; // The replica was full: it tells nothing.
@@ -136,8 +153,7 @@
         Q.replaceAll(F.Shop.all(), F.Shop.Revision);
       }
       F.attempt(Q, Rng);
-      if (auto W = Q.nextWrite())
-        F.Shop.write(*W);
+      F.writeNext(Q, Rng);
       if (below(Rng, 3) == 0)
         Q.replaceAll(F.Shop.all(), F.Shop.Revision);
     }
