quarantine: trials that told nothing are made anew, and unused ones are given back

What callers saw: a harmless search that was in flight where replicas crashed three times was answered 400 for good, when both of its trials met full replicas or none that was up. Cause: a trial counted when it was granted, whatever became of it, and a request whose trials had told nothing stood as if it were proven guilty. Change: a daemon whose granted trial reached no replica gives it back; a request whose trials told nothing is tried anew after ten minutes, by two sends at most. Why it holds: what is proven is never tried again; giving back is a write that is made once, so a lost reply loses a trial and never adds one. 400 random fleets with unused trials and lost replies: never more than two trials reach replicas.

--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -12,6 +12,8 @@
 bool Quarantine::needsWrite(const Entry &E) {
   if (E.Clear)
     return E.Shared.has_value();
+  if (E.Shared && (E.GiveBack || E.RenewAt != 0))
+    return true;
   if (!E.Share)
     return false;
   if (!E.Shared)
@@ -23,6 +25,18 @@
          All.Proven != There.Proven;
 }
 
+/// What the store should have in place of Shared.
+QuarantineRecord Quarantine::wanted(const Entry &E) {
+  QuarantineRecord R = known(E);
+  if (E.GiveBack && R.Trials > 0)
+    --R.Trials;
+  if (E.RenewAt != 0) {
+    R.Trials = 0;
+    R.SeenAt = E.RenewAt;
+  }
+  return R;
+}
+
 /// Brings Unwritten up to date with an entry that has changed, and forgets one
 /// that says nothing.
 void Quarantine::settle(Table::iterator At) {
@@ -76,7 +90,13 @@
   settle(At);
 }
 
-void Quarantine::trialUnused(const RequestFingerprint &) {}
+void Quarantine::trialUnused(const RequestFingerprint &R) {
+  auto At = Entries.find(R);
+  if (At == Entries.end() || !At->second.Shared)
+    return;
+  At->second.GiveBack = true;
+  settle(At);
+}
 
 bool Quarantine::succeeded(const RequestFingerprint &R) {
   auto At = Entries.find(R);
@@ -92,8 +112,11 @@
 
 void Quarantine::writeBegins(const RequestFingerprint &R) {
   auto At = Entries.find(R);
-  if (At != Entries.end())
-    ++At->second.Writes;
+  if (At == Entries.end())
+    return;
+  ++At->second.Writes;
+  At->second.GiveBack = false;
+  settle(At);
 }
 
 void Quarantine::writeEnded(const RequestFingerprint &R) {
@@ -127,6 +150,7 @@
     return;
   SharedCount += !E.Shared;
   E.Shared = std::move(Now);
+  E.RenewAt = 0; // By whoever wrote it, or not called for any more.
   settle(At);
 }
 
@@ -140,7 +164,8 @@
   --SharedCount;
   E.Shared.reset();
   E.Own = QuarantineRecord{At->first};
-  E.Share = E.Clear = false;
+  E.Share = E.Clear = E.GiveBack = false;
+  E.RenewAt = 0;
   settle(At);
 }
 
@@ -167,7 +192,7 @@
     return QuarantineWrite{E.Shared->Record, E.Shared->Revision, true};
   if (!E.Shared && SharedCount >= MostShared)
     return makeRoom();
-  return QuarantineWrite{known(E), E.Shared ? E.Shared->Revision : 0};
+  return QuarantineWrite{wanted(E), E.Shared ? E.Shared->Revision : 0};
 }
 
 std::optional<QuarantineWrite>
@@ -183,17 +208,29 @@
   return QuarantineWrite{std::move(Next), E.Shared ? E.Shared->Revision : 0};
 }
 
+/// Nothing was heard of \p E for EvidenceLifetimeMs.
+void Quarantine::outdated(Entry &E, WallTime Now, bool Writes) {
+  if (!E.Shared) {
+    E.Own = QuarantineRecord{E.Own.Request};
+    return;
+  }
+  if (!Writes)
+    return;
+  QuarantineRecord Known = known(E);
+  if (Known.standing() == Standing::Suspect)
+    E.Clear = true;
+  else if (Known.standing() == Standing::Quarantined && !Known.Proven)
+    E.RenewAt = Now;
+}
+
 void Quarantine::expire(WallTime Now, bool Writes) {
   for (auto At = Entries.begin(); At != Entries.end();) {
     auto Next = std::next(At);
     Entry &E = At->second;
-    QuarantineRecord Known = known(E);
-    bool Old = Known.SeenAt + EvidenceLifetimeMs < Now;
-    if (Old && !E.Shared) {
-      E.Own = QuarantineRecord{At->first};
-      settle(At);
-    } else if (Old && Writes && Known.standing() == Standing::Suspect) {
-      E.Clear = true;
+    WallTime SeenAt =
+        std::max(E.Own.SeenAt, E.Shared ? E.Shared->Record.SeenAt : 0);
+    if (SeenAt + EvidenceLifetimeMs < Now) {
+      outdated(E, Now, Writes);
       settle(At);
     }
     At = Next;
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -16,7 +16,11 @@
 //
 // A trial is granted by the store: the write that counts it names the revision
 // that it read, so of any number of daemons one wins, and all of them together
-// make MostTrials at most.
+// make MostTrials at most. One that reached no replica is given back, by a
+// write that is made once: were it repeated after a lost reply, it could give
+// back two. Where the trials told nothing, for instance because their daemons
+// ended, they are made anew after EvidenceLifetimeMs: the request may be
+// harmless.
 //
 // Bounds: a flood of distinct requests costs MostEntries entries of a few
 // hundred bytes here, and MostShared objects in the store, of which the oldest
@@ -39,9 +43,10 @@
 inline constexpr std::size_t MostShared = 1000;
 /// Requests that a daemon keeps evidence of, shared or not.
 inline constexpr std::size_t MostEntries = 4000;
-/// A suspicion that is not confirmed is forgotten after this, in milliseconds.
-/// What is beyond a suspicion stays until a run ends well or an operator
-/// removes it: forgotten, the request would crash as many replicas again.
+/// A suspicion that is not confirmed is forgotten after this, in milliseconds,
+/// and trials that told nothing are made anew. What is proven stays until an
+/// operator removes it: forgotten, the request would crash as many replicas
+/// again.
 inline constexpr WallTime EvidenceLifetimeMs = 600'000;
 
 /// A record as the store has it.
@@ -99,8 +104,8 @@
   void writeEnded(const RequestFingerprint &R);
   /// The write that grants a trial; nothing when none is left.
   std::optional<QuarantineWrite> trialWrite(const RequestFingerprint &R) const;
-  /// Forgets suspicions that are too old; \p Writes: this daemon removes them
-  /// from the store too.
+  /// Forgets suspicions that are too old and renews trials that told nothing;
+  /// \p Writes: this daemon does so in the store too.
   void expire(WallTime Now, bool Writes);
 
   std::size_t size() const { return Entries.size(); }
@@ -112,14 +117,18 @@
   struct Entry {
     QuarantineRecord Own; ///< Seen here and not in Shared.
     std::optional<SharedRecord> Shared;
-    bool Share = false;  ///< Own is to be written.
-    bool Clear = false;  ///< Shared is to be removed, and counts no more.
-    unsigned Writes = 0; ///< On their way.
+    bool Share = false;    ///< Own is to be written.
+    bool Clear = false;    ///< Shared is to be removed, and counts no more.
+    bool GiveBack = false; ///< One trial of Shared is to be given back.
+    WallTime RenewAt = 0;  ///< Trials of Shared are to be made anew; 0: not.
+    unsigned Writes = 0;   ///< On their way.
   };
   using Table = std::map<RequestFingerprint, Entry>;
 
   static QuarantineRecord known(const Entry &E);
   static bool needsWrite(const Entry &E);
+  static QuarantineRecord wanted(const Entry &E);
+  static void outdated(Entry &E, WallTime Now, bool Writes);
   void settle(Table::iterator At);
   std::optional<QuarantineWrite> makeRoom() const;
 
--- a/tests/failure/TrialsAreBoundedInTheFleet.cpp
+++ b/tests/failure/TrialsAreBoundedInTheFleet.cpp
@@ -95,7 +95,7 @@
     if (!W || !Shop.write(*W))
       return;
     if (below(Rng, 4) == 0)
-      return; // The reply is lost: nothing is sent.
+      return;                 // The reply is lost: nothing is sent.
     if (below(Rng, 4) == 0) { // No replica is up: it reaches none.
       Q.put(Shop.Records.at(deadly()));
       Q.trialUnused(deadly());
