crashguard: what joins quarantine to a daemon is a package of its own

The product's own interface needs the same gate to callers and the same way to the store as the front daemons, and could not reach them in package front. QuarantineGate and QuarantineSync are in package crashguard now and know neither forward nor http1; RecordDocument keeps objects of a kind in one object, for a store that knows single objects only. Tests with a virtual clock of their own share VirtualTime.h. A granted trial that reached no replica is given back here (quarantine: trials that told nothing), a failed attempt is logged once, and two comments lost what was measured.

--- a/packages/crashguard/QuarantineGate.cpp
+++ b/packages/crashguard/QuarantineGate.cpp
@@ -1,14 +1,10 @@
 //===- QuarantineGate.cpp -------------------------------------------------===//
-#include "front/QuarantineGate.h"
+#include "crashguard/QuarantineGate.h"
 
 namespace shallot {
 
 namespace {
 
-/// Who a caller says it is, where it says so: what a replica may do for one it
-/// may refuse another.
-constexpr char CredentialsHeader[] = "Authorization";
-
 /// Of a path in a record, for operators.
 constexpr std::size_t MostPathBytes = 120;
 
@@ -17,38 +13,19 @@
 /// at a replica that hangs it may wait for as long as its caller does.
 constexpr Duration ClearedWithin = Millis(300);
 
-/// A trial that another daemon makes is over by then.
-constexpr Duration TrialRetry = Millis(400);
-
 } // namespace
 
-NamedRequest nameRequest(const CallerRequest &R, std::string_view Host,
-                         std::string Route, std::string Id) {
-  RequestIdentity Parts{R.Method, Host, R.Target,
-                        headerValue(R.Headers, CredentialsHeader), R.Body};
-  return {RequestFingerprint::of(Parts), std::move(Id), std::move(Route),
-          std::string(R.path().substr(0, MostPathBytes))};
-}
-
-OwnAnswer quarantinedAnswer() {
-  return {ResultCode::RequestQuarantined,
-          {},
-          "replicas crashed each time that they ran this request; it is not "
-          "sent to them any more"};
-}
-
-OwnAnswer noTrialAnswer() {
-  return {
-      ResultCode::TrialUnavailable, TrialRetry,
-      "replicas crashed under this request, and whether they crash of it is "
-      "being tried, or cannot be tried now"};
-}
-
 void QuarantineGate::connect(TrialFn Trial, std::function<void()> Unwritten) {
   OnTrial = std::move(Trial);
   OnUnwritten = std::move(Unwritten);
 }
 
+Caution QuarantineGate::cautionFor(const NamedRequest &R, bool Trial) const {
+  if (Trial)
+    return Caution::OneSend;
+  return standing(R) == Standing::Clear ? Caution::None : Caution::OneAtATime;
+}
+
 void QuarantineGate::requestTrial(const NamedRequest &R, TrialCallback Done) {
   auto Told = [this, R, Done = std::move(Done)](bool Granted) {
     Meter.count("shallot_quarantine_trials_total",
@@ -62,70 +39,76 @@
     Loop.post([Told = std::move(Told)] { Told(false); });
 }
 
-void QuarantineGate::sendLost(const NamedRequest &R, const ReplicaEntry &To,
-                              std::function<void(bool)> Done) {
-  Check.ask(To.At, [this, R, To, Done = std::move(Done)](bool Ended) {
-    if (Ended)
-      noteCrash(R, To);
-    Done(Ended);
-  });
+void QuarantineGate::trialUnused(const NamedRequest &R) {
+  Table.trialUnused(R.Print);
+  logStanding(R, "trial_unused");
+  unwritten();
 }
 
-void QuarantineGate::noteCrash(const NamedRequest &R, const ReplicaEntry &To) {
+void QuarantineGate::crashed(const NamedRequest &R,
+                             const EndedProcess &Process) {
   QuarantineRecord Seen{R.Print};
-  Seen.Crashed = {processName(To.Id, To.StartedUnixMs)};
+  Seen.Crashed = {Process.Name};
   Seen.SeenAt = Loop.wallTime();
   Seen.Route = R.Route;
-  Seen.Path = R.Path;
+  Seen.Path = R.Path.substr(0, MostPathBytes);
   Table.crashed(Seen);
-  Unshared.push_back({R.Print, Timers.now() + ClearedWithin});
-  if (ShareTimer == 0)
-    ShareTimer = Timers.after(ClearedWithin, [this] { shareOverdue(); });
+  Unshared.push_back({R.Print, Loop.now() + ClearedWithin});
+  if (!ShareTimer.pending())
+    ShareTimer = Loop.after(ClearedWithin, [this] { shareOverdue(); });
   Meter.count("shallot_replica_crashes_seen_total", {{"route", R.Route}});
   logEvent(LogLevel::Warn, "replica_crashed",
-           {{"replica", Seen.Crashed.front()},
-            {"service", To.Service.str()},
+           {{"replica", Process.Name},
+            {"service", Process.Service.str()},
             {"id", R.Id},
             {"fingerprint", R.Print.str()},
             {"standing", std::string(standingName(standing(R)))},
             {"crashes", std::to_string(crashesOf(R))}});
 }
 
-QuarantineGate::~QuarantineGate() { Timers.cancel(ShareTimer); }
-
 void QuarantineGate::share(const RequestFingerprint &R) {
   Table.share(R);
+  unwritten();
+}
+
+void QuarantineGate::unwritten() const {
   if (OnUnwritten)
     OnUnwritten();
 }
 
 void QuarantineGate::shareOverdue() {
-  ShareTimer = 0;
-  while (!Unshared.empty() && Unshared.front().ShareAt <= Timers.now()) {
+  Instant Now = Loop.now();
+  while (!Unshared.empty() && Unshared.front().ShareAt <= Now) {
     share(Unshared.front().Print);
     Unshared.pop_front();
   }
   if (!Unshared.empty())
     ShareTimer =
-        Timers.at(Unshared.front().ShareAt, [this] { shareOverdue(); });
+        Loop.after(Unshared.front().ShareAt - Now, [this] { shareOverdue(); });
 }
 
 void QuarantineGate::succeeded(const NamedRequest &R) {
   if (!Table.succeeded(R.Print))
     return;
   logStanding(R, "request_cleared");
-  if (OnUnwritten)
-    OnUnwritten();
+  unwritten();
 }
 
-void QuarantineGate::attemptFailed(const NamedRequest &R, const RunStory &S,
-                                   bool Trial) {
-  if (S.Crashed == 0)
-    return;
+void QuarantineGate::attemptFailed(const NamedRequest &R, bool Trial,
+                                   bool First) {
   if (Trial)
     Table.trialCrashed(R.Print);
   share(R.Print);
-  logStanding(R, "request_suspected");
+  if (First)
+    logStanding(R, "request_suspected");
+}
+
+void QuarantineGate::writeGauges(Metrics &Into) const {
+  for (Standing S :
+       {Standing::Suspect, Standing::OnTrial, Standing::Quarantined})
+    Into.gauge("shallot_quarantine_requests",
+               {{"standing", std::string(standingName(S))}},
+               double(Table.count(S)));
 }
 
 void QuarantineGate::logStanding(const NamedRequest &R,
--- a/packages/crashguard/QuarantineGate.h
+++ b/packages/crashguard/QuarantineGate.h
@@ -1,20 +1,18 @@
 //===- QuarantineGate.h - Keeps queries of death from replicas --*- C++ -*-===//
 //
 // Joins what a daemon knows of requests under which replicas crashed (package
-// quarantine) to its callers' requests and its connections to replicas: finds
-// out whether a lost send met a process that ended, keeps the evidence, and
-// asks for trials. Each decision is logged with the request's fingerprint, by
-// which attempts at the same request are found.
+// quarantine) to its callers' requests: keeps the evidence, asks for trials and
+// says how they ended. Each decision is logged with the request's fingerprint,
+// by which attempts at the same request are found.
 //
 // Who shares the evidence with the other daemons is set by whoever reads the
 // store (QuarantineSync.h). Without it no trial is granted.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_FRONT_QUARANTINEGATE_H
-#define SHALLOTSHIFT_FRONT_QUARANTINEGATE_H
+#ifndef SHALLOTSHIFT_CRASHGUARD_QUARANTINEGATE_H
+#define SHALLOTSHIFT_CRASHGUARD_QUARANTINEGATE_H
 
-#include "shallotshift/forward.h"
-#include "shallotshift/http1.h"
+#include "shallotshift/net.h"
 #include "shallotshift/quarantine.h"
 #include "shallotshift/telemetry.h"
 
@@ -24,17 +22,25 @@
 
 namespace shallot {
 
+/// The store grants a trial in milliseconds. While it is slow a caller does
+/// better to come back than to wait for it.
+inline constexpr Duration MostTrialWait = Millis(250);
+/// A trial that another daemon makes is over by then.
+inline constexpr Duration TrialRetry = Millis(400);
+
 /// A caller's attempt, as logs and records name it.
 struct NamedRequest {
   RequestFingerprint Print;
   std::string Id;
   std::string Route;
-  std::string Path;
+  std::string Path; ///< For operators; its beginning is kept.
 };
 
-/// Names an attempt for \p Host on the route \p Route.
-NamedRequest nameRequest(const CallerRequest &R, std::string_view Host,
-                         std::string Route, std::string Id);
+/// The process of a replica that ended.
+struct EndedProcess {
+  std::string Name; ///< processName().
+  ServiceName Service;
+};
 
 class QuarantineGate {
 public:
@@ -42,10 +48,8 @@
   using TrialFn =
       std::function<void(const RequestFingerprint &, TrialCallback)>;
 
-  QuarantineGate(EventLoop &Loop, UpstreamPool &Pool, TimerQueue &Timers,
-                 Metrics &Meter)
-      : Loop(Loop), Timers(Timers), Meter(Meter), Check(Pool, Timers) {}
-  ~QuarantineGate();
+  QuarantineGate(EventLoop &Loop, Metrics &Meter) : Loop(Loop), Meter(Meter) {}
+  ~QuarantineGate() { ShareTimer.cancel(); }
   QuarantineGate(const QuarantineGate &) = delete;
   QuarantineGate &operator=(const QuarantineGate &) = delete;
 
@@ -59,20 +63,28 @@
   unsigned crashesOf(const NamedRequest &R) const {
     return Table.crashesOf(R.Print);
   }
+  /// How the next attempt at \p R is sent. \p Trial: one was granted to it.
+  Caution cautionFor(const NamedRequest &R, bool Trial) const;
+
   /// \p Done is called once, never before this returns.
   void requestTrial(const NamedRequest &R, TrialCallback Done);
-  /// The connection of a send to \p To broke. Keeps the evidence if the process
-  /// ended, and calls \p Done with whether it did.
-  void sendLost(const NamedRequest &R, const ReplicaEntry &To,
-                std::function<void(bool Crashed)> Done);
+  /// A granted trial ended before anything of it reached a replica.
+  void trialUnused(const NamedRequest &R);
+  /// \p Process ended while it had the request.
+  void crashed(const NamedRequest &R, const EndedProcess &Process);
   /// A run of it ended well.
   void succeeded(const NamedRequest &R);
-  /// No run of the attempt ended well. \p Trial: it was a granted one.
-  void attemptFailed(const NamedRequest &R, const RunStory &S, bool Trial);
+  /// Replicas crashed under the attempt and no run of it ended well. To be
+  /// called again when that is found of another one after the answer: \p First
+  /// is false then. \p Trial: it was a granted one.
+  void attemptFailed(const NamedRequest &R, bool Trial, bool First);
+
+  /// Requests known here, by standing.
+  void writeGauges(Metrics &Into) const;
 
 private:
-  void noteCrash(const NamedRequest &R, const ReplicaEntry &To);
   void share(const RequestFingerprint &R);
+  void unwritten() const;
   void shareOverdue();
   void logStanding(const NamedRequest &R, std::string_view Event);
 
@@ -83,21 +95,14 @@
   };
 
   EventLoop &Loop;
-  TimerQueue &Timers;
   Metrics &Meter;
-  CrashCheck Check;
   Quarantine Table;
   std::deque<Fresh> Unshared; ///< In order of time.
-  TimerQueue::Key ShareTimer = 0;
+  TimerHandle ShareTimer;
   TrialFn OnTrial;
   std::function<void()> OnUnwritten;
 };
 
-/// The refusal of a request that is kept from replicas, and of one whose trial
-/// was not granted.
-OwnAnswer quarantinedAnswer();
-OwnAnswer noTrialAnswer();
-
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_FRONT_QUARANTINEGATE_H
+#endif // SHALLOTSHIFT_CRASHGUARD_QUARANTINEGATE_H
--- a/packages/crashguard/QuarantineSync.h
+++ b/packages/crashguard/QuarantineSync.h
@@ -11,10 +11,10 @@
 // refused, since whoever waits for it is a caller.
 //
 //===----------------------------------------------------------------------===//
-#ifndef SHALLOTSHIFT_FRONT_QUARANTINESYNC_H
-#define SHALLOTSHIFT_FRONT_QUARANTINESYNC_H
+#ifndef SHALLOTSHIFT_CRASHGUARD_QUARANTINESYNC_H
+#define SHALLOTSHIFT_CRASHGUARD_QUARANTINESYNC_H
 
-#include "front/QuarantineGate.h"
+#include "crashguard/QuarantineGate.h"
 #include "shallotshift/store.h"
 
 #include <algorithm>
@@ -205,4 +205,4 @@
 
 } // namespace shallot
 
-#endif // SHALLOTSHIFT_FRONT_QUARANTINESYNC_H
+#endif // SHALLOTSHIFT_CRASHGUARD_QUARANTINESYNC_H
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -97,13 +97,6 @@
   bool Pressed = false;
 };
 
-/// How a request is sent under which replicas crashed in earlier attempts.
-enum class Caution : std::uint8_t {
-  None,
-  OneAtATime, ///< To one replica, until a run ends well.
-  OneSend,    ///< A trial: to one replica, and to no other unless it ends well.
-};
-
 /// A caller's request, as far as the decisions need it.
 struct ForwardAsk {
   std::shared_ptr<const ServingConfig> Config;
@@ -195,6 +188,8 @@
   bool makesRoom() const { return Answered || CutoffSeen || enough(); }
   /// A replica's run of it ended well.
   bool succeeded() const { return Story.PartsIn > 0; }
+  /// Something of it came to a replica, or may have.
+  bool reachedReplicas() const { return Story.Sends > Story.NotSent; }
   /// What it has seen of the load at replicas, for the admission of others.
   LoadSample load(Instant Now) const;
 
--- a/packages/front/AnswerWriting.cpp
+++ b/packages/front/AnswerWriting.cpp
@@ -52,6 +52,20 @@
   return writeOwnAnswer(std::get<OwnAnswer>(A), Id);
 }
 
+OwnAnswer quarantinedAnswer() {
+  return {ResultCode::RequestQuarantined,
+          {},
+          "replicas crashed each time that they ran this request; it is not "
+          "sent to them any more"};
+}
+
+OwnAnswer noTrialAnswer() {
+  return {
+      ResultCode::TrialUnavailable, TrialRetry,
+      "replicas crashed under this request, and whether they crash of it is "
+      "being tried, or cannot be tried now"};
+}
+
 void noteAnswer(Metrics &Meter, const NamedRequest &Name, const ForwardRun &Run,
                 const ForwardAnswer &A, Instant Now) {
   const ForwardAsk &Ask = Run.ask();
--- a/packages/front/AnswerWriting.h
+++ b/packages/front/AnswerWriting.h
@@ -9,7 +9,7 @@
 #define SHALLOTSHIFT_FRONT_ANSWERWRITING_H
 
 #include "front/HeaderNames.h"
-#include "front/QuarantineGate.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/forward.h"
 #include "shallotshift/http1.h"
 #include "shallotshift/telemetry.h"
@@ -25,6 +25,11 @@
 /// A refusal or a failure of our own.
 CallerReply writeOwnAnswer(const OwnAnswer &A, std::string Id);
 
+/// The refusal of a request that is kept from replicas, and of one whose trial
+/// was not granted.
+OwnAnswer quarantinedAnswer();
+OwnAnswer noTrialAnswer();
+
 /// Counts \p A, the answer of \p Run to the request \p Name, and logs it if it
 /// is not whole or came after the route's objective.
 void noteAnswer(Metrics &Meter, const NamedRequest &Name, const ForwardRun &Run,
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -237,12 +237,7 @@
   Meter.gauge("shallot_config_version", {}, double(Version));
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
   Meter.gauge("shallot_load_millicores", {}, double(Fleet->self().Load));
-  const Quarantine &Held = Desk.quarantine().table();
-  for (Standing S :
-       {Standing::Suspect, Standing::OnTrial, Standing::Quarantined})
-    Meter.gauge("shallot_quarantine_requests",
-                {{"standing", std::string(standingName(S))}},
-                double(Held.count(S)));
+  Desk.quarantine().writeGauges(Meter);
   const GossipSocketStats &G = Fleet->traffic();
   Meter.gauge("shallot_membership_sent_bytes", {}, double(G.SentBytes));
   Meter.gauge("shallot_membership_received_bytes", {}, double(G.ReceivedBytes));
--- a/packages/front/RequestDesk.cpp
+++ b/packages/front/RequestDesk.cpp
@@ -1,5 +1,5 @@
 //===- RequestDesk.cpp ----------------------------------------------------===//
-#include "front/RequestDesk.h"
+#include "front/RequestDeskImpl.h"
 
 #include "front/AnswerWriting.h"
 #include "front/ReplyReading.h"
@@ -17,11 +17,9 @@
 constexpr Duration MostIdleForOnce = Millis(1500);
 constexpr Duration MostIdle = Seconds(60);
 /// Idle connections that are kept to one replica, near and far: enough for a
-/// burst, and after IdleFor only those that carry the usual load. With at most
-/// 3 and 1 a burst pays 6 ms handshakes, with 30 a restarted fleet finds no
-/// room at the replicas: worth under overload 0.55 and 0.64, after a power loss
-/// 0.62 and 0.54; so, 0.61 and 0.64 (the deployment of six hosts, days of 34
-/// s).
+/// burst, and after IdleFor only those that carry the usual load. With fewer a
+/// burst pays for handshakes; with more a fleet that lost power finds no room
+/// at the replicas, which still count the connections of before.
 struct IdleBounds {
   std::size_t Most;
   std::size_t Least;
@@ -29,81 +27,9 @@
 constexpr IdleBounds NearIdle{8, 2};
 constexpr IdleBounds FarIdle{3, 1};
 constexpr Duration IdleFor = Millis(400);
-/// The store grants a trial in milliseconds. While it is slow a caller does
-/// better to come back than to wait for it.
-constexpr Duration MostTrialWait = Millis(250);
-
-OwnAnswer overloadAnswer(const Verdict &V) {
-  return {V.Code, V.RetryAfter, "more than the replicas can take"};
-}
 
 } // namespace
 
-struct RequestDesk::Impl {
-  /// One request on its way.
-  struct Job {
-    Job(ExchangePtr E, ForwardAsk Ask, NamedRequest Name)
-        : E(std::move(E)), Run(std::move(Ask)), Name(std::move(Name)) {}
-
-    ExchangePtr E;
-    ForwardRun Run;
-    NamedRequest Name;
-    bool Trial = false;   ///< A trial was granted for it.
-    bool Cleared = false; ///< That a run ended well was noted.
-    std::string Head;     ///< Method, target and headers for every send.
-    std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
-    TimerQueue::Key Timer = 0;
-    Instant TimerAt = Instant::max();
-    TicketId Ticket = 0; ///< At the admission; 0: it takes no place there.
-  };
-  using JobPtr = std::shared_ptr<Job>;
-
-  Impl(EventLoop &Loop, TimerQueue &Timers, HeaderNames Names,
-       ReplicaBook &Book, ForwardRules Rules, Random &Rng, Metrics &Meter)
-      : Timers(Timers), Names(std::move(Names)),
-        Pool(Loop, Timers, {}), Shared{Book, Budgets, Work, Rng, Rules},
-        Meter(Meter), Gate(Loop, Pool, Timers, Meter) {}
-  ~Impl() { Timers.cancel(AdmissionTimer); }
-  Impl(const Impl &) = delete;
-  Impl &operator=(const Impl &) = delete;
-
-  void handle(const ExchangePtr &E);
-  void refuse(const ExchangePtr &E, const OwnAnswer &A);
-  void vet(const JobPtr &J);
-  void askTrial(const JobPtr &J);
-  void admit(const JobPtr &J);
-  void start(const JobPtr &J);
-  void turnAway(const JobPtr &J, OwnAnswer A);
-  void leave(const JobPtr &J);
-  void pollAdmission();
-  void apply(const JobPtr &J, RunOutput Out);
-  void send(const JobPtr &J, const StartSend &S);
-  void sendEnded(const JobPtr &J, unsigned Send, const ReplicaEntry &To,
-                 UpstreamReply Reply);
-  void replied(const JobPtr &J, unsigned Send, SendResult Result);
-  void noteFailure(const JobPtr &J);
-  void answer(const JobPtr &J, ForwardAnswer A);
-  void schedule(const JobPtr &J);
-  void tryResting();
-
-  TimerQueue &Timers;
-  HeaderNames Names;
-  UpstreamPool Pool;
-  BudgetMap Budgets;
-  WorkBook Work;
-  ForwardShared Shared;
-  Metrics &Meter;
-  QuarantineGate Gate;
-  std::shared_ptr<const ServingConfig> Config;
-  RouteAdmission Admit;
-  TicketId LastTicket = 0;
-  std::unordered_map<TicketId, JobPtr> Waiting; ///< For their turn.
-  TimerQueue::Key AdmissionTimer = 0;
-  std::unordered_set<JobPtr> Jobs;
-  std::size_t Unanswered = 0;
-  std::uint64_t Handled = 0;
-};
-
 void RequestDesk::Impl::refuse(const ExchangePtr &E, const OwnAnswer &A) {
   std::string Id(headerValue(E->request().Headers, Names.RequestId));
   logEvent(LogLevel::Info, "request_refused",
@@ -150,127 +76,11 @@
     leave(J);
     apply(J, J->Run.callerGone(Timers.now()));
     noteFailure(J);
+    noteTrial(J);
   });
   vet(J);
 }
 
-/// A request under which replicas crashed is refused at once, or waits for the
-/// grant of a trial; it takes no place among those that wait for replicas.
-void RequestDesk::Impl::vet(const JobPtr &J) {
-  switch (Gate.standing(J->Name)) {
-  case Standing::Clear:
-  case Standing::Suspect:
-    admit(J);
-    return;
-  case Standing::OnTrial:
-    askTrial(J);
-    return;
-  case Standing::Quarantined:
-    turnAway(J, quarantinedAnswer());
-    return;
-  }
-}
-
-void RequestDesk::Impl::askTrial(const JobPtr &J) {
-  auto Told = [this, Weak = std::weak_ptr(J)](bool Granted) {
-    JobPtr J = Weak.lock();
-    if (!J || J->Run.answered())
-      return; // Its caller has gone, or was told to come back.
-    Timers.cancel(J->Timer);
-    J->Timer = 0;
-    J->Trial = Granted;
-    if (Granted)
-      return admit(J);
-    // Others may have cleared or proven it meanwhile.
-    if (Gate.standing(J->Name) != Standing::OnTrial)
-      return vet(J);
-    turnAway(J, noTrialAnswer());
-  };
-  J->Timer = Timers.after(MostTrialWait, [Told] { Told(false); });
-  Gate.requestTrial(J->Name, Told);
-}
-
-/// Starts it, lets it wait for its turn, or turns it away at once.
-void RequestDesk::Impl::admit(const JobPtr &J) {
-  const ForwardAsk &Ask = J->Run.ask();
-  J->Ticket = ++LastTicket;
-  Verdict V = Admit.offer(*Ask.Way, J->Ticket, Ask.Arrived + Ask.CallerWaits,
-                          Timers.now());
-  switch (V.What) {
-  case Turn::Start:
-    start(J);
-    return;
-  case Turn::Wait:
-    Waiting.emplace(J->Ticket, J);
-    pollAdmission();
-    return;
-  case Turn::Refuse:
-    J->Ticket = 0; // It has no place there.
-    turnAway(J, overloadAnswer(V));
-    return;
-  }
-}
-
-/// Other attempts may have crashed replicas while this one waited.
-void RequestDesk::Impl::start(const JobPtr &J) {
-  Standing Now = J->Trial ? Standing::OnTrial : Gate.standing(J->Name);
-  if (Now == Standing::Quarantined)
-    return turnAway(J, quarantinedAnswer());
-  if (Now == Standing::OnTrial && !J->Trial)
-    return turnAway(J, noTrialAnswer());
-  if (Now != Standing::Clear)
-    J->Run.beCareful(J->Trial ? Caution::OneSend : Caution::OneAtATime,
-                     Gate.crashesOf(J->Name));
-  apply(J, J->Run.begin(Shared, Timers.now()));
-}
-
-/// Nothing of it was sent: it leaves as if its caller had gone, and the caller
-/// is told when to come back, if it should.
-void RequestDesk::Impl::turnAway(const JobPtr &J, OwnAnswer A) {
-  if (TicketId Ticket = std::exchange(J->Ticket, 0))
-    Admit.done(Ticket, {}, Timers.now());
-  J->Run.callerGone(Timers.now());
-  answer(J, std::move(A));
-  Jobs.erase(J);
-}
-
-/// It no longer takes a place among those that run.
-void RequestDesk::Impl::leave(const JobPtr &J) {
-  TicketId Ticket = std::exchange(J->Ticket, 0);
-  if (Ticket == 0)
-    return;
-  if (Waiting.erase(Ticket) > 0)
-    Admit.cancel(Ticket);
-  else
-    Admit.done(Ticket, J->Run.load(Timers.now()), Timers.now());
-  pollAdmission();
-}
-
-/// Starts and turns away those whose time has come.
-void RequestDesk::Impl::pollAdmission() {
-  for (const TurnEvent &E : Admit.poll(Timers.now())) {
-    auto At = Waiting.find(E.Id);
-    if (At == Waiting.end())
-      continue;
-    JobPtr J = At->second;
-    Waiting.erase(At);
-    if (E.Final.What == Turn::Start) {
-      start(J);
-      continue;
-    }
-    J->Ticket = 0;
-    turnAway(J, overloadAnswer(E.Final));
-  }
-  Shared.Pressed = !Waiting.empty();
-  Timers.cancel(AdmissionTimer);
-  AdmissionTimer = 0;
-  if (auto Next = Admit.nextExpiry())
-    AdmissionTimer = Timers.at(*Next, [this] {
-      AdmissionTimer = 0;
-      pollAdmission();
-    });
-}
-
 void RequestDesk::Impl::apply(const JobPtr &J, RunOutput Out) {
   for (unsigned Send : Out.Drop)
     Pool.drop(std::exchange(J->Calls[Send], 0));
@@ -320,7 +130,9 @@
   SendResult Result = readReply(Names, std::move(Reply), KeepHeaders);
   if (!MayBeCrash)
     return replied(J, Send, std::move(Result));
-  Gate.sendLost(J->Name, To, [this, J, Send, Result](bool Crashed) {
+  Crashes.ask(To.At, [this, J, Send, Result, To](bool Crashed) {
+    if (Crashed)
+      Gate.crashed(J->Name, {processName(To.Id, To.StartedUnixMs), To.Service});
     SendResult Known = Result;
     Known.ReplicaCrashed = Crashed;
     replied(J, Send, std::move(Known));
@@ -340,14 +152,24 @@
 /// What crashed under an attempt without success is for the other daemons to
 /// know, also when the caller did not wait for its end.
 void RequestDesk::Impl::noteFailure(const JobPtr &J) {
-  if (!J->Run.succeeded())
-    Gate.attemptFailed(J->Name, J->Run.story(), J->Trial);
+  if (J->Run.succeeded() || J->Run.story().Crashed == 0)
+    return;
+  bool First = !std::exchange(J->Suspected, true);
+  Gate.attemptFailed(J->Name, J->Trial, First);
+}
+
+/// There are few trials, and one that no replica saw has told nothing: replicas
+/// were all down, or others came first.
+void RequestDesk::Impl::noteTrial(const JobPtr &J) {
+  if (J->Trial && !J->Run.reachedReplicas())
+    Gate.trialUnused(J->Name);
 }
 
 void RequestDesk::Impl::answer(const JobPtr &J, ForwardAnswer A) {
   --Unanswered;
   leave(J);
   noteFailure(J);
+  noteTrial(J);
   noteAnswer(Meter, J->Name, J->Run, A, Timers.now());
   J->E->reply(writeAnswer(std::move(A), Names, J->Name.Id));
 }
--- a/packages/front/RequestDesk.h
+++ b/packages/front/RequestDesk.h
@@ -10,7 +10,7 @@
 #define SHALLOTSHIFT_FRONT_REQUESTDESK_H
 
 #include "front/HeaderNames.h"
-#include "front/QuarantineGate.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/forward.h"
 #include "shallotshift/http1.h"
 #include "shallotshift/telemetry.h"
--- /dev/null
+++ b/packages/front/RequestDeskImpl.h
@@ -0,0 +1,89 @@
+//===- RequestDeskImpl.h - The state of a RequestDesk -----------*- C++ -*-===//
+//
+// Inside of package front. RequestTurns.cpp has what comes before a request's
+// first send: whether it may be sent, and when. RequestDesk.cpp has the rest.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_REQUESTDESKIMPL_H
+#define SHALLOTSHIFT_FRONT_REQUESTDESKIMPL_H
+
+#include "front/RequestDesk.h"
+
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace shallot {
+
+struct RequestDesk::Impl {
+  /// One request on its way.
+  struct Job {
+    Job(ExchangePtr E, ForwardAsk Ask, NamedRequest Name)
+        : E(std::move(E)), Run(std::move(Ask)), Name(std::move(Name)) {}
+
+    ExchangePtr E;
+    ForwardRun Run;
+    NamedRequest Name;
+    bool Trial = false;     ///< A trial was granted for it.
+    bool Cleared = false;   ///< That a run ended well was noted.
+    bool Suspected = false; ///< That replicas crashed under it was noted.
+    std::string Head;       ///< Method, target and headers for every send.
+    std::vector<UpstreamPool::CallId> Calls; ///< By send; 0: it has ended.
+    TimerQueue::Key Timer = 0;
+    Instant TimerAt = Instant::max();
+    TicketId Ticket = 0; ///< At the admission; 0: it takes no place there.
+  };
+  using JobPtr = std::shared_ptr<Job>;
+
+  Impl(EventLoop &Loop, TimerQueue &Timers, HeaderNames Names,
+       ReplicaBook &Book, ForwardRules Rules, Random &Rng, Metrics &Meter)
+      : Timers(Timers), Names(std::move(Names)),
+        Pool(Loop, Timers, {}), Shared{Book, Budgets, Work, Rng, Rules},
+        Meter(Meter), Crashes(Pool, Timers), Gate(Loop, Meter) {}
+  ~Impl() { Timers.cancel(AdmissionTimer); }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  void handle(const ExchangePtr &E);
+  void refuse(const ExchangePtr &E, const OwnAnswer &A);
+  void vet(const JobPtr &J);
+  void askTrial(const JobPtr &J);
+  void admit(const JobPtr &J);
+  void start(const JobPtr &J);
+  void turnAway(const JobPtr &J, OwnAnswer A);
+  void leave(const JobPtr &J);
+  void pollAdmission();
+  void apply(const JobPtr &J, RunOutput Out);
+  void send(const JobPtr &J, const StartSend &S);
+  void sendEnded(const JobPtr &J, unsigned Send, const ReplicaEntry &To,
+                 UpstreamReply Reply);
+  void replied(const JobPtr &J, unsigned Send, SendResult Result);
+  void noteFailure(const JobPtr &J);
+  void noteTrial(const JobPtr &J);
+  void answer(const JobPtr &J, ForwardAnswer A);
+  void schedule(const JobPtr &J);
+  void tryResting();
+
+  TimerQueue &Timers;
+  HeaderNames Names;
+  UpstreamPool Pool;
+  BudgetMap Budgets;
+  WorkBook Work;
+  ForwardShared Shared;
+  Metrics &Meter;
+  CrashCheck Crashes;
+  QuarantineGate Gate;
+  std::shared_ptr<const ServingConfig> Config;
+  RouteAdmission Admit;
+  TicketId LastTicket = 0;
+  std::unordered_map<TicketId, JobPtr> Waiting; ///< For their turn.
+  TimerQueue::Key AdmissionTimer = 0;
+  std::unordered_set<JobPtr> Jobs;
+  std::size_t Unanswered = 0;
+  std::uint64_t Handled = 0;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_REQUESTDESKIMPL_H
--- a/packages/front/RequestReading.cpp
+++ b/packages/front/RequestReading.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration LongestDeadline = Seconds(300);
 
+/// Who a caller says it is, where it says so: what a replica may do for one it
+/// may refuse another.
+constexpr char CredentialsHeader[] = "Authorization";
+
 } // namespace
 
 std::optional<Duration> readDeadline(std::string_view Text) {
@@ -42,4 +46,12 @@
   return requestHead(R.Method, R.Target, Kept);
 }
 
+NamedRequest nameRequest(const CallerRequest &R, std::string_view Host,
+                         std::string Route, std::string Id) {
+  RequestIdentity Parts{R.Method, Host, R.Target,
+                        headerValue(R.Headers, CredentialsHeader), R.Body};
+  return {RequestFingerprint::of(Parts), std::move(Id), std::move(Route),
+          std::string(R.path())};
+}
+
 } // namespace shallot
--- a/packages/front/RequestReading.h
+++ b/packages/front/RequestReading.h
@@ -8,6 +8,7 @@
 #define SHALLOTSHIFT_FRONT_REQUESTREADING_H
 
 #include "front/HeaderNames.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/http1.h"
 
 #include <optional>
@@ -27,6 +28,10 @@
 /// those that this daemon sets itself and those of one connection.
 std::string forwardedHead(const CallerRequest &R, const HeaderNames &Names);
 
+/// Names an attempt for \p Host on the route \p Route.
+NamedRequest nameRequest(const CallerRequest &R, std::string_view Host,
+                         std::string Route, std::string Id);
+
 } // namespace shallot
 
 #endif // SHALLOTSHIFT_FRONT_REQUESTREADING_H
--- /dev/null
+++ b/packages/front/RequestTurns.cpp
@@ -0,0 +1,139 @@
+//===- RequestTurns.cpp ---------------------------------------------------===//
+//
+// Requests before their first send: those under which replicas crashed, and the
+// wait for a turn at the replicas.
+//
+//===----------------------------------------------------------------------===//
+#include "front/AnswerWriting.h"
+#include "front/RequestDeskImpl.h"
+
+namespace shallot {
+
+namespace {
+
+OwnAnswer overloadAnswer(const Verdict &V) {
+  return {V.Code, V.RetryAfter, "more than the replicas can take"};
+}
+
+} // namespace
+
+/// A request under which replicas crashed is refused at once, or waits for the
+/// grant of a trial; it takes no place among those that wait for replicas.
+void RequestDesk::Impl::vet(const JobPtr &J) {
+  switch (Gate.standing(J->Name)) {
+  case Standing::Clear:
+  case Standing::Suspect:
+    admit(J);
+    return;
+  case Standing::OnTrial:
+    askTrial(J);
+    return;
+  case Standing::Quarantined:
+    turnAway(J, quarantinedAnswer());
+    return;
+  }
+}
+
+void RequestDesk::Impl::askTrial(const JobPtr &J) {
+  auto Told = [this, Weak = std::weak_ptr(J), Name = J->Name](bool Granted) {
+    JobPtr J = Weak.lock();
+    if (!J || J->Run.answered()) {
+      // Its caller has gone, or was told to come back.
+      if (Granted)
+        Gate.trialUnused(Name);
+      return;
+    }
+    Timers.cancel(J->Timer);
+    J->Timer = 0;
+    J->Trial = Granted;
+    if (Granted)
+      return admit(J);
+    // Others may have cleared or proven it meanwhile.
+    if (Gate.standing(J->Name) != Standing::OnTrial)
+      return vet(J);
+    turnAway(J, noTrialAnswer());
+  };
+  J->Timer = Timers.after(MostTrialWait, [Told] { Told(false); });
+  Gate.requestTrial(J->Name, Told);
+}
+
+/// Starts it, lets it wait for its turn, or turns it away at once.
+void RequestDesk::Impl::admit(const JobPtr &J) {
+  const ForwardAsk &Ask = J->Run.ask();
+  J->Ticket = ++LastTicket;
+  Verdict V = Admit.offer(*Ask.Way, J->Ticket, Ask.Arrived + Ask.CallerWaits,
+                          Timers.now());
+  switch (V.What) {
+  case Turn::Start:
+    start(J);
+    return;
+  case Turn::Wait:
+    Waiting.emplace(J->Ticket, J);
+    pollAdmission();
+    return;
+  case Turn::Refuse:
+    J->Ticket = 0; // It has no place there.
+    turnAway(J, overloadAnswer(V));
+    return;
+  }
+}
+
+/// Other attempts may have crashed replicas while this one waited.
+void RequestDesk::Impl::start(const JobPtr &J) {
+  Standing Now = Gate.standing(J->Name);
+  if (Now == Standing::Quarantined && !J->Trial)
+    return turnAway(J, quarantinedAnswer());
+  if (Now == Standing::OnTrial && !J->Trial)
+    return turnAway(J, noTrialAnswer());
+  J->Run.beCareful(Gate.cautionFor(J->Name, J->Trial), Gate.crashesOf(J->Name));
+  apply(J, J->Run.begin(Shared, Timers.now()));
+}
+
+/// Nothing of it was sent: it leaves as if its caller had gone, and the caller
+/// is told when to come back, if it should.
+void RequestDesk::Impl::turnAway(const JobPtr &J, OwnAnswer A) {
+  if (TicketId Ticket = std::exchange(J->Ticket, 0))
+    Admit.done(Ticket, {}, Timers.now());
+  J->Run.callerGone(Timers.now());
+  answer(J, std::move(A));
+  Jobs.erase(J);
+}
+
+/// It no longer takes a place among those that run.
+void RequestDesk::Impl::leave(const JobPtr &J) {
+  TicketId Ticket = std::exchange(J->Ticket, 0);
+  if (Ticket == 0)
+    return;
+  if (Waiting.erase(Ticket) > 0)
+    Admit.cancel(Ticket);
+  else
+    Admit.done(Ticket, J->Run.load(Timers.now()), Timers.now());
+  pollAdmission();
+}
+
+/// Starts and turns away those whose time has come.
+void RequestDesk::Impl::pollAdmission() {
+  for (const TurnEvent &E : Admit.poll(Timers.now())) {
+    auto At = Waiting.find(E.Id);
+    if (At == Waiting.end())
+      continue;
+    JobPtr J = At->second;
+    Waiting.erase(At);
+    if (E.Final.What == Turn::Start) {
+      start(J);
+      continue;
+    }
+    J->Ticket = 0;
+    turnAway(J, overloadAnswer(E.Final));
+  }
+  Shared.Pressed = !Waiting.empty();
+  Timers.cancel(AdmissionTimer);
+  AdmissionTimer = 0;
+  if (auto Next = Admit.nextExpiry())
+    AdmissionTimer = Timers.at(*Next, [this] {
+      AdmissionTimer = 0;
+      pollAdmission();
+    });
+}
+
+} // namespace shallot
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -14,7 +14,7 @@
 #include "front/FeedServer.h"
 #include "front/FollowedKind.h"
 #include "front/FrontDaemon.h"
-#include "front/QuarantineSync.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/store.h"
 
 #include <string>
@@ -38,16 +38,15 @@
 
 /// Changes that come within this time of one another are asked for together.
 /// Replicas register one by one and tell how warm they are, and each change
-/// would be a call to the store from every region: 429 calls and 291 on a calm
-/// day of 62 hosts. A leaving replica must be left alone after 3 s, and each of
-/// the three steps of the tree may add this.
+/// would be a call to the store from every region. A leaving replica must be
+/// left alone after 3 s, and each of the three steps of the tree may add this.
 inline constexpr Duration ReplicaPause = Millis(150);
 /// Configurations are few, and a caller may have seen the new one's effect.
 inline constexpr Duration ConfigPause = Millis(30);
 
-/// A daemon that has just started waits this long for word from a peer before
-/// it asks the store: 60 that start at once had heard of each other after 0.17
-/// s, and asked the store 500 times when they waited 0.08 s.
+/// A daemon that has just started waits this long to hear from a peer before it
+/// asks the store. A fleet that starts as a whole hears of itself within it, and
+/// asks the store once for each region, not once for each daemon.
 inline constexpr Duration FirstPeersWait = Millis(250);
 /// From the first word of a peer until it is known whom to ask: answers of the
 /// other seeds are on their way.
--- a/packages/front/include/shallotshift/front.h
+++ b/packages/front/include/shallotshift/front.h
@@ -19,8 +19,6 @@
 #include "front/FrontDaemon.h"
 #include "front/FrontSettings.h"
 #include "front/HeaderNames.h"
-#include "front/QuarantineGate.h"
-#include "front/QuarantineSync.h"
 #include "front/RelayedStore.h"
 #include "front/ReplyReading.h"
 #include "front/ServingFeed.h"
--- a/packages/quarantine/QuarantineRecord.h
+++ b/packages/quarantine/QuarantineRecord.h
@@ -41,6 +41,13 @@
 /// For people: "clear", "suspect", "on trial", "quarantined".
 std::string_view standingName(Standing S);
 
+/// How a request is sent under which replicas crashed in earlier attempts.
+enum class Caution : std::uint8_t {
+  None,
+  OneAtATime, ///< To one replica, until a run ends well.
+  OneSend,    ///< A trial: to one replica, and to no other unless it ends well.
+};
+
 struct QuarantineRecord {
   RequestFingerprint Request;
   /// Names of processes (processName), sorted, EnoughCrashes at most.
--- a/tests/FakeKindStore.h
+++ b/tests/FakeKindStore.h
@@ -7,6 +7,7 @@
 #ifndef SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
 #define SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
 
+#include "VirtualTime.h"
 #include "shallotshift/store.h"
 
 #include <deque>
@@ -14,24 +15,8 @@
 
 namespace shallot::test {
 
-class FakeKindStore {
+class FakeKindStore : public VirtualTime {
 public:
-  Instant now() const { return Now; }
-  void after(Duration D, std::function<void()> Fn) {
-    Queue.emplace(Now + D, std::move(Fn));
-  }
-  void runFor(Duration D) {
-    Instant End = Now + D;
-    while (!Queue.empty() && Queue.begin()->first <= End) {
-      auto First = Queue.begin();
-      Now = First->first;
-      auto Fn = std::move(First->second);
-      Queue.erase(First);
-      Fn();
-    }
-    Now = End;
-  }
-
   /// What goes wrong with a call; Ok: nothing.
   std::function<ResultCode(bool Watch)> Trouble = [](bool) {
     return ResultCode::Ok;
@@ -129,8 +114,6 @@
     Done(Got);
   }
 
-  Instant Now{Seconds(1000)};
-  std::multimap<Instant, std::function<void()>> Queue;
   std::map<std::string, KindObject> Objects;
   std::deque<KindChange> History;
   std::uint64_t HistoryFrom = 0;
--- a/tests/FakeObjectStore.h
+++ b/tests/FakeObjectStore.h
@@ -3,6 +3,7 @@
 // PlatformDown after a second, as StoreClient does.
 #pragma once
 
+#include "VirtualTime.h"
 #include "shallotshift/store.h"
 
 #include <functional>
@@ -27,30 +28,16 @@
   unsigned Number = 0; ///< Of the calls so far.
 };
 
-class FakeObjectStore {
+class FakeObjectStore : public VirtualTime {
 public:
+  FakeObjectStore() : VirtualTime(Instant{}) {}
+
   using Script = std::function<Fault(const FakeCall &)>;
 
   Script OnCall = [](const FakeCall &) { return Fault::None; };
   unsigned Calls = 0;
   unsigned HeadSwaps = 0; ///< That took effect.
 
-  Instant now() const { return Now; }
-  void after(Duration D, std::function<void()> Fn) {
-    Queue.emplace(Now + D, std::move(Fn));
-  }
-  /// Runs until nothing is left to do.
-  void run() {
-    while (!Queue.empty())
-      runOne();
-  }
-  /// Runs \p Steps callbacks and forgets the rest: a process that died.
-  void runThenCrash(unsigned Steps) {
-    while (Steps-- > 0 && !Queue.empty())
-      runOne();
-    Queue.clear();
-  }
-
   void read(const std::string &Path,
             const StoreCallback<StoredObject> &OnDone) {
     Fault F = OnCall({false, Path, ++Calls});
@@ -101,14 +88,6 @@
   static constexpr Duration Way = Millis(1);
   static constexpr Duration Timeout = Seconds(1);
 
-  void runOne() {
-    auto Next = Queue.begin();
-    Now = std::max(Now, Next->first);
-    auto Fn = std::move(Next->second);
-    Queue.erase(Next);
-    Fn();
-  }
-
   template <typename T>
   void failLater(StoreCallback<T> OnDone, ResultCode Code, Duration D) {
     after(D, [OnDone, Code] { OnDone(Error{Code, "the fake store"}); });
@@ -125,14 +104,11 @@
     return true;
   }
 
-  Instant Now{};
-  std::multimap<Instant, std::function<void()>> Queue;
   std::map<std::string, std::vector<StoredObject>> Objects;
   std::uint64_t LastVersion = 0;
 };
 
 static_assert(ObjectStore<FakeObjectStore>);
-static_assert(TimerSource<FakeObjectStore>);
 
 /// The outcome of one change, once its callback was called.
 using Ending = std::shared_ptr<std::optional<Attempt<ChangeOutcome>>>;
--- /dev/null
+++ b/tests/crashguard.cmake
@@ -0,0 +1,5 @@
+shallot_test(crashguard_failure PACKAGES crashguard LABELS failure
+  SOURCES failure/QuarantineWritesAreBounded.cpp
+          failure/RecordsShareOneObject.cpp)
+shallot_test(crashguard_error PACKAGES crashguard LABELS error
+  SOURCES error/RecordDocumentsAreChecked.cpp)
--- /dev/null
+++ b/tests/error/RecordDocumentsAreChecked.cpp
@@ -0,0 +1,39 @@
+// Another writer, or an older release, leaves something else where the records
+// of deadly searches are. Each mistake has its own code, and nothing throws.
+#include "shallotshift/crashguard.h"
+
+#include <doctest/doctest.h>
+
+using namespace shallot;
+
+namespace {
+
+ResultCode codeOf(std::string_view Text) {
+  auto P = attempt([&] { return readRecordPage(Text); });
+  return P ? ResultCode::Ok : P.error().Code;
+}
+
+} // namespace
+
+TEST_CASE("what is no document of records is named") {
+  CHECK(codeOf("") == ResultCode::MalformedJson);
+  CHECK(codeOf("{\"revision\":") == ResultCode::MalformedJson);
+  CHECK(codeOf("[]") == ResultCode::WrongType);
+  CHECK(codeOf("{}") == ResultCode::MissingField);
+  CHECK(codeOf(R"({"revision":1})") == ResultCode::MissingField);
+  CHECK(codeOf(R"({"revision":-1,"records":{}})") == ResultCode::WrongType);
+  CHECK(codeOf(R"({"revision":1,"records":[]})") == ResultCode::WrongType);
+  CHECK(codeOf(R"({"revision":1,"records":{"a":7}})") == ResultCode::WrongType);
+  CHECK(codeOf(R"({"revision":1,"records":{"a":{"revision":1}}})") ==
+        ResultCode::MissingField);
+  CHECK(codeOf(R"({"revision":1,"records":{}})") == ResultCode::Ok);
+}
+
+TEST_CASE("a document survives the way") {
+  RecordPage P{7, {}};
+  P.Objects["a"] = {"a", 5, {{"trials", 1}}};
+  P.Objects["b"] = {"b", 7, "anything"};
+  auto Back = attempt([&] { return readRecordPage(recordPageText(P)); });
+  REQUIRE(Back);
+  CHECK(*Back == P);
+}
--- a/tests/failure/QuarantineWritesAreBounded.cpp
+++ b/tests/failure/QuarantineWritesAreBounded.cpp
@@ -5,7 +5,8 @@
 // second. Why a write names what it read: its second copy, or another daemon's,
 // is seen as that and merged, and whoever does not know whether it was granted
 // a trial makes none.
-#include "shallotshift/front.h"
+#include "VirtualTime.h"
+#include "shallotshift/crashguard.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -15,22 +16,7 @@
 namespace {
 
 /// Records in virtual time, with replies that can be lost.
-struct FakeRecords {
-  Instant now() const { return Now; }
-  void after(Duration D, std::function<void()> Fn) {
-    Queue.emplace(Now + D, std::move(Fn));
-  }
-  void runFor(Duration D) {
-    Instant End = Now + D;
-    while (!Queue.empty() && Queue.begin()->first <= End) {
-      Now = Queue.begin()->first;
-      auto Fn = std::move(Queue.begin()->second);
-      Queue.erase(Queue.begin());
-      Fn();
-    }
-    Now = End;
-  }
-
+struct FakeRecords : test::VirtualTime {
   void writeObject(const std::string &, const std::string &Name,
                    const nlohmann::json &Content, std::uint64_t If,
                    StoreCallback<KindWriteReply> Done) {
@@ -76,8 +62,6 @@
     });
   }
 
-  Instant Now{Seconds(1000)};
-  std::multimap<Instant, std::function<void()>> Queue;
   std::uint64_t Revision = 10;
 };
 
