query: a search whose upstreams crash is at one upstream at a time

What callers see: one search of the product's own interface ends every upstream that begins it. Cause: a lost sub-request was sent on to the next upstream of its service and hedged, whatever it did there. What is held back is explained (held_back).

--- a/packages/query/QueryAnswer.h
+++ b/packages/query/QueryAnswer.h
@@ -59,13 +59,21 @@
   /// any work: a 409, or no daemon with a free slot.
   unsigned Reasks = 0;
   unsigned Restarts = 0; ///< Sub-requests of a second run, newer snapshot.
+  unsigned Crashed = 0;  ///< Upstreams whose process ended while they had it.
+  unsigned Unseen = 0;   ///< Of all of these, those that no upstream saw.
+
+  /// An upstream saw it, or may have.
+  bool reachedUpstreams() const {
+    return FirstSends + Hedges + Retries + Reasks + Restarts > Unseen;
+  }
 
   friend bool operator==(const QueryCost &, const QueryCost &) = default;
 };
 
 struct QueryAnswer {
   /// Ok, PartialCoverage, CoverageRefused, DeadlineExceeded, SnapshotGone,
-  /// NoReplica, WouldMissDeadline or CallerGone.
+  /// NoReplica, WouldMissDeadline, CallerGone, ReplicasCrashed or
+  /// RequestCrashes.
   ResultCode Code = ResultCode::Ok;
   std::string Text; ///< For people, when Code is not Ok.
   /// The one snapshot of all records; 0.0 when nothing answered.
--- a/packages/query/QueryEnd.cpp
+++ b/packages/query/QueryEnd.cpp
@@ -58,8 +58,9 @@
     A.Served = *Pin;
   if (Given)
     A.Records = takeRecords(Subs);
-  else
-    A.RetryAfter = retryAfter();
+  else if (Code != ResultCode::ReplicasCrashed &&
+           Code != ResultCode::RequestCrashes)
+    A.RetryAfter = retryAfter(); // Nobody is asked to come back with those.
   if (Code != ResultCode::Ok)
     A.Text = A.Covered.complete() ? std::string(infoOf(Code).Text)
                                   : missingText(A.Covered);
--- a/packages/query/QueryMachine.cpp
+++ b/packages/query/QueryMachine.cpp
@@ -93,6 +93,7 @@
   SubQuery &Sub = Subs[I];
   ToldRetryAfter = std::max(ToldRetryAfter, Reply.RetryAfter);
   bool Ok = Reply.Code == ResultCode::Ok;
+  AnyRunEndedWell = AnyRunEndedWell || Ok;
   if (Ok && settling()) {
     Sub.Held = Reply;
     Sub.From = A.Target;
@@ -241,6 +242,9 @@
     return;
   if (settling() && allSpoke())
     settle(Now);
+  sendHeld(Now);
+  if (crashesEnough())
+    return finishSuspect(Now);
   if (needsFull() && anyMissing())
     return finish(codeAtEnd(false), Now);
   if (Waiting == 0)
--- a/packages/query/QueryMachine.h
+++ b/packages/query/QueryMachine.h
@@ -77,6 +77,16 @@
   void reask(std::size_t I, Instant Now);
   void giveUp(SubQuery &Sub, ResultCode Reason, std::string Text, Instant Now);
 
+  // Caution: it may be what crashes upstreams (QueryCaution.cpp).
+  bool anyOpen() const;
+  bool careful() const;
+  bool crashesEnough() const;
+  bool mustWait() const;
+  void holdBack(std::size_t I, TraceKind Kind, Instant Now);
+  void sendHeld(Instant Now);
+  void sendAgain(std::size_t I, TraceKind Kind, Instant Now);
+  void finishSuspect(Instant Now);
+
   // The pin.
   bool settling() const { return !Pin; }
   bool allSpoke() const;
@@ -115,6 +125,8 @@
   std::size_t Waiting = 0;
   std::size_t Answered = 0;
   Duration ToldRetryAfter{0};
+  bool AnyRunEndedWell = false;
+  bool AnyHeldBack = false;
   bool Restarted = false;
   bool Finished = false;
   QueryCommands Out;
--- a/packages/query/QueryRun.h
+++ b/packages/query/QueryRun.h
@@ -12,7 +12,10 @@
 // - every record comes from one snapshot; a reply whose snapshot differs from
 //   the pin is not used;
 // - a reply for an attempt that is not open here is ignored;
-// - a request that cannot be answered is answered at once, not at its deadline.
+// - a request that cannot be answered is answered at once, not at its deadline;
+// - from the first upstream that crashes under a search on, and until a run of
+//   it ends well, the search is at one upstream at a time; after EnoughCrashes
+//   it is given up (package quarantine).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_QUERY_QUERYRUN_H
@@ -23,6 +26,7 @@
 #include "query/ReplicaTable.h"
 #include "query/TraceRing.h"
 #include "shallotshift/limits.h"
+#include "shallotshift/quarantine.h"
 
 #include <memory>
 #include <variant>
@@ -67,6 +71,8 @@
   std::string Body;
   std::string TraceParent;
   StrategyParts Parts;
+  Caution Care = Caution::None;
+  unsigned CrashedBefore = 0; ///< Upstreams, in earlier attempts at it.
 };
 
 /// What all runs of a daemon share. All must outlive the runs; Traces may be
--- a/packages/query/QuerySends.cpp
+++ b/packages/query/QuerySends.cpp
@@ -31,13 +31,20 @@
     B.Retries.earn(Waiting);
     Tools.Restarts.earn();
   }
-  for (std::size_t I = 0; I < Subs.size(); ++I)
+  // A suspect begins anywhere, so that the first service is not every suspect's
+  // first.
+  std::size_t First = careful() ? below(Tools.Rng, Subs.size()) : 0;
+  for (std::size_t N = 0; N < Subs.size(); ++N) {
+    std::size_t I = (First + N) % Subs.size();
     if (Picks[I])
       sendTo(I, *Picks[I], Kind, Now);
+  }
 }
 
 void QueryMachine::sendTo(std::size_t I, const Pick &To, TraceKind Kind,
                           Instant Now) {
+  if (mustWait())
+    return holdBack(I, Kind, Now);
   if (Kind != TraceKind::Hedged)
     armHedge(Subs[I], Now);
   Sender->send(I, Subs[I], To, Pin, Kind, Now, Out);
@@ -56,6 +63,10 @@
   SubQuery &Sub = Subs[I];
   if (!Sub.waiting() || Now < Sub.HedgeAt || !Sub.hasOpen())
     return;
+  if (careful()) {
+    Sub.HedgeAt = Now + Sub.UsualLongest;
+    return;
+  }
   bool Allowed =
       Sub.Hedges < MaxHedgesPerService && Sub.Paid < MaxAttemptsPerService;
   auto To = Allowed ? Sender->pick(Sub, Pin, Now) : std::nullopt;
@@ -99,7 +110,7 @@
     }
     AllSilent = AllSilent && (!A.Open || A.SilentAt == Never);
   }
-  if (!AnyDue || !AllSilent || !Spec.Parts.Retry ||
+  if (!AnyDue || !AllSilent || !Spec.Parts.Retry || careful() ||
       Sub.Paid >= MaxAttemptsPerService)
     return;
   auto To = Sender->pick(Sub, Pin, Now);
--- a/packages/query/SubQuery.h
+++ b/packages/query/SubQuery.h
@@ -49,6 +49,8 @@
   ResultCode Reason = ResultCode::Ok;
   std::string Text;
   bool EverRan = false; ///< Some attempt was not proven "not run".
+  /// What is to be sent when nothing else of the search is open any more.
+  std::optional<TraceKind> HeldBack;
 
   const ServiceName &name() const { return (*Svc)->Name; }
   bool waiting() const { return State == SubState::Waiting; }
--- a/packages/query/SubSender.cpp
+++ b/packages/query/SubSender.cpp
@@ -1,5 +1,7 @@
 #include "query/SubSender.h"
 
+#include "query/Replica.h"
+
 #include <charconv>
 #include <fmt/format.h>
 
@@ -129,6 +131,9 @@
   A.Open = false;
   if (!provesNotRun(Reply.Code))
     Sub.EverRan = true;
+  Cost.Crashed += Reply.Crashed;
+  Cost.Unseen +=
+      noUpstreamSaw(Reply.Code) || Reply.Code == ResultCode::ConnectFailed;
   Tools.Replicas.onReply(A.Target, A.SentAt, Reply, Now);
   if (Reply.Code == ResultCode::Ok)
     Tools.Latency.add(Spec.Owner, Sub.name(), Now - A.SentAt);
--- a/packages/query/SubSender.h
+++ b/packages/query/SubSender.h
@@ -48,6 +48,7 @@
   void trace(TraceKind Kind, const SubQuery &Sub, Instant Now,
              ResultCode Code = ResultCode::Ok);
   QueryCost &cost() { return Cost; }
+  const QueryCost &cost() const { return Cost; }
 
 private:
   AttemptKey mintKey();
--- a/packages/query/TraceRing.cpp
+++ b/packages/query/TraceRing.cpp
@@ -87,6 +87,8 @@
     return "replaced_connection";
   case TraceKind::BlamedReplica:
     return "blamed_replica";
+  case TraceKind::HeldBack:
+    return "held_back";
   case TraceKind::PinVanished:
     return "pin_vanished";
   case TraceKind::Restarted:
--- a/packages/query/TraceRing.h
+++ b/packages/query/TraceRing.h
@@ -37,6 +37,7 @@
   PinVanished, ///< Service: nobody holds the pin.
   Restarted,   ///< On Pin.
   GaveUp,      ///< Service is missing, Code says why.
+  HeldBack,    ///< Service is asked when nothing else is open: upstreams crash.
   Finished,    ///< Code.
 };
 std::string_view nameOf(TraceKind K);
