daemon: the product's own interface keeps deadly searches from upstreams

What callers saw: one search of the product's own interface ended upstream after upstream for as long as it came, at whichever daemon: 198 ended, 96 of them later than 4 s after the third (ending_search_own_interface, listed red since it landed). A loss was held against the upstream, never against the search, and no daemon knew what another had seen. Change: the daemon that holds an upstream's slot finds out whether its process ended and says so in the reply; SearchService holds each search against the fleet's records, which are in one object of the store; two daemons a zone watch it and the others ask them. shallotctl lists the records and lets a search through again.

--- a/packages/ctl/Help.cpp
+++ b/packages/ctl/Help.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t Many = 1000;
 
-constexpr std::array<CommandHelp, 13> Commands{{
+constexpr std::array<CommandHelp, 15> Commands{{
     {"create", "-f FILE", "add objects; fails when one exists",
      "  shallotctl create -f services.json --wait\n"
      "  cat upstream.json | shallotctl create -f -\n",
@@ -30,6 +30,13 @@
      "  shallotctl preset use peak --wait\n", 1, 1, true},
     {"preset list", "", "list the presets; * marks the one in force",
      "  shallotctl preset list\n", 0, 0, true},
+    {"quarantine list", "",
+     "list searches under which upstreams crashed, and their standing",
+     "  shallotctl quarantine list -o json\n", 0, 0, true},
+    {"quarantine release", "FINGERPRINT",
+     "send a search to upstreams again that is kept from them",
+     "  shallotctl quarantine release 319d25e4f64503b2af223078be35873a\n", 1, 1,
+     true},
     {"status", "", "show every daemon and who is behind",
      "  shallotctl status --daemon 10.0.0.1:7100,10.0.0.2:7100\n", 0, 0, false,
      true},
--- a/packages/ctl/RunCtl.cpp
+++ b/packages/ctl/RunCtl.cpp
@@ -3,6 +3,7 @@
 #include "ctl/ChangeCommands.h"
 #include "ctl/FleetCommands.h"
 #include "ctl/Help.h"
+#include "ctl/QuarantineCommands.h"
 #include "ctl/ReadCommands.h"
 
 #include <array>
@@ -17,7 +18,7 @@
   Result<Report> (*Run)(Session &);
 };
 
-constexpr std::array<Command, 13> Commands{{
+constexpr std::array<Command, 15> Commands{{
     {"create", runCreate},
     {"apply", runApply},
     {"delete", runDelete},
@@ -25,6 +26,8 @@
     {"diff", runDiff},
     {"preset use", runPresetUse},
     {"preset list", runPresetList},
+    {"quarantine list", runQuarantineList},
+    {"quarantine release", runQuarantineRelease},
     {"status", runStatus},
     {"watch", runWatch},
     {"explain", runExplain},
--- a/packages/ctl/include/shallotshift/ctl.h
+++ b/packages/ctl/include/shallotshift/ctl.h
@@ -11,6 +11,7 @@
 #include "ctl/FleetCommands.h"
 #include "ctl/Help.h"
 #include "ctl/Options.h"
+#include "ctl/QuarantineCommands.h"
 #include "ctl/ReadCommands.h"
 #include "ctl/Report.h"
 #include "ctl/RunCtl.h"
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -1,6 +1,8 @@
 #include "daemon/Daemon.h"
 
 #include "daemon/Api.h"
+#include "daemon/QuarantineLink.h"
+#include "shallotshift/http1.h"
 
 #include <fmt/format.h>
 
@@ -18,10 +20,15 @@
 
 struct Daemon::Impl {
   Impl(EventLoop &Loop, Settings S, std::uint64_t Seed)
-      : Loop(Loop), Set(std::move(S)), Rng(Seed), Http(Loop),
-        Upstreams(Loop, Http), Desk(Loop, Http, Upstreams),
-        Router(Loop, Fleet, Desk),
-        Searches(Loop, Fleet, Router, Meter, Set.Treatment, Rng()) {
+      : Loop(Loop), Set(std::move(S)), Rng(Seed), Http(Loop), Timers(Loop),
+        Probes(Loop, Timers, {}), Ends(Probes, Timers),
+        Upstreams(Loop, Http,
+                  [this](const Endpoint &To, CrashCheck::Callback Done) {
+                    probe(To, std::move(Done));
+                  }),
+        Desk(Loop, Http, Upstreams), Router(Loop, Fleet, Desk),
+        Crashes(Loop, Meter),
+        Searches(Loop, Fleet, Router, Crashes, Meter, Set.Treatment, Rng()) {
     // The wall clock in milliseconds grows from one run of this host to the
     // next, which is all that an incarnation has to do.
     Fleet.Self = {Set.Host, static_cast<std::uint64_t>(Loop.wallTime())};
@@ -34,6 +41,8 @@
   Result<void> openPeers();
   Result<void> openHttp();
   PeerHandlers handlers();
+  void probe(const Endpoint &To, CrashCheck::Callback Done);
+  bool watchesStore() const;
   WorkFacts workFacts() const;
   void phaseChanged(const LifecycleOutput &Out);
   void configChanged();
@@ -47,11 +56,16 @@
   EventLog Events;
   FleetState Fleet;
   HttpClient Http;
+  TimerQueue Timers;
+  UpstreamPool Probes; ///< Only for Ends.
+  CrashCheck Ends;
   UpstreamClient Upstreams;
   SlotDesk Desk;
   SubRouter Router;
+  QuarantineGate Crashes;
   SearchService Searches;
   std::unique_ptr<StoreClient> Platform;
+  std::unique_ptr<QuarantineLink> Records;
   std::unique_ptr<ActionService> Actions;
   std::unique_ptr<ControlPlane> Control;
   std::unique_ptr<PeerNode> Peers;
@@ -66,9 +80,25 @@
   Actions = std::make_unique<ActionService>(Loop, Fleet, *Platform, Router,
                                             Searches.replicas(), Meter,
                                             Random(Rng(), 1));
+  Records = std::make_unique<QuarantineLink>(
+      Loop, Fleet, *Platform, Crashes, Rng, [this] { return watchesStore(); });
   return {};
 }
 
+/// A connection that opens is one of those that the upstream allows, and is not
+/// kept.
+void Daemon::Impl::probe(const Endpoint &To, CrashCheck::Callback Done) {
+  Ends.ask(To, [this, Done = std::move(Done)](bool Ended) {
+    Probes.closeIdle();
+    Done(Ended);
+  });
+}
+
+bool Daemon::Impl::watchesStore() const {
+  return Control->config().watching() ||
+         Control->membership().peersKnown() == 0;
+}
+
 Result<void> Daemon::Impl::openControl() {
   ControlPlane::Hooks H;
   H.ConfigChanged = [this] { configChanged(); };
@@ -116,6 +146,10 @@
                      const PeerResponder<LeavingUpstreams> &Answer) {
     Answer.reply(Control->leaving());
   };
+  H.Records = [this](const DaemonId &, const RecordsQuery &Q,
+                     const PeerResponder<RecordsAnswer> &Answer) {
+    Answer.reply(Records->answer(Q));
+  };
   return H;
 }
 
@@ -125,6 +159,7 @@
   Router.connect(*Peers);
   Actions->connect(*Peers);
   Control->connect(*Peers);
+  Records->connect(*Peers);
   return {};
 }
 
@@ -146,6 +181,7 @@
   BOOST_LEAF_CHECK(openPeers());
   BOOST_LEAF_CHECK(openHttp());
   Control->start();
+  Records->start();
   return {};
 }
 
@@ -203,6 +239,7 @@
   Meter.gauge("shallot_peer_bytes", {{"dir", "sent"}}, double(S.BytesSent));
   Meter.gauge("shallot_peer_bytes", {{"dir", "received"}},
               double(S.BytesReceived));
+  Crashes.writeGauges(Meter);
   const StoreCounters &P = Platform->counters();
   Meter.gauge("shallot_platform_calls", {{"kind", "read"}}, double(P.Reads));
   Meter.gauge("shallot_platform_calls", {{"kind", "write"}}, double(P.Writes));
--- a/packages/daemon/SearchService.cpp
+++ b/packages/daemon/SearchService.cpp
@@ -16,12 +16,33 @@
   }
 }
 
+constexpr char SearchPath[] = "/v1/search";
+
+/// The same search whoever carries it: ids, deadlines and classes are of one
+/// attempt. What is asked of other services is another search.
+NamedRequest nameOf(const Search &S) {
+  std::string Target = std::string(SearchPath) + "?services=";
+  for (const ServiceName &Name : S.Services)
+    Target += Name.str() + ",";
+  RequestIdentity Parts{"POST", "", Target, S.Owner.str(), S.Body};
+  return {RequestFingerprint::of(Parts), S.Id.str(), S.Owner.str(), SearchPath};
+}
+
+/// What is not sent because of its standing: a trial may be granted soon, and
+/// coming back is of no use to what is kept from upstreams.
+Verdict refusalFor(Standing S) {
+  if (S == Standing::Quarantined)
+    return Verdict::refuse(ResultCode::RequestQuarantined, Duration(0));
+  return Verdict::refuse(ResultCode::TrialUnavailable, TrialRetry);
+}
+
 } // namespace
 
 SearchService::SearchService(EventLoop &Loop, FleetState &Fleet,
-                             SubRouter &Router, Metrics &Meter,
-                             Strategy Treatment, std::uint64_t Seed)
-    : Loop(Loop), Fleet(Fleet), Router(Router), Meter(Meter),
+                             SubRouter &Router, QuarantineGate &Crashes,
+                             Metrics &Meter, Strategy Treatment,
+                             std::uint64_t Seed)
+    : Loop(Loop), Fleet(Fleet), Router(Router), Crashes(Crashes), Meter(Meter),
       Treatment(Treatment), Rng(Seed), Replicas(Rng) {}
 
 void SearchService::onConfig() {
@@ -45,20 +66,70 @@
 
 SearchService::SearchId SearchService::search(Search S, Callback Done) {
   SearchId Id = ++LastId;
-  Instant Now = Loop.now();
-  AdmissionRequest Ask{Id, S.Class, Now + S.Remaining};
-  Run &R = Active[Id];
-  R.Asked = std::move(S);
-  R.Done = std::move(Done);
-  R.Arrived = Now;
-  Verdict V = Gate ? Gate->offer(Ask, Now)
+  NamedRequest Name = nameOf(S);
+  Active.try_emplace(Id, std::move(S), std::move(Name), std::move(Done),
+                     Loop.now());
+  vet(Id);
+  turn();
+  return Id;
+}
+
+/// A search under which upstreams crashed is refused at once, or waits for the
+/// grant of a trial; it takes no place among those that wait for their turn.
+void SearchService::vet(SearchId Id) {
+  switch (Crashes.standing(Active.at(Id).Name)) {
+  case Standing::Clear:
+  case Standing::Suspect:
+    return admit(Id);
+  case Standing::OnTrial:
+    return askTrial(Id);
+  case Standing::Quarantined:
+    return refuse(Id, refusalFor(Standing::Quarantined));
+  }
+}
+
+void SearchService::askTrial(SearchId Id) {
+  Run &R = Active.at(Id);
+  auto Told = [this, Id, Name = R.Name](bool Granted) {
+    trialAnswered(Id, Name, Granted);
+  };
+  R.TrialAsked = true;
+  R.TrialWait = Loop.after(MostTrialWait, [Told] { Told(false); });
+  Crashes.requestTrial(R.Name, Told);
+}
+
+void SearchService::trialAnswered(SearchId Id, const NamedRequest &Name,
+                                  bool Granted) {
+  auto At = Active.find(Id);
+  if (At == Active.end() || !At->second.TrialAsked) {
+    // Its caller has gone, or was told to come back.
+    if (Granted)
+      Crashes.trialUnused(Name);
+    return;
+  }
+  Run &R = At->second;
+  R.TrialWait.cancel();
+  R.TrialAsked = false;
+  R.Trial = Granted;
+  if (Granted)
+    admit(Id);
+  else if (Crashes.standing(Name) != Standing::OnTrial)
+    vet(Id); // Others have cleared or proven it meanwhile.
+  else
+    refuse(Id, refusalFor(Standing::OnTrial));
+  turn();
+}
+
+/// Starts it, lets it wait for its turn, or refuses it at once.
+void SearchService::admit(SearchId Id) {
+  const Run &R = Active.at(Id);
+  AdmissionRequest Ask{Id, R.Asked.Class, R.Arrived + R.Asked.Remaining};
+  Verdict V = Gate ? Gate->offer(Ask, Loop.now())
                    : Verdict::refuse(ResultCode::NotReady, MinRetryAfter);
   if (V.What == Turn::Start)
     start(Id);
   else if (V.What == Turn::Refuse)
     refuse(Id, V);
-  turn();
-  return Id;
 }
 
 QuerySpec SearchService::specOf(const Run &R) const {
@@ -73,11 +144,19 @@
   Spec.Body = R.Asked.Body;
   Spec.TraceParent = R.Asked.TraceParent;
   Spec.Parts = StrategyParts::of(Treatment);
+  Spec.Care = Crashes.cautionFor(R.Name, R.Trial);
+  Spec.CrashedBefore = Crashes.crashesOf(R.Name);
   return Spec;
 }
 
 void SearchService::start(SearchId Id) {
   Run &R = Active.at(Id);
+  Standing Now = Crashes.standing(R.Name);
+  if (Now >= Standing::OnTrial && !R.Trial) {
+    // Upstreams crashed under other attempts while it waited for its turn.
+    Gate->cancel(Id);
+    return refuse(Id, refusalFor(Now));
+  }
   R.Started = Loop.now();
   QueryTools Tools{Replicas, Latency, Budgets,   Restarts,
                    Rng,      &Traces, Fleet.Zone};
@@ -101,6 +180,7 @@
   if (Node.empty())
     return;
   Run &R = Node.mapped();
+  noteEnd(R, {});
   QueryAnswer Answer;
   Answer.Code = V.Code;
   Answer.Text = std::string(infoOf(V.Code).Text);
@@ -132,8 +212,11 @@
     return;
   if (At->second.Machine)
     return carryOut(Id, At->second.Machine->onCallerGone(Loop.now()));
+  At->second.TrialWait.cancel();
+  noteEnd(At->second, {});
   Active.erase(At);
-  Gate->cancel(Id);
+  if (Gate)
+    Gate->cancel(Id);
   turn();
 }
 
@@ -144,16 +227,17 @@
 
 void SearchService::act(SearchId Id, SendSub &C) {
   AttemptKey Key = C.Key;
-  auto Call =
+  Sent To{0, C.Request.Target, C.Request.Service};
+  To.Call =
       Router.send(std::move(C.Request),
                   [this, Id, Key](const SubReply &R) { onReply(Id, Key, R); });
-  Active.at(Id).Calls[Key.str()] = Call;
+  Active.at(Id).Calls[Key.str()] = std::move(To);
 }
 
 void SearchService::act(SearchId Id, const CancelSub &C) {
   auto Node = Active.at(Id).Calls.extract(C.Key.str());
   if (!Node.empty())
-    Router.cancel(Node.mapped());
+    Router.cancel(Node.mapped().Call);
 }
 
 void SearchService::act(SearchId Id, const WakeAt &C) {
@@ -180,6 +264,7 @@
   Sample.Overloaded =
       R.Overloaded || C.Answer.Code == ResultCode::DeadlineExceeded;
   Gate->done(Id, Sample, Loop.now());
+  noteEnd(R, C.Answer.Cost);
   account(R, C.Answer);
   R.Done(std::move(C.Answer));
   turn();
@@ -191,13 +276,30 @@
   if (At == Active.end())
     return;
   Run &R = At->second;
-  R.Calls.erase(Key.str());
+  if (auto Node = R.Calls.extract(Key.str()))
+    noteReply(R, Node.mapped(), Reply);
   R.Queued += Reply.Queued;
   ++R.Replies;
   R.Overloaded = R.Overloaded || isLoadRefusal(Reply.Code);
   carryOut(Id, R.Machine->onReply(Key, Reply, Loop.now()));
 }
 
+void SearchService::noteReply(Run &R, const Sent &To, const SubReply &Reply) {
+  if (Reply.Crashed)
+    Crashes.crashed(R.Name, {processName(To.Target, 0), To.Service});
+  if (Reply.Code == ResultCode::Ok && !std::exchange(R.Cleared, true))
+    Crashes.succeeded(R.Name);
+}
+
+/// What crashed under a search without success is for the other daemons to
+/// know. There are few trials, and one that no upstream saw has told nothing.
+void SearchService::noteEnd(const Run &R, const QueryCost &Cost) {
+  if (!R.Cleared && Cost.Crashed > 0)
+    Crashes.attemptFailed(R.Name, R.Trial, true);
+  if (R.Trial && !Cost.reachedUpstreams())
+    Crashes.trialUnused(R.Name);
+}
+
 void SearchService::account(const Run &R, const QueryAnswer &Answer) {
   Labels Who{{"tenant", R.Asked.Owner.str()}, {"class", R.Asked.Class.str()}};
   Labels WhoAndCode = Who;
--- a/packages/daemon/SearchService.h
+++ b/packages/daemon/SearchService.h
@@ -2,13 +2,16 @@
 //
 // Joins the decisions of packages limits and query to the loop: a search is
 // admitted, queued or refused, then a QueryRun tells what to send, and what
-// comes back goes to it.
+// comes back goes to it. A search under which upstreams crashed is first held
+// against what the fleet knows of it (package quarantine): it may be refused,
+// or wait for the grant of a trial.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_DAEMON_SEARCHSERVICE_H
 #define SHALLOTSHIFT_DAEMON_SEARCHSERVICE_H
 
 #include "daemon/SubRouter.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/query.h"
 #include "shallotshift/telemetry.h"
 
@@ -37,7 +40,8 @@
   using SearchId = std::uint64_t;
 
   SearchService(EventLoop &Loop, FleetState &Fleet, SubRouter &Router,
-                Metrics &Meter, Strategy Treatment, std::uint64_t Seed);
+                QuarantineGate &Crashes, Metrics &Meter, Strategy Treatment,
+                std::uint64_t Seed);
 
   /// \p Done is called exactly once, never before this returns. A refusal has
   /// a 2xxx code and nothing was sent for it.
@@ -56,19 +60,38 @@
   AdmissionReport admission() const;
 
 private:
+  /// A sub-request on its way.
+  struct Sent {
+    SubRouter::CallId Call = 0;
+    UpstreamId Target;
+    ServiceName Service;
+  };
   struct Run {
+    Run(Search Asked, NamedRequest Name, Callback Done, Instant Arrived)
+        : Asked(std::move(Asked)), Name(std::move(Name)), Done(std::move(Done)),
+          Arrived(Arrived) {}
+
     Search Asked;
+    NamedRequest Name;
     Callback Done;
     Instant Arrived;
     Instant Started;
     std::optional<QueryRun> Machine; ///< Empty while it waits.
     TimerHandle Wake;
-    std::unordered_map<std::string, SubRouter::CallId> Calls;
-    Duration Queued{0}; ///< Sum over replies, for admission.
+    std::unordered_map<std::string, Sent> Calls;
+    TimerHandle TrialWait;
+    bool TrialAsked = false; ///< And the answer has not come.
+    bool Trial = false;      ///< One was granted to it.
+    bool Cleared = false;    ///< That a run ended well was noted.
+    Duration Queued{0};      ///< Sum over replies, for admission.
     unsigned Replies = 0;
     bool Overloaded = false;
   };
 
+  void vet(SearchId Id);
+  void askTrial(SearchId Id);
+  void trialAnswered(SearchId Id, const NamedRequest &Name, bool Granted);
+  void admit(SearchId Id);
   void start(SearchId Id);
   void refuse(SearchId Id, const Verdict &V);
   void turn();
@@ -79,12 +102,15 @@
   void act(SearchId Id, const ReplaceConnection &C);
   void act(SearchId Id, Finish &C);
   void onReply(SearchId Id, const AttemptKey &Key, const SubReply &Reply);
+  void noteReply(Run &R, const Sent &To, const SubReply &Reply);
+  void noteEnd(const Run &R, const QueryCost &Cost);
   void account(const Run &R, const QueryAnswer &Answer);
   QuerySpec specOf(const Run &R) const;
 
   EventLoop &Loop;
   FleetState &Fleet;
   SubRouter &Router;
+  QuarantineGate &Crashes;
   Metrics &Meter;
   Strategy Treatment;
   Random Rng;
--- a/packages/daemon/UpstreamClient.cpp
+++ b/packages/daemon/UpstreamClient.cpp
@@ -165,16 +165,31 @@
   C = {Request, To, std::move(Done)};
   C.Transfer =
       Http.send(upstreamRequest(Request, To),
-                [this, Id](HttpReply Reply) { finish(Id, std::move(Reply)); });
+                [this, Id](HttpReply Reply) { ended(Id, std::move(Reply)); });
   return Id;
 }
 
-void UpstreamClient::finish(CallId Id, HttpReply Reply) {
+/// A connection that broke with a search on it may mean that the search crashed
+/// its upstream. That is found out before anybody sends it to the next one.
+void UpstreamClient::ended(CallId Id, HttpReply Reply) {
+  auto At = Calls.find(Id);
+  if (At == Calls.end())
+    return;
+  if (Reply.Failure != ResultCode::ConnectionClosed ||
+      isAction(At->second.Request))
+    return finish(Id, std::move(Reply));
+  Probe(At->second.To, [this, Id, Reply = std::move(Reply)](bool Ended) {
+    finish(Id, Reply, Ended);
+  });
+}
+
+void UpstreamClient::finish(CallId Id, HttpReply Reply, bool Crashed) {
   auto Node = Calls.extract(Id);
   if (Node.empty())
     return;
   Call &C = Node.mapped();
   SubReply S = readUpstreamReply(C.Request, std::move(Reply));
+  S.Crashed = Crashed;
   if (C.Cancelled)
     S.Code = ResultCode::Cancelled;
   C.Done(std::move(S));
--- a/packages/daemon/UpstreamClient.h
+++ b/packages/daemon/UpstreamClient.h
@@ -30,8 +30,13 @@
 public:
   using Callback = std::function<void(SubReply)>;
   using CallId = std::uint64_t;
+  /// Finds out whether the process at an address ended, whose connection broke
+  /// just now.
+  using CrashProbe =
+      std::function<void(const Endpoint &, std::function<void(bool Ended)>)>;
 
-  UpstreamClient(EventLoop &Loop, HttpClient &Http) : Loop(Loop), Http(Http) {}
+  UpstreamClient(EventLoop &Loop, HttpClient &Http, CrashProbe Probe)
+      : Loop(Loop), Http(Http), Probe(std::move(Probe)) {}
 
   /// Sends one sub-request; \p Done is called exactly once, also when the call
   /// is cancelled (then with Cancelled), because only then is its slot free.
@@ -49,11 +54,13 @@
     bool Cancelled = false;
   };
 
-  void finish(CallId Id, HttpReply Reply);
+  void ended(CallId Id, HttpReply Reply);
+  void finish(CallId Id, HttpReply Reply, bool Crashed = false);
   void close(CallId Id);
 
   EventLoop &Loop;
   HttpClient &Http;
+  CrashProbe Probe;
   std::unordered_map<CallId, Call> Calls;
   CallId LastId = 0;
 };
--- a/packages/limits/Verdict.h
+++ b/packages/limits/Verdict.h
@@ -23,7 +23,7 @@
   Turn What = Turn::Start;
   /// With Refuse: a 2xxx code. Otherwise Ok.
   ResultCode Code = ResultCode::Ok;
-  /// With Refuse: when it is worth coming back. Above 0.
+  /// With Refuse: when it is worth coming back; 0: it is not.
   Duration RetryAfter{0};
 
   static Verdict start() { return {}; }
--- a/packages/model/SubRequest.h
+++ b/packages/model/SubRequest.h
@@ -49,6 +49,7 @@
   Duration Queued{0};       ///< Waited for a slot there.
   unsigned HolderQueue = 0; ///< Requests waiting there when it was sent.
   int Status = 0;           ///< Of the HTTP reply; 0: none came.
+  bool Crashed = false;     ///< The upstream's process ended while it had it.
   std::string Body;         ///< The upstream's records, as JSON.
 
   friend bool operator==(const SubReply &, const SubReply &) = default;
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -52,6 +52,7 @@
   holderQueue @10 :UInt32;
   body @11 :Data;
   status @12 :UInt16;
+  crashed @13 :Bool;
 }
 
 struct Blob {
@@ -103,6 +104,8 @@
       -> (answer :UInt8, outcome :ActionOutcome, failure :Failure);
   ping @6 ();
   leaving @7 () -> (version :UInt64, upstreams :List(Text), failure :Failure);
+  records @8 (known :UInt64)
+      -> (version :UInt64, document :Data, failure :Failure);
 }
 
 struct GossipMember {
--- a/packages/peer/PeerCodec.cpp
+++ b/packages/peer/PeerCodec.cpp
@@ -143,6 +143,7 @@
   To.setQueuedMicros(micros(V.Queued));
   To.setHolderQueue(V.HolderQueue);
   To.setStatus(static_cast<std::uint16_t>(V.Status));
+  To.setCrashed(V.Crashed);
   To.setBody(data(V.Body));
 }
 
@@ -161,6 +162,7 @@
   V.Queued = duration(From.getQueuedMicros());
   V.HolderQueue = From.getHolderQueue();
   V.Status = From.getStatus();
+  V.Crashed = From.getCrashed();
   V.Body = bytes(From.getBody());
   return V;
 }
@@ -219,6 +221,23 @@
   return V;
 }
 
+void write(const RecordsQuery &V, wire::Session::RecordsParams::Builder To) {
+  To.setKnown(V.Known);
+}
+
+RecordsQuery read(wire::Session::RecordsParams::Reader From) {
+  return {From.getKnown()};
+}
+
+void write(const RecordsAnswer &V, SessionRecords::Builder To) {
+  To.setVersion(V.Version);
+  To.setDocument(data(V.Document));
+}
+
+RecordsAnswer read(SessionRecords::Reader From) {
+  return {From.getVersion(), bytes(From.getDocument())};
+}
+
 void write(const ForwardAction &V, wire::Session::ForwardParams::Builder P) {
   wire::ActionRequest::Builder To = P.initRequest();
   const ActionRequest &R = V.Request;
--- a/packages/peer/PeerCodec.h
+++ b/packages/peer/PeerCodec.h
@@ -20,6 +20,7 @@
 using SessionOutcome = wire::Session::OutcomeResults;
 using SessionFence = wire::Session::FenceResults;
 using SessionLeaving = wire::Session::LeavingResults;
+using SessionRecords = wire::Session::RecordsResults;
 
 /// The largest body or piece of configuration that is put into a message; the
 /// rest of MaxPeerMessageBytes is for the fields around it.
@@ -34,6 +35,7 @@
 void write(const RecordIntent &V, wire::Session::IntentParams::Builder To);
 void write(const RecordOutcome &V, wire::Session::OutcomeParams::Builder To);
 void write(const FenceKey &V, wire::Session::FenceParams::Builder To);
+void write(const RecordsQuery &V, wire::Session::RecordsParams::Builder To);
 
 void write(const SubReply &V, SessionSearch::Builder To);
 void write(const ConfigParts &V, SessionFetch::Builder To);
@@ -42,6 +44,7 @@
 void write(Done V, SessionOutcome::Builder To);
 void write(const FenceAnswer &V, SessionFence::Builder To);
 void write(const LeavingUpstreams &V, SessionLeaving::Builder To);
+void write(const RecordsAnswer &V, SessionRecords::Builder To);
 
 DaemonId read(wire::Daemon::Reader From);
 Error read(wire::Failure::Reader From);
@@ -53,6 +56,7 @@
 RecordOutcome read(wire::Session::OutcomeParams::Reader From);
 FenceKey read(wire::Session::FenceParams::Reader From);
 LeavingQuery read(wire::Session::LeavingParams::Reader From);
+RecordsQuery read(wire::Session::RecordsParams::Reader From);
 
 SubReply read(SessionSearch::Reader From);
 ConfigParts read(SessionFetch::Reader From);
@@ -61,11 +65,15 @@
 Done read(SessionOutcome::Reader From);
 FenceAnswer read(SessionFence::Reader From);
 LeavingUpstreams read(SessionLeaving::Reader From);
+RecordsAnswer read(SessionRecords::Reader From);
 
 /// The bytes of the large parts of a request or an answer.
 template <typename T> std::size_t bodyBytes(const T &) { return 0; }
 inline std::size_t bodyBytes(const SubRequest &V) { return V.Body.size(); }
 inline std::size_t bodyBytes(const SubReply &V) { return V.Body.size(); }
+inline std::size_t bodyBytes(const RecordsAnswer &V) {
+  return V.Document.size();
+}
 inline std::size_t bodyBytes(const ForwardAction &V) {
   return V.Request.Body.size();
 }
--- a/packages/peer/PeerNode.cpp
+++ b/packages/peer/PeerNode.cpp
@@ -201,6 +201,14 @@
       });
 }
 
+PeerNode::CallId PeerNode::records(const Member &To, RecordsQuery Q,
+                                   Duration Timeout,
+                                   PeerCallback<RecordsAnswer> Done) {
+  return I->ask<SessionRecords>(
+      To, Q, Timeout, std::move(Done),
+      [](wire::Session::Client &S) { return S.recordsRequest(); });
+}
+
 PeerNode::CallId PeerNode::forward(const Member &To, ForwardAction M,
                                    Duration Timeout,
                                    PeerCallback<ActionOutcome> Done) {
--- a/packages/peer/PeerNode.h
+++ b/packages/peer/PeerNode.h
@@ -53,6 +53,8 @@
                PeerCallback<FenceAnswer> Done);
   CallId leaving(const Member &To, Duration Timeout,
                  PeerCallback<LeavingUpstreams> Done);
+  CallId records(const Member &To, RecordsQuery Q, Duration Timeout,
+                 PeerCallback<RecordsAnswer> Done);
   CallId ping(const Member &To, Duration Timeout,
               PeerCallback<shallot::Done> Done);
 
--- a/packages/peer/PeerServer.cpp
+++ b/packages/peer/PeerServer.cpp
@@ -81,6 +81,10 @@
     return Owner.serve(ConnectionId, Owner.Handlers.Leaving,
                        read(Ctx.getParams()), Ctx);
   }
+  kj::Promise<void> records(RecordsContext Ctx) override {
+    return Owner.serve(ConnectionId, Owner.Handlers.Records,
+                       read(Ctx.getParams()), Ctx);
+  }
   kj::Promise<void> ping(PingContext) override { return kj::READY_NOW; }
 
 private:
--- a/packages/peer/PeerTypes.h
+++ b/packages/peer/PeerTypes.h
@@ -112,6 +112,21 @@
                          const LeavingUpstreams &) = default;
 };
 
+/// Asks a watcher for the document of records of requests that crash replicas.
+struct RecordsQuery {
+  std::uint64_t Known = 0; ///< The store's version that the asker has.
+
+  friend bool operator==(const RecordsQuery &, const RecordsQuery &) = default;
+};
+
+struct RecordsAnswer {
+  std::uint64_t Version = 0; ///< 0: the document was not read yet.
+  std::string Document;      ///< Empty when the asker has this version.
+
+  friend bool operator==(const RecordsAnswer &,
+                         const RecordsAnswer &) = default;
+};
+
 template <typename Request, typename Answer>
 using PeerHandler =
     std::function<void(const DaemonId &From, Request, PeerResponder<Answer>)>;
@@ -126,6 +141,7 @@
   PeerHandler<RecordOutcome, Done> Outcome;
   PeerHandler<FenceKey, FenceAnswer> Fence;
   PeerHandler<LeavingQuery, LeavingUpstreams> Leaving;
+  PeerHandler<RecordsQuery, RecordsAnswer> Records;
 };
 
 /// Counters since the start, for metrics.
--- a/tests/correctness/MetricsPageIsWhole.cpp
+++ b/tests/correctness/MetricsPageIsWhole.cpp
@@ -45,6 +45,7 @@
 TEST_CASE("docs/METRICS.md lists exactly the daemon's metrics") {
   std::filesystem::path Root = SHALLOT_SOURCE_DIR;
   std::set<std::string> InCode = metricsOf(Root / "packages/daemon");
+  InCode.merge(metricsOf(Root / "packages/crashguard"));
   CHECK(InCode.size() > 10);
   CHECK(InCode == namesIn(contentOf(Root / "docs/METRICS.md"), "`"));
 }
@@ -52,6 +53,7 @@
 TEST_CASE("docs/operators/front.md lists exactly the front daemon's metrics") {
   std::filesystem::path Root = SHALLOT_SOURCE_DIR;
   std::set<std::string> InCode = metricsOf(Root / "packages/front");
+  InCode.merge(metricsOf(Root / "packages/crashguard"));
   CHECK(InCode.size() > 8);
   CHECK(InCode == namesIn(contentOf(Root / "docs/operators/front.md"), "`"));
 }
--- a/tests/correctness/PeersAnswerEachOther.cpp
+++ b/tests/correctness/PeersAnswerEachOther.cpp
@@ -13,7 +13,7 @@
   Answer.Served = {41, 7};
   Answer.Servable = {{41, 7}, {42, 7}};
   Answer.Load = 0.73;
-  Answer.Cold = Answer.Draining = true;
+  Answer.Cold = Answer.Draining = Answer.Crashed = true;
   Answer.RetryAfter = Millis(50);
   Answer.UpstreamTook = Micros(1234);
   Answer.Queued = Micros(77);
@@ -156,3 +156,24 @@
   REQUIRE(*Got);
   CHECK(**Got == Known);
 }
+
+TEST_CASE("the records of requests that crash replicas are passed on") {
+  PeerFixture F;
+  Member B = peerMember("entry-b", 41002);
+  PeerHandlers H;
+  RecordsAnswer Known{7, R"({"revision":3,"records":{}})"};
+  std::uint64_t Has = 0;
+  H.Records = [&](const DaemonId &, RecordsQuery Q,
+                  const PeerResponder<RecordsAnswer> &To) {
+    Has = Q.Known;
+    To.reply(Known);
+  };
+  auto NodeA = F.open(peerMember("entry-a", 41001));
+  auto NodeB = F.open(B, std::move(H));
+  std::optional<Attempt<RecordsAnswer>> Got;
+  NodeA->records(B, {5}, TestTimeout, [&](auto A) { Got = A; });
+  F.runUntil([&] { return Got.has_value(); });
+  REQUIRE(*Got);
+  CHECK(**Got == Known);
+  CHECK(Has == 5);
+}
--- a/tests/correctness/ShallotctlSession.cpp
+++ b/tests/correctness/ShallotctlSession.cpp
@@ -2,6 +2,7 @@
 // all on one loop: what a change reports, and whom status and --wait name.
 #include "ConfigFixture.h"
 #include "NetFixture.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/ctl.h"
 #include "standins/PlatformService.h"
 
@@ -177,3 +178,58 @@
   nlohmann::json Doc{{"a", 1}, {"b", {{"c", "x"}, {"d", {1, 2}}}}};
   CHECK(plainText(Doc) == "a: 1\nb:\n  c: x\n  d:\n    - 1\n    - 2\n");
 }
+
+namespace {
+
+/// The record of one search in the store, written as a daemon does.
+void keepFromUpstreams(Session &S, const RequestFingerprint &Search) {
+  QuarantineRecord R{Search};
+  R.Crashed = {"uw-01-a", "uw-02-a", "uw-03-a"};
+  R.Proven = true;
+  R.Route = "khan-uul";
+  R.Path = "/v1/search";
+  RecordDocument<StoreClient> Records(S.platform(), std::string(RecordsPath));
+  using Written = Attempt<KindWriteReply>;
+  Written Done = S.await<Written>([&](const std::function<void(Written)> &Go) {
+    Records.writeObject("", Search.str(), recordContent(R), 0, Go);
+  });
+  REQUIRE(Done);
+  REQUIRE(Done->Applied);
+}
+
+RequestFingerprint deadlySearch() {
+  return RequestFingerprint::of({"POST", "", "/v1/search", "khan-uul", "{}"});
+}
+
+} // namespace
+
+TEST_CASE("searches that are kept from upstreams are listed and released") {
+  std::string Name = deadlySearch().str();
+  auto Listed = CtlBed().run("quarantine list", [](Session &S) {
+    keepFromUpstreams(S, deadlySearch());
+    return runQuarantineList(S);
+  });
+  REQUIRE(Listed);
+  CHECK(Listed->Doc["records"][0]["fingerprint"] == Name);
+  CHECK(Listed->Doc["records"][0]["standing"] == "quarantined");
+  CHECK(Listed->Text.find("3 crashed") != std::string::npos);
+
+  auto Released = CtlBed().run("quarantine release",
+                               [](Session &S) -> Result<Report> {
+                                 keepFromUpstreams(S, deadlySearch());
+                                 BOOST_LEAF_CHECK(runQuarantineRelease(S));
+                                 return runQuarantineList(S);
+                               },
+                               {Name});
+  REQUIRE(Released);
+  CHECK(Released->Doc["records"].empty());
+}
+
+TEST_CASE("what is not kept from upstreams cannot be released") {
+  auto Unknown = CtlBed().run("quarantine release", runQuarantineRelease,
+                              {deadlySearch().str()});
+  CHECK(Unknown.error().Code == ResultCode::UnknownObject);
+  auto Bad =
+      CtlBed().run("quarantine release", runQuarantineRelease, {"deadly"});
+  CHECK(Bad.error().Code == ResultCode::BadName);
+}
--- a/tests/fuzz/MessageTargets.cpp
+++ b/tests/fuzz/MessageTargets.cpp
@@ -162,6 +162,7 @@
   readAs<wire::Session::OutcomeParams>(Input);
   readAs<wire::Session::FenceParams>(Input);
   readAs<wire::Session::LeavingParams>(Input);
+  readAs<wire::Session::RecordsParams>(Input);
   readAs<internal::SessionSearch>(Input);
   readAs<internal::SessionFetch>(Input);
   readAs<internal::SessionForward>(Input);
@@ -169,6 +170,7 @@
   readAs<internal::SessionOutcome>(Input);
   readAs<internal::SessionFence>(Input);
   readAs<internal::SessionLeaving>(Input);
+  readAs<internal::SessionRecords>(Input);
 }
 
 template <typename Wire, typename T> std::string framed(const T &Value) {
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -29,5 +29,9 @@
   COMMAND python3
           ${CMAKE_CURRENT_LIST_DIR}/failure/searches_that_end_upstreams.py
           ${CMAKE_BINARY_DIR})
-set_tests_properties(ending_search_own_interface PROPERTIES LABELS failure
-  TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+add_test(NAME ending_search_restarted
+  COMMAND python3
+          ${CMAKE_CURRENT_LIST_DIR}/failure/searches_that_end_upstreams.py
+          ${CMAKE_BINARY_DIR} restarted)
+set_tests_properties(ending_search_own_interface ending_search_restarted
+  PROPERTIES LABELS failure TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
