tests: a directory that stops leaves questions unanswered (fails)

What callers see: of some 24,000 questions to a daemon's directory in its last three seconds, three that came in the last 1.5 ms got a closed connection and no answer.

--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -35,3 +35,11 @@
           ${CMAKE_BINARY_DIR} restarted)
 set_tests_properties(ending_search_own_interface ending_search_restarted
   PROPERTIES LABELS failure TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
+# The directory of real daemons that are stopped.
+add_test(NAME directory_until_the_end
+  COMMAND python3
+          ${CMAKE_CURRENT_LIST_DIR}/failure/directory_until_the_end.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(directory_until_the_end PROPERTIES LABELS failure
+  TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
