front: a daemon that stops answers what its directory and callers have asked

What callers saw: a question to the directory of a daemon that was stopped as planned ended with a closed connection and no answer, three of some 24,000 in each stop, all in its last 1.5 ms. Cause: the process ended in the turn in which no caller's request was left; it looked neither at its directory nor at who had just connected. Change: at the end nothing more is accepted, and for up to 0.1 s what is open is answered. The soak takes a question that was read and not answered for a broken promise, unless its daemon was killed or paused. Why it holds: stopAccepting() takes what the kernel had queued before it closes; what comes later is refused, which callers know as to ask the next daemon.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -19,6 +19,10 @@
 constexpr Duration LastCalls = Millis(900);
 /// The process ends this long before the kill at the latest.
 constexpr Duration EndMargin = Millis(150);
+/// Between the last connection that is accepted and the end: what was read by
+/// then is answered. Connections that stay idle are not waited for any longer.
+constexpr Duration LastAnswers = Millis(100);
+constexpr Duration LastAnswersPeriod = Millis(5);
 /// Callers that still have this daemon's address are waited for at least this
 /// long after the signal: it covers the validity that most of them keep to.
 constexpr Duration LeastLeaving = Seconds(3);
@@ -85,6 +89,8 @@
   bool ready() const;
   void leave();
   void lastCalls();
+  void closeDoors();
+  void lastAnswers(Instant Until);
   void end();
 
   EventLoop &Loop;
@@ -301,13 +307,38 @@
   }
   bool Alone = Callers->connections() == 0 && Desk.inFlight() == 0;
   bool WaitedEnough = Late || Since >= LeastLeaving;
-  if ((Alone && WaitedEnough) || Since >= Set.StopGrace - EndMargin) {
-    end();
+  if ((Alone && WaitedEnough) ||
+      Since >= Set.StopGrace - EndMargin - LastAnswers) {
+    closeDoors();
     return;
   }
   Timers.after(Millis(50), [this] { lastCalls(); });
 }
 
+/// The failure: a process that ends as soon as no caller's request is left cuts
+/// off who has just asked its directory, or has just connected. So no
+/// connection is accepted from here on, and those that are open are answered
+/// before the end.
+void FrontDaemon::Impl::closeDoors() {
+  Callers->stopAccepting();
+  for (HttpServer *S : {Directory.get(), Readiness.get()}) {
+    S->closeAfterReply();
+    S->stopAccepting();
+  }
+  lastAnswers(Loop.now() + LastAnswers);
+}
+
+void FrontDaemon::Impl::lastAnswers(Instant Until) {
+  bool Open = Callers->connections() > 0 || Desk.inFlight() > 0 ||
+              Directory->openConnections() > 0 ||
+              Readiness->openConnections() > 0;
+  if (!Open || Loop.now() >= Until) {
+    end();
+    return;
+  }
+  Timers.after(LastAnswersPeriod, [this, Until] { lastAnswers(Until); });
+}
+
 void FrontDaemon::Impl::end() {
   logEvent(LogLevel::Info, "stopped",
            {{"unanswered", std::to_string(Desk.inFlight())}});
--- a/tools/soakkit/world.py
+++ b/tools/soakkit/world.py
@@ -85,9 +85,24 @@
 
     async def resolve(self, daemon, zone):
         path = f"/resolve?name={HOST}&zone={zone[0]}&region={zone[1]}"
-        status, text = await self.fetch(f"{self.ip(daemon)}:{DIRECTORY}", path)
+        asked_at = time.monotonic()
+        try:
+            status, text = await asyncio.wait_for(
+                fetch(f"{self.ip(daemon)}:{DIRECTORY}", path), 1.0)
+        except Unanswered:
+            self.judge_unanswered(daemon, asked_at)
+            return []
+        except (OSError, ValueError, asyncio.TimeoutError, EOFError):
+            return []
         return read_addresses(status, text, self)
 
+    def judge_unanswered(self, daemon, asked_at):
+        """A daemon that ends as planned answers what it has read."""
+        if not self.history.disturbed({f"front-{daemon}"}, asked_at,
+                                      time.monotonic(), planned=False):
+            self.history.complaints.append(
+                f"front-{daemon} closed a question to its directory unanswered")
+
     def daemons_near(self, zone):
         all_daemons = range(1, self.daemons + 1)
         return sorted(all_daemons, key=lambda n: self.zone(n)[0] != zone)
@@ -179,6 +194,10 @@
                     yield n, line
 
 
+class Unanswered(EOFError):
+    """The connection was closed in order, without a byte of answer."""
+
+
 async def fetch(address, path):
     reader, writer = await asyncio.open_connection(*split(address))
     try:
@@ -187,5 +206,7 @@
         text = (await reader.read()).decode()
     finally:
         writer.close()
+    if not text:
+        raise Unanswered(address)
     head, _, body = text.partition("\r\n\r\n")
     return int(head.split(" ")[1]), body
