--- a/tests/failure/directory_until_the_end.py
+++ b/tests/failure/directory_until_the_end.py
@@ -71,7 +71,7 @@
 
 
 def main():
-    with Deployment(sys.argv[1], "127.0.57", daemons=3) as deployment:
+    with Deployment(sys.argv[1], "127.0.61", daemons=3) as deployment:
         deployment.put_config(deployment.config(7))
         deployment.start_daemons()
         for n in (1, 2, 3):
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -29,12 +29,16 @@
   COMMAND python3
           ${CMAKE_CURRENT_LIST_DIR}/failure/searches_that_end_upstreams.py
           ${CMAKE_BINARY_DIR})
-add_test(NAME ending_search_restarted
-  COMMAND python3
-          ${CMAKE_CURRENT_LIST_DIR}/failure/searches_that_end_upstreams.py
-          ${CMAKE_BINARY_DIR} restarted)
-set_tests_properties(ending_search_own_interface ending_search_restarted
-  PROPERTIES LABELS failure TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+set_tests_properties(ending_search_own_interface PROPERTIES LABELS failure
+  TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+foreach(SCENARIO restarted store_away)
+  add_test(NAME ending_search_${SCENARIO}
+    COMMAND python3
+            ${CMAKE_CURRENT_LIST_DIR}/failure/searches_that_end_upstreams.py
+            ${CMAKE_BINARY_DIR} ${SCENARIO})
+  set_tests_properties(ending_search_${SCENARIO} PROPERTIES LABELS failure
+    TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+endforeach()
 
 # The directory of real daemons that are stopped.
 add_test(NAME directory_until_the_end
