--- a/tests/fuzz/DocumentTargets.cpp
+++ b/tests/fuzz/DocumentTargets.cpp
@@ -9,6 +9,7 @@
 #include "platform/WireDirectory.h"
 #include "platform/WireObjects.h"
 #include "platform/WireReplies.h"
+#include "shallotshift/crashguard.h"
 #include "shallotshift/store.h"
 
 #include <nlohmann/json.hpp>
@@ -158,6 +159,38 @@
           "a question survives the way");
 }
 
+/// Another writer's record takes bounded memory and never says more than it
+/// may.
+void quarantineRecords(const std::string &Input) {
+  auto Page = attempt([&] { return readRecordPage(Input); });
+  if (!Page)
+    return;
+  auto Back = attempt([&] { return readRecordPage(recordPageText(*Page)); });
+  require(Back && *Back == *Page, "a document survives the way");
+  Quarantine Table;
+  for (const auto &[Name, Object] : Page->Objects) {
+    auto R = attempt([&] { return readRecord(Name, Object.Content); });
+    if (!R)
+      continue;
+    require(R->Crashed.size() <= EnoughCrashes, "processes are bounded");
+    require(R->Trials <= MostTrials, "trials are bounded");
+    Table.put({*R, Object.Revision});
+    require(Table.standing(R->Request) == R->standing(),
+            "it counts as it says");
+  }
+  require(Table.size() <= Page->Objects.size(), "one entry a record");
+}
+
+std::vector<std::string> recordExamples() {
+  const char *Record =
+      R"({"crashed":["i-1@7","i-2"],"trials":1,"proven":false,)"
+      R"("seen_at":1780172520131,"route":"sweep","path":"/sweep/x"})";
+  std::string Name =
+      RequestFingerprint::of({"GET", "a.example", "/sweep/x", "", ""}).str();
+  return {R"({"revision":9,"records":{")" + Name +
+          R"(":{"revision":7,"content":)" + Record + "}}}"};
+}
+
 void settings(const std::string &Input) {
   (void)attempt([&] { return FrontSettings::parse(Input); });
   (void)attempt([&] { return Settings::parse(Input); });
@@ -215,6 +248,7 @@
       {"registration", Shape::Json, {Registration}, &registration},
       {"configuration", Shape::Json, {Configuration}, &configuration},
       {"peer-reply", Shape::Json, peerExamples(), &peerReply},
+      {"quarantine-records", Shape::Json, recordExamples(), &quarantineRecords},
       {"query",
        Shape::Bytes,
        {"name=a.example&region=r&zone=hall+1", "since=5&wait_ms=4000&relays=1",
