--- a/tests/fuzz/DocumentTargets.cpp
+++ b/tests/fuzz/DocumentTargets.cpp
@@ -168,8 +168,9 @@
   auto Back = attempt([&] { return readRecordPage(recordPageText(*Page)); });
   require(Back && *Back == *Page, "a document survives the way");
   Quarantine Table;
-  for (const auto &[Name, Object] : Page->Objects) {
-    auto R = attempt([&] { return readRecord(Name, Object.Content); });
+  for (const auto &Item : Page->Objects) {
+    const KindObject &Object = Item.second;
+    auto R = attempt([&] { return readRecord(Object.Name, Object.Content); });
     if (!R)
       continue;
     require(R->Crashed.size() <= EnoughCrashes, "processes are bounded");
