front: log refused lists and the revision that a peer is asked from

The record of the incident cannot tell a list that was refused from one that never came, nor a peer that has no changes from one that does not answer. KindWatch reports a list that is older than what was read; the daemon logs list_outdated with both revisions, and peer_has_read_more names the revision that the next request starts from. No logic changes.

--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -224,6 +224,9 @@
       logStoreRegained("config");
       renewFailedWatches();
     };
+    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+      logListOutdated("config", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.ConfigKind); };
     return H;
   }
@@ -244,6 +247,9 @@
       D.replicas().storeRecovered(Loop.now());
       renewFailedWatches();
     };
+    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+      logListOutdated("replicas", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.ReplicaKind); };
     return H;
   }
@@ -259,6 +265,9 @@
       logStoreRegained("quarantine");
       Sync.pump();
     };
+    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+      logListOutdated("quarantine", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.QuarantineKind); };
     return H;
   }
@@ -271,6 +280,9 @@
     H.Changed = [this](const KindChange &C) { Entries.applyEvacuation(C); };
     H.Away = [](const Error &Why) { logStoreLost("evacuations", Why); };
     H.Back = [] { logStoreRegained("evacuations"); };
+    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+      logListOutdated("evacuations", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.EvacuationKind); };
     return H;
   }
@@ -330,6 +342,14 @@
     logEvent(LogLevel::Info, "store_regained", {{"watch", std::string(What)}});
   }
 
+  static void logListOutdated(std::string_view What, std::uint64_t Listed,
+                              std::uint64_t Read) {
+    logEvent(LogLevel::Warn, "list_outdated",
+             {{"watch", std::string(What)},
+              {"listed", std::to_string(Listed)},
+              {"read", std::to_string(Read)}});
+  }
+
   EventLoop &Loop;
   FrontDaemon &D;
   StoreSchema Schema;
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -90,6 +90,7 @@
              {{"peer", Ahead->Peer.Id.str()},
               {"watch", Label},
               {"mine", std::to_string(Known)},
+              {"revision", std::to_string(Objects.revision())},
               {"its", std::to_string(Theirs)}});
     sources().prefer(Ahead->Peer);
     Objects.renew();
--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -53,6 +53,8 @@
   std::function<void(const Error &)> Away;
   /// It answers again.
   std::function<void()> Back;
+  /// A list was refused because it is older than the data read before.
+  std::function<void(std::uint64_t Listed, std::uint64_t Read)> Outdated;
   /// An answer has been taken in; cache() and heardAt() are up to date.
   std::function<void()> Advanced;
 };
@@ -133,6 +135,8 @@
   void takeList() {
     // A store that is behind itself would take everything back.
     if (ListRevision < Cache.revision()) {
+      if (Hooks.Outdated)
+        Hooks.Outdated(ListRevision, Cache.revision());
       again([this] { list(); });
       return;
     }
