standins: the metadata store can be restored from a copy

The users' store may come back from a copy some seconds old: revisions go back and are given out again, a watch from one that it does not have is told that its history is gone, and Store-Era rises by one in all answers.

--- a/standins/KindObjects.cpp
+++ b/standins/KindObjects.cpp
@@ -83,7 +83,7 @@
 
 std::optional<Json> KindObjects::changes(const std::string &Kind,
                                          std::uint64_t Since) const {
-  if (Since < HistoryFrom)
+  if (Since < HistoryFrom || Since > Revision)
     return std::nullopt;
   Json Found = Json::array();
   for (const Event &E : History)
@@ -97,4 +97,10 @@
   History.clear();
 }
 
+void KindObjects::restore(const KindObjects &Copy) {
+  std::uint64_t Next = Era + 1;
+  *this = Copy;
+  Era = Next;
+}
+
 } // namespace shallot::standins
--- a/standins/KindObjects.h
+++ b/standins/KindObjects.h
@@ -2,7 +2,8 @@
 //
 // Objects by kind and name, as the users' platform keeps them: one revision
 // counter for the whole store, writes that may demand a revision, and a history
-// of changes that can be dropped at any moment.
+// of changes that can be dropped at any moment. A store that is restored from a
+// copy gives out the revisions since then once more, in a new era.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_STANDINS_KINDOBJECTS_H
@@ -37,11 +38,16 @@
   /// Up to KindPageSize objects behind the name \p After.
   Json page(const std::string &Kind, const std::string &After,
             bool &More) const;
-  /// Changes of \p Kind after \p Revision; nothing when that history is gone.
+  /// Changes of \p Kind after \p Revision; nothing when that history is gone or
+  /// has not happened.
   std::optional<Json> changes(const std::string &Kind,
                               std::uint64_t Revision) const;
   void dropHistory();
+  /// Replaces everything by \p Copy, an earlier state of these objects.
+  void restore(const KindObjects &Copy);
   std::uint64_t revision() const { return Revision; }
+  /// Grows by one with each restore.
+  std::uint64_t era() const { return Era; }
 
 private:
   struct Event {
@@ -58,6 +64,7 @@
   /// The store had other users before.
   std::uint64_t Revision = 100;
   std::uint64_t HistoryFrom = 0; ///< Changes up to this one are forgotten.
+  std::uint64_t Era = 1;
 };
 
 } // namespace shallot::standins
--- a/standins/KindService.cpp
+++ b/standins/KindService.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view ObjectsPath = "/objects/";
+constexpr char EraHeader[] = "Store-Era";
 
 struct ModeName {
   std::string_view Text;
@@ -95,6 +96,11 @@
     W.Caller->close();
 }
 
+void KindService::restoreCopy() {
+  Objects.restore(Copy);
+  wake();
+}
+
 void KindService::setFaults(const KindFaults &F) {
   Faults = F;
   Waiters Struck;
@@ -107,18 +113,28 @@
 Result<void> KindService::control(const Json &Orders) {
   BOOST_LEAF_CHECK(
       checkFields(Orders, {"mode", "busy_kind", "slow_ms", "lose_write_replies",
-                           "drop_history", "remove"}));
+                           "hide_era", "drop_history", "take_copy",
+                           "restore_copy", "remove"}));
   KindFaults F = Faults;
   std::string Mode(textOf(F.Mode));
   bool Drop = false;
+  bool Take = false;
+  bool Restore = false;
   std::vector<std::string> Gone;
   BOOST_LEAF_CHECK(readField(Orders, "mode", Mode));
   BOOST_LEAF_CHECK(readField(Orders, "busy_kind", F.BusyKind));
   BOOST_LEAF_CHECK(readField(Orders, "slow_ms", F.SlowMs));
   BOOST_LEAF_CHECK(readField(Orders, "lose_write_replies", F.LoseWriteReplies));
+  BOOST_LEAF_CHECK(readField(Orders, "hide_era", F.HideEra));
   BOOST_LEAF_CHECK(readField(Orders, "drop_history", Drop));
+  BOOST_LEAF_CHECK(readField(Orders, "take_copy", Take));
+  BOOST_LEAF_CHECK(readField(Orders, "restore_copy", Restore));
   BOOST_LEAF_CHECK(readField(Orders, "remove", Gone));
   BOOST_LEAF_ASSIGN(F.Mode, modeOf(Mode));
+  if (Take)
+    takeCopy();
+  if (Restore)
+    restoreCopy();
   setFaults(F);
   if (Drop)
     dropHistory();
@@ -132,6 +148,8 @@
   WireReply R;
   R.Status = Status;
   R.Body = Body.dump();
+  if (!Faults.HideEra)
+    R.Headers.push_back({EraHeader, std::to_string(Objects.era())});
   if (Faults.SlowMs == 0)
     return C->reply(R);
   later(Io, Millis(Faults.SlowMs), [C, R] { C->reply(R); });
--- a/standins/KindService.h
+++ b/standins/KindService.h
@@ -2,8 +2,9 @@
 //
 // Lists, watches and writes of KindObjects in the users' wire form, with the
 // faults that their store is known for: down in three manners, slow, replies
-// that are lost after the write was done, history that is forgotten. Calls are
-// counted, since each is paid for.
+// that are lost after the write was done, history that is forgotten, a restore
+// from a copy that is some seconds old. Calls are counted, since each is paid
+// for.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_STANDINS_KINDSERVICE_H
@@ -31,6 +32,7 @@
   std::string BusyKind; ///< Calls for this kind alone are answered 503.
   unsigned SlowMs = 0;  ///< Added to each answer.
   unsigned LoseWriteReplies = 0;
+  bool HideEra = false; ///< Answers do not name the era, as in old versions.
 };
 
 class KindService {
@@ -42,6 +44,11 @@
   void remove(const std::string &Kind, const std::string &Name);
   /// Forgets the history and cuts the watches that wait.
   void dropHistory();
+  /// Keeps a copy for restoreCopy().
+  void takeCopy() { Copy = Objects; }
+  /// Returns to the copy, in the next era. Watches from revisions that it has
+  /// go on, the others are told that their history is gone.
+  void restoreCopy();
   /// Takes effect at once, also on calls that wait.
   void setFaults(const KindFaults &F);
   const KindFaults &faults() const { return Faults; }
@@ -73,6 +80,7 @@
 
   asio::io_context &Io;
   KindObjects Objects;
+  KindObjects Copy;
   KindFaults Faults;
   Waiters Waiting;
   std::uint64_t LastWaiter = 0;
--- a/tests/FakeKindStore.h
+++ b/tests/FakeKindStore.h
@@ -1,7 +1,7 @@
 //===- FakeKindStore.h - Objects with kinds, in virtual time ----*- C++ -*-===//
 //
 // A store that keeps revisions and history, with scripted troubles: calls that
-// fail, history that is dropped, replies that are behind.
+// fail, history that is dropped, replies that are behind, a restore from a copy.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
@@ -26,22 +26,29 @@
   unsigned Watches = 0;
 
   void put(const std::string &Name, int Value) {
-    KindObject O{Name, ++Revision, Value};
-    Objects[Name] = O;
-    History.push_back({O, false});
+    KindObject O{Name, ++State.Revision, Value};
+    State.Objects[Name] = O;
+    State.History.push_back({O, false});
     wake();
   }
   void remove(const std::string &Name) {
-    KindObject O = Objects.at(Name);
-    O.Revision = ++Revision;
-    Objects.erase(Name);
-    History.push_back({O, true});
+    KindObject O = State.Objects.at(Name);
+    O.Revision = ++State.Revision;
+    State.Objects.erase(Name);
+    State.History.push_back({O, true});
     wake();
   }
   /// Watches from before now fail.
   void forgetHistory() {
-    History.clear();
-    HistoryFrom = Revision;
+    State.History.clear();
+    State.HistoryFrom = State.Revision;
+  }
+  /// Keeps a copy for restoreCopy().
+  void takeCopy() { Copy = State; }
+  /// Returns to the copy and gives out the revisions since then once more.
+  void restoreCopy() {
+    State = Copy;
+    wake();
   }
   /// Runs between the pages of a list.
   std::function<void()> BetweenPages;
@@ -53,7 +60,8 @@
     if (Bad != ResultCode::Ok)
       return after(Millis(5), [=] { OnDone(Error{Bad, "scripted"}); });
     KindPage P;
-    P.Revision = Revision;
+    P.Revision = State.Revision;
+    const auto &Objects = State.Objects;
     for (auto At = After.empty() ? Objects.begin() : Objects.upper_bound(After);
          At != Objects.end(); ++At) {
       if (P.Objects.size() == PageSize) {
@@ -71,7 +79,7 @@
                  StoreCallback<KindChanges> OnDone) {
     ++Watches;
     ResultCode Bad = Trouble(true);
-    if (Bad == ResultCode::Ok && From < HistoryFrom)
+    if (Bad == ResultCode::Ok && lacksHistory(From))
       Bad = ResultCode::PlatformHistoryGone;
     if (Bad != ResultCode::Ok)
       return after(Millis(5), [=] { OnDone(Error{Bad, "scripted"}); });
@@ -94,14 +102,14 @@
   void answer(Waiter &W, bool Anyway) {
     if (!W.OnDone)
       return;
-    if (W.From < HistoryFrom) {
+    if (lacksHistory(W.From)) {
       // A watch that was waiting when its history went is cut, and told so.
       finish(W, Error{ResultCode::PlatformHistoryGone, "dropped"});
       return;
     }
     KindChanges C;
-    C.Revision = Revision;
-    for (const KindChange &One : History)
+    C.Revision = State.Revision;
+    for (const KindChange &One : State.History)
       if (One.Object.Revision > W.From)
         C.Changes.push_back(One);
     if (C.Changes.empty() && !Anyway)
@@ -114,10 +122,20 @@
     Done(Got);
   }
 
-  std::map<std::string, KindObject> Objects;
-  std::deque<KindChange> History;
-  std::uint64_t HistoryFrom = 0;
-  std::uint64_t Revision = 10;
+  struct StoreState {
+    std::map<std::string, KindObject> Objects;
+    std::deque<KindChange> History;
+    std::uint64_t HistoryFrom = 0;
+    std::uint64_t Revision = 10;
+  };
+
+  /// The history since \p From is gone, or has not happened.
+  bool lacksHistory(std::uint64_t From) const {
+    return From < State.HistoryFrom || From > State.Revision;
+  }
+
+  StoreState State;
+  StoreState Copy;
   std::vector<std::shared_ptr<Waiter>> Waiting;
 };
 
