--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -40,6 +40,13 @@
     TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 endforeach()
 
+# Real daemons and a store that comes back from a copy.
+add_test(NAME restored_store_daemons
+  COMMAND python3 ${CMAKE_CURRENT_LIST_DIR}/failure/restored_store.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(restored_store_daemons PROPERTIES LABELS failure
+  TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
 # The directory of real daemons that are stopped.
 add_test(NAME directory_until_the_end
   COMMAND python3
