--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -4,8 +4,8 @@
 // something may be served (AllowedRegions.h), time without a
 // clock (Time.h), numbered result codes (ResultCode.h), results (Result.h),
 // header lines (HttpHeader.h), the query of a URL (QueryText.h), hashing
-// (Hash.h), random numbers that are passed in (Random.h) and bounded rates
-// (TokenBucket.h).
+// (Hash.h), random numbers that are passed in (Random.h), bounded rates
+// (TokenBucket.h) and the order of a store's changes (StoreRevision.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_BASE_H
@@ -20,6 +20,7 @@
 #include "base/Random.h"
 #include "base/Result.h"
 #include "base/ResultCode.h"
+#include "base/StoreRevision.h"
 #include "base/Time.h"
 #include "base/TokenBucket.h"
 
--- a/packages/crashguard/QuarantineSync.h
+++ b/packages/crashguard/QuarantineSync.h
@@ -162,7 +162,7 @@
     if (W.Removes && Reply.Applied)
       return Table.remove(W.Record.Request, W.Revision);
     if (!Reply.Now)
-      return Table.remove(W.Record.Request, UINT64_MAX);
+      return Table.remove(W.Record.Request, W.Revision);
     // A malformed record counts as empty and is replaced by the next write.
     std::optional<SharedRecord> Stored = readShared(*Reply.Now);
     Table.put(Stored ? std::move(*Stored)
@@ -192,7 +192,7 @@
               {"standing",
                std::string(quarantineStateName(W.Record.quarantineState()))},
               {"trials", std::to_string(W.Record.Trials)},
-              {"revision", std::to_string(W.Revision)},
+              {"revision", W.Revision.str()},
               {"applied", Applied ? "yes" : "no"}});
   }
 
--- a/packages/crashguard/RecordDocument.cpp
+++ b/packages/crashguard/RecordDocument.cpp
@@ -29,7 +29,7 @@
   auto Content = Doc.find(ContentField);
   if (Content == Doc.end())
     return fail(ResultCode::MissingField, ContentField);
-  return KindObject{Name, Revision, *Content};
+  return KindObject{Name, {0, Revision}, *Content};
 }
 
 } // namespace
@@ -59,7 +59,8 @@
 std::string formatRecordSet(const RecordSet &P) {
   Json Records = Json::object();
   for (const auto &[Name, O] : P.Objects)
-    Records[Name] = {{RevisionField, O.Revision}, {ContentField, O.Content}};
+    Records[Name] = {{RevisionField, O.Revision.Number},
+                     {ContentField, O.Content}};
   return Json{{RevisionField, P.Revision}, {RecordsField, std::move(Records)}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/packages/crashguard/RecordDocument.h
+++ b/packages/crashguard/RecordDocument.h
@@ -95,13 +95,13 @@
   // The KindWriter interface. There is one kind, so its name is ignored.
 
   void writeObject(const std::string &, const std::string &Name,
-                   nlohmann::json Content, std::uint64_t Revision,
+                   nlohmann::json Content, StoreRevision Revision,
                    StoreCallback<KindWriteReply> Done) {
     edit({Name, Revision, std::move(Content), false, std::move(Done)},
          MaxTries);
   }
   void removeObject(const std::string &, const std::string &Name,
-                    std::uint64_t Revision,
+                    StoreRevision Revision,
                     StoreCallback<KindWriteReply> Done) {
     edit({Name, Revision, {}, true, std::move(Done)}, MaxTries);
   }
@@ -113,7 +113,8 @@
 
   struct Edit {
     std::string Name;
-    std::uint64_t Revision = 0; ///< Expected revision of the object; 0: absent.
+    /// Expected revision of the object; number 0: absent.
+    StoreRevision Revision;
     nlohmann::json Content;
     bool Removes = false;
     StoreCallback<KindWriteReply> Done;
@@ -135,7 +136,7 @@
 
   bool hasExpectedRevision(const Edit &E) const {
     std::optional<KindObject> Now = object(E.Name);
-    return (Now ? Now->Revision : 0) == E.Revision;
+    return (Now ? Now->Revision : StoreRevision()) == E.Revision;
   }
 
   RecordSet withEdit(const Edit &E) const {
@@ -144,7 +145,7 @@
     if (E.Removes)
       Next.Objects.erase(E.Name);
     else
-      Next.Objects[E.Name] = {E.Name, Next.Revision, E.Content};
+      Next.Objects[E.Name] = {E.Name, {0, Next.Revision}, E.Content};
     return Next;
   }
 
--- a/packages/daemon/QuarantineLink.cpp
+++ b/packages/daemon/QuarantineLink.cpp
@@ -119,7 +119,7 @@
   logEvent(LogLevel::Info, "quarantine_listed",
            {{"count", std::to_string(All.size())},
             {"revision", std::to_string(Page.Revision)}});
-  Gate.table().replaceAll(All, Page.Revision);
+  Gate.table().replaceAll(All, {0, Page.Revision});
 }
 
 } // namespace shallot
--- a/packages/fleet/GossipMessage.cpp
+++ b/packages/fleet/GossipMessage.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t UpdateNumberBytes = 6 * WordBytes;
 
 /// Numeric fields of a message: kind, sequence, the target's incarnation and
-/// address, generation, head, buckets and two revisions.
-constexpr std::size_t MessageNumberBytes = 8 * WordBytes;
+/// address, generation, head, buckets, two revisions and three epochs.
+constexpr std::size_t MessageNumberBytes = 11 * WordBytes;
 /// Pointers to the sender, digests, updates and the root, the tag of the list
 /// of updates, and the segment table.
 constexpr std::size_t MessagePointerBytes = 6 * WordBytes;
--- a/packages/fleet/GossipMessage.h
+++ b/packages/fleet/GossipMessage.h
@@ -62,8 +62,9 @@
 /// The revisions that a daemon has read of the objects that the store holds
 /// besides the configuration.
 struct StoreRevisions {
-  std::uint64_t Quarantine = 0; ///< Of the requests that crash replicas.
-  std::uint64_t Evacuations = 0;
+  std::uint64_t HeadEpoch = 0; ///< Of GossipMessage::ConfigHead, if a revision.
+  StoreRevision Quarantine;    ///< Of the requests that crash replicas.
+  StoreRevision Evacuations;
 
   friend bool operator==(const StoreRevisions &,
                          const StoreRevisions &) = default;
@@ -81,8 +82,9 @@
   Endpoint TargetGossip;
   /// The configuration in force at the sender.
   std::uint64_t ConfigGeneration = 0;
-  std::uint64_t ConfigHead = 0; ///< Hash of the configuration head.
-  StoreRevisions Revisions;     ///< Read by the sender.
+  /// Hash of the configuration head, or a revision's number.
+  std::uint64_t ConfigHead = 0;
+  StoreRevisions Revisions; ///< Read by the sender.
   /// SyncReply: buckets that differ, requested in return. SyncPush: buckets
   /// sent.
   std::uint64_t Buckets = 0;
--- a/packages/front/FeedReplyCache.h
+++ b/packages/front/FeedReplyCache.h
@@ -29,8 +29,8 @@
 struct FeedReplyKey {
   std::string Kind;
   std::string After;                  ///< Start of a page.
-  std::optional<std::uint64_t> Since; ///< Start of changes.
-  std::uint64_t Revision = 0;         ///< Newest revision covered.
+  std::optional<StoreRevision> Since; ///< Start of changes.
+  StoreRevision Revision;             ///< Newest revision covered.
 
   friend auto operator<=>(const FeedReplyKey &, const FeedReplyKey &) = default;
 };
--- a/packages/front/FeedServer.cpp
+++ b/packages/front/FeedServer.cpp
@@ -3,6 +3,8 @@
 
 #include "front/FeedSources.h"
 
+#include <fmt/format.h>
+
 namespace shallot {
 
 namespace {
@@ -63,15 +65,24 @@
 bool FeedServer::tryReplyChanges(const PendingRequest &W,
                                  const KindCache &Cache, bool Force) {
   const FeedRequest &Q = W.Request;
-  if (!Cache.keepsSince(*Q.Since)) {
+  std::uint64_t Epoch = Cache.revision().Epoch;
+  StoreRevision Since{Q.Epoch.value_or(Epoch), *Q.Since};
+  if (Since.Epoch > Epoch) {
+    W.Answer.reply(problemReply(
+        ResultCode::NotReady, fmt::format("epoch {} was requested, but epoch "
+                                          "{} has been read; ask another peer",
+                                          Since.Epoch, Epoch)));
+    return true;
+  }
+  if (!Cache.keepsSince(Since)) {
     W.Answer.reply(problemReply(ResultCode::PlatformHistoryGone, Q.Kind));
     return true;
   }
-  if (Cache.lastChange() <= *Q.Since && !Force)
+  if (Cache.lastChange() <= Since && !Force)
     return false;
-  FeedReplyKey Key{Q.Kind, {}, Q.Since, Cache.revision()};
+  FeedReplyKey Key{Q.Kind, {}, Since, Cache.revision()};
   sendReply(W, Key, [&] {
-    KindChanges C = *Cache.since(*Q.Since);
+    KindChanges C = *Cache.since(Since);
     C.Age = Age(Q.Kind);
     return writeChanges(C);
   });
--- a/packages/front/FeedServer.h
+++ b/packages/front/FeedServer.h
@@ -5,7 +5,9 @@
 // but only while the data of this daemon is fresh: a daemon that lost the store
 // replies immediately, so that its peers switch to another source. A peer that
 // serves others also gets a reply without changes whenever the store has
-// answered, because it must know how old its data is.
+// answered, because it must know how old its data is. When the store was
+// restored, peers that wait for changes of the earlier epoch are told at once
+// to list again.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FEEDSERVER_H
--- a/packages/front/FeedWire.cpp
+++ b/packages/front/FeedWire.cpp
@@ -35,20 +35,34 @@
 }
 
 Json objectJson(const KindObject &O) {
-  return {{"name", O.Name}, {"revision", O.Revision}, {"content", O.Content}};
+  return {{"name", O.Name},
+          {"revision", O.Revision.Number},
+          {"content", O.Content}};
 }
 
-Result<KindObject> readObject(const Json &Doc) {
+/// \p Epoch is that of the reply; all objects in it are of the same.
+Result<KindObject> readObject(const Json &Doc, std::uint64_t Epoch) {
   BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "object"));
   KindObject O;
   BOOST_LEAF_ASSIGN(O.Name, F.string("name"));
-  BOOST_LEAF_ASSIGN(O.Revision, F.integer("revision", 0, UINT64_MAX));
+  BOOST_LEAF_AUTO(Number, F.integer("revision", 0, UINT64_MAX));
+  O.Revision = {Epoch, Number};
   if (!Doc.contains("content"))
     return fail(ResultCode::MissingField, "object: content");
   O.Content = Doc["content"];
   return O;
 }
 
+/// Revision of a whole reply.
+Result<StoreRevision> readRevision(JsonFields &F) {
+  std::uint64_t Epoch = 0;
+  if (F.has("epoch")) {
+    BOOST_LEAF_ASSIGN(Epoch, F.integer("epoch", 0, UINT64_MAX));
+  }
+  BOOST_LEAF_AUTO(Number, F.integer("revision", 0, UINT64_MAX));
+  return StoreRevision(Epoch, Number);
+}
+
 Result<Duration> readAge(JsonFields &F) {
   BOOST_LEAF_AUTO(Ms, F.number("age_ms", 0, double(MaxAgeMs)));
   return fromMillisF(Ms);
@@ -58,13 +72,13 @@
   BOOST_LEAF_AUTO(Doc, parseJson(Body, "a page", ReplyLimits));
   BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "page"));
   KindPage P;
+  BOOST_LEAF_ASSIGN(P.Revision, readRevision(F));
   BOOST_LEAF_AUTO(Objects, F.array("objects"));
   for (const Json &Item : *Objects) {
-    BOOST_LEAF_AUTO(O, readObject(Item));
+    BOOST_LEAF_AUTO(O, readObject(Item, P.Revision.Epoch));
     P.Objects.push_back(std::move(O));
   }
   BOOST_LEAF_ASSIGN(P.More, F.boolean("more"));
-  BOOST_LEAF_ASSIGN(P.Revision, F.integer("revision", 0, UINT64_MAX));
   BOOST_LEAF_ASSIGN(P.Age, readAge(F));
   return P;
 }
@@ -73,16 +87,16 @@
   BOOST_LEAF_AUTO(Doc, parseJson(Body, "changes", ReplyLimits));
   BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "changes"));
   KindChanges C;
+  BOOST_LEAF_ASSIGN(C.Revision, readRevision(F));
   BOOST_LEAF_AUTO(List, F.array("changes"));
   for (const Json &Item : *List) {
     BOOST_LEAF_AUTO(I, JsonFields::open(Item, "change"));
     BOOST_LEAF_AUTO(ObjectDoc, I.object("object"));
     KindChange One;
-    BOOST_LEAF_ASSIGN(One.Object, readObject(*ObjectDoc));
+    BOOST_LEAF_ASSIGN(One.Object, readObject(*ObjectDoc, C.Revision.Epoch));
     BOOST_LEAF_ASSIGN(One.Removed, I.boolean("removed"));
     C.Changes.push_back(std::move(One));
   }
-  BOOST_LEAF_ASSIGN(C.Revision, F.integer("revision", 0, UINT64_MAX));
   BOOST_LEAF_ASSIGN(C.Age, readAge(F));
   return C;
 }
@@ -122,6 +136,8 @@
 std::string feedTarget(const FeedRequest &Q) {
   std::string What = Q.Since ? fmt::format("since={}", *Q.Since)
                              : "after=" + percentEncoded(Q.After);
+  if (Q.Epoch)
+    What += fmt::format("&epoch={}", *Q.Epoch);
   return fmt::format("{}{}?{}&wait_ms={}{}", PathPrefix, Q.Kind, What,
                      toMillis(Q.Wait), Q.Relays ? "&relays=1" : "");
 }
@@ -134,6 +150,7 @@
   Q.Kind = std::string(Path.substr(PathPrefix.size()));
   Q.After = queryParameter(Query, "after").value_or("");
   Q.Since = parseNumber(queryParameter(Query, "since"));
+  Q.Epoch = parseNumber(queryParameter(Query, "epoch"));
   auto WaitMs = parseNumber(queryParameter(Query, "wait_ms")).value_or(0);
   Q.Wait = Millis(std::min(WaitMs, MaxWaitMs));
   Q.Relays = queryParameter(Query, "relays") == "1";
@@ -149,7 +166,8 @@
 std::string writePage(const KindPage &P) {
   Json Doc{{"objects", Json::array()},
            {"more", P.More},
-           {"revision", P.Revision},
+           {"revision", P.Revision.Number},
+           {"epoch", P.Revision.Epoch},
            {"age_ms", toMillisF(P.Age)}};
   for (const KindObject &O : P.Objects)
     Doc["objects"].push_back(objectJson(O));
@@ -158,7 +176,8 @@
 
 std::string writeChanges(const KindChanges &C) {
   Json Doc{{"changes", Json::array()},
-           {"revision", C.Revision},
+           {"revision", C.Revision.Number},
+           {"epoch", C.Revision.Epoch},
            {"age_ms", toMillisF(C.Age)}};
   for (const KindChange &One : C.Changes)
     Doc["changes"].push_back(
--- a/packages/front/FeedWire.h
+++ b/packages/front/FeedWire.h
@@ -3,14 +3,20 @@
 // GET /feed/KIND?after=NAME&wait_ms=N  a page of objects, once the peer has
 //                                      read any
 // GET /feed/KIND?since=REV&wait_ms=N   changes after REV, once there are any
+//   &epoch=E                           the epoch that REV is of
 //   &relays=1                          also without changes, whenever the
 //                                      store has answered the peer
 //
 // The format is JSON because objects are JSON in the store and are relayed
-// unchanged. Status 503: nothing has been read yet; 410: that history is no
-// longer available, so the client must list again. The age of the data is in
-// the header Feed-Age-Ms, since a body may have been created for another peer,
-// and also in the body for peers that do not know the header.
+// unchanged. Status 503: nothing has been read yet, or only data of an earlier
+// epoch; 410: that history is no longer available, so the client must list
+// again. The age of the data is in the header Feed-Age-Ms, since a body may
+// have been created for another peer, and also in the body for peers that do
+// not know the header.
+//
+// Versions without epochs name none. A request without one is taken for one of
+// the server's epoch, because an older client that is told to list again would
+// send the same request right after it. A reply without one is of epoch 0.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FEEDWIRE_H
@@ -24,7 +30,8 @@
 struct FeedRequest {
   std::string Kind;
   std::string After;                  ///< For a list.
-  std::optional<std::uint64_t> Since; ///< For a watch.
+  std::optional<std::uint64_t> Since; ///< For a watch: number of a revision.
+  std::optional<std::uint64_t> Epoch; ///< For a watch: epoch of Since.
   Duration Wait{};
   /// Other daemons read from the requester, so it must know how old its data
   /// is.
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -12,13 +12,15 @@
 namespace {
 
 ReadRevisions readRevisionsOf(const PeerConfig &P) {
-  return {P.Generation, P.Head, P.Revisions.Quarantine,
+  return {P.Generation,
+          {P.Revisions.HeadEpoch, P.Head},
+          P.Revisions.Quarantine,
           P.Revisions.Evacuations};
 }
 
-constexpr std::array RevisionFields = {
-    &ReadRevisions::ConfigVersion, &ReadRevisions::ReplicaRevision,
-    &ReadRevisions::QuarantineRevision, &ReadRevisions::EvacuationRevision};
+constexpr std::array RevisionFields = {&ReadRevisions::Replicas,
+                                       &ReadRevisions::Quarantine,
+                                       &ReadRevisions::Evacuations};
 
 /// Seeds are HTTP addresses; all daemons of a deployment use the same port for
 /// gossip.
@@ -169,30 +171,29 @@
 }
 
 void FleetLink::publishRevisions() {
-  Members.setConfig(Announced.ConfigVersion, Announced.ReplicaRevision);
+  Members.setConfig(Announced.ConfigVersion, Announced.Replicas.Number);
   Members.setRevisions(
-      {Announced.QuarantineRevision, Announced.EvacuationRevision});
+      {Announced.Replicas.Epoch, Announced.Quarantine, Announced.Evacuations});
 }
 
 ReadRevisions FleetLink::newestPeerRevisions() const {
   ReadRevisions Most;
   for (const PeerConfig &P : Members.peerConfigs()) {
     ReadRevisions Its = readRevisionsOf(P);
-    for (std::uint64_t ReadRevisions::*Field : RevisionFields)
+    Most.ConfigVersion = std::max(Most.ConfigVersion, Its.ConfigVersion);
+    for (StoreRevision ReadRevisions::*Field : RevisionFields)
       Most.*Field = std::max(Most.*Field, Its.*Field);
   }
   return Most;
 }
 
-std::optional<PeerAhead>
-FleetLink::findPeerAhead(const ReadRevisions &S) const {
+std::optional<PeerAhead> FleetLink::findPeerAhead(
+    const std::function<bool(const ReadRevisions &)> &IsAhead) const {
   std::vector<PeerAhead> Near;
   std::vector<PeerAhead> Far;
   for (const PeerConfig &P : Members.peerConfigs()) {
     ReadRevisions Its = readRevisionsOf(P);
-    bool Further = std::ranges::any_of(
-        RevisionFields, [&](auto Field) { return Its.*Field > S.*Field; });
-    if (!Further)
+    if (!IsAhead(Its))
       continue;
     for (const Member &M : view().Members)
       if (M.Id == P.Who && M.State == MemberState::Alive)
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -18,12 +18,12 @@
 
 namespace shallot {
 
-/// Store revisions that a daemon has read.
+/// What a daemon has read from the store.
 struct ReadRevisions {
-  std::uint64_t ConfigVersion = 0;
-  std::uint64_t ReplicaRevision = 0;
-  std::uint64_t QuarantineRevision = 0;
-  std::uint64_t EvacuationRevision = 0;
+  std::uint64_t ConfigVersion = 0; ///< The operator's number.
+  StoreRevision Replicas;
+  StoreRevision Quarantine;
+  StoreRevision Evacuations;
 
   friend bool operator==(const ReadRevisions &,
                          const ReadRevisions &) = default;
@@ -74,10 +74,11 @@
   const GossipSocketStats &traffic() const { return Socket->stats(); }
   /// Newest revision of each kind that any live peer has read.
   ReadRevisions newestPeerRevisions() const;
-  /// A live peer that has read more than \p S, if any: from this region if
-  /// possible, and chosen at random, so that the daemons of a fleet that is
+  /// A live peer whose revisions \p IsAhead accepts, if any: from this region
+  /// if possible, and chosen at random, so that the daemons of a fleet that is
   /// behind do not all call the same one.
-  std::optional<PeerAhead> findPeerAhead(const ReadRevisions &S) const;
+  std::optional<PeerAhead> findPeerAhead(
+      const std::function<bool(const ReadRevisions &)> &IsAhead) const;
 
 private:
   FleetLink(EventLoop &Loop, const FrontSettings &Set, Random &Rng,
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -2,7 +2,9 @@
 //
 // Proxy between the KindWatch of one kind and the store: each call goes to the
 // source that FeedSources selects at that moment. All sources use the revisions
-// of the store, so nothing is lost when the source changes.
+// of the store, so nothing is lost when the source changes. A reply of an
+// earlier epoch than was read before fails: it is late, or its source has not
+// noticed that the store was restored.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_RELAYEDSTORE_H
@@ -13,6 +15,7 @@
 #include "front/FeedWire.h"
 #include "shallotshift/telemetry.h"
 
+#include <fmt/format.h>
 #include <optional>
 
 namespace shallot {
@@ -38,7 +41,7 @@
 /// A store whose calls can be inspected and cancelled while they run.
 template <typename S>
 concept CallableStore = KindStore<S> &&
-    requires(S &Store, std::string Text, std::uint64_t Revision, Duration Wait,
+    requires(S &Store, std::string Text, StoreRevision Revision, Duration Wait,
              StoreCallback<KindPage> OnPage,
              StoreCallback<KindChanges> OnChanges, HttpClient::TransferId Id) {
   { Store.list(Text, Text, OnPage) } -> std::same_as<HttpClient::TransferId>;
@@ -83,7 +86,7 @@
         [Done = std::move(Done)](const HttpReply &R) { Done(readPage(R)); });
   }
 
-  void watchKind(const std::string &Kind, std::uint64_t Revision, Duration Wait,
+  void watchKind(const std::string &Kind, StoreRevision Revision, Duration Wait,
                  StoreCallback<KindChanges> OnDone) {
     cancelCurrentCall(Kind);
     FeedSource Source = chooseSource(Kind, true);
@@ -102,7 +105,9 @@
     }
     FeedRequest Q;
     Q.Kind = Kind;
-    Q.Since = Revision;
+    Q.Since = Revision.Number;
+    if (Revision.Epoch != 0)
+      Q.Epoch = Revision.Epoch;
     Q.Wait = Sources.watchesStore() ? WatcherPeerWait : PeerWait;
     Q.Relays = Sources.relays();
     callPeer(
@@ -112,6 +117,8 @@
 
   /// True when the source of the last call may be unavailable.
   bool lost() const { return Last && Sources.lost(*Last); }
+  /// True when the last call was made to the store itself.
+  bool direct() const { return Last && Last->direct(); }
   /// True when part of a reply arrived within the last \p D. Such a call is not
   /// cancelled for another one: the transfer would start over.
   bool receivedWithin(Duration D) const {
@@ -129,8 +136,17 @@
     return Source;
   }
 
+  /// Returns whether the reply is fresh. Replaces one of an earlier epoch by an
+  /// error.
   template <typename T>
   bool recordResult(const FeedSource &Source, Attempt<T> &Got) {
+    if (Got && Got->Revision.Epoch < Epoch)
+      Got = Error{Source.direct() ? ResultCode::PlatformBadReply
+                                  : ResultCode::PeerUnreachable,
+                  fmt::format("reply of epoch {}, but epoch {} was read before",
+                              Got->Revision.Epoch, Epoch)};
+    if (Got)
+      Epoch = Got->Revision.Epoch;
     bool HistoryGone =
         !Got && Got.error().Code == ResultCode::PlatformHistoryGone;
     bool Fresh = HistoryGone || (Got && Got->Age <= MaxFeedAge);
@@ -186,6 +202,7 @@
   Random &Rng;
   Metrics &Meter;
   bool Listed = false;
+  std::uint64_t Epoch = 0;        ///< Of the last reply.
   std::optional<FeedSource> Last; ///< Source of the latest call.
   HttpClient::TransferId Call = 0;
 };
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -158,15 +158,36 @@
                              ? D.fleet().newestPeerRevisions()
                              : ReadRevisions();
     Duration Period = FeedTick * CompareEvery;
-    Configs.switchIfBehind(Mine, Most, &ReadRevisions::ConfigVersion, false,
-                           Period);
-    Replicas.switchIfBehind(Mine, Most, &ReadRevisions::ReplicaRevision, true,
-                            Period);
-    Records.switchIfBehind(Mine, Most, &ReadRevisions::QuarantineRevision, true,
-                           Period);
+    Configs.switchIfBehind(
+        Mine, Most,
+        [](const ReadRevisions &R) {
+          return StoreRevision(0, R.ConfigVersion);
+        },
+        false, Period);
+    Replicas.switchIfBehind(
+        Mine, Most, [](const ReadRevisions &R) { return R.Replicas; }, true,
+        Period);
+    Records.switchIfBehind(
+        Mine, Most, [](const ReadRevisions &R) { return R.Quarantine; }, true,
+        Period);
     if (!Schema.EvacuationKind.empty())
-      Evacuations.switchIfBehind(Mine, Most, &ReadRevisions::EvacuationRevision,
-                                 true, Period);
+      Evacuations.switchIfBehind(
+          Mine, Most, [](const ReadRevisions &R) { return R.Evacuations; },
+          true, Period);
+  }
+
+  /// Other watches may wait seconds for changes after a revision that the store
+  /// no longer has.
+  void restored(std::string_view What, StoreRevision Listed,
+                StoreRevision Read) {
+    logEvent(LogLevel::Warn, "store_restored",
+             {{"watch", std::string(What)},
+              {"listed", Listed.str()},
+              {"read", Read.str()}});
+    Loop.post([this, Epoch = Listed.Epoch] {
+      for (const NamedKind &K : Kinds)
+        K.Objects->onRestored(Epoch);
+    });
   }
 
   void fleetChanged() {
@@ -224,9 +245,12 @@
       logStoreRegained("config");
       renewFailedWatches();
     };
-    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
       logListOutdated("config", Listed, Read);
     };
+    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
+      restored("config", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.ConfigKind); };
     return H;
   }
@@ -247,9 +271,12 @@
       D.replicas().storeRecovered(Loop.now());
       renewFailedWatches();
     };
-    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
       logListOutdated("replicas", Listed, Read);
     };
+    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
+      restored("replicas", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.ReplicaKind); };
     return H;
   }
@@ -265,9 +292,12 @@
       logStoreRegained("quarantine");
       Sync.pump();
     };
-    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
       logListOutdated("quarantine", Listed, Read);
     };
+    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
+      restored("quarantine", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.QuarantineKind); };
     return H;
   }
@@ -280,9 +310,12 @@
     H.Changed = [this](const KindChange &C) { Entries.applyEvacuation(C); };
     H.Away = [](const Error &Why) { logStoreLost("evacuations", Why); };
     H.Back = [] { logStoreRegained("evacuations"); };
-    H.Outdated = [](std::uint64_t Listed, std::uint64_t Read) {
+    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
       logListOutdated("evacuations", Listed, Read);
     };
+    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
+      restored("evacuations", Listed, Read);
+    };
     H.Advanced = [this] { Server.advanced(Schema.EvacuationKind); };
     return H;
   }
@@ -309,7 +342,7 @@
         All.push_back(std::move(*R));
     logEvent(LogLevel::Info, "quarantine_listed",
              {{"count", std::to_string(All.size())},
-              {"revision", std::to_string(Records.watch().revision())}});
+              {"revision", Records.watch().revision().str()}});
     D.quarantine().table().replaceAll(All, Records.watch().revision());
     Sync.pump();
   }
@@ -328,7 +361,7 @@
                {{"fingerprint", Name->str()},
                 {"standing", std::string(quarantineStateName(
                                  Table.quarantineState(*Name)))},
-                {"revision", std::to_string(C.Object.Revision)}});
+                {"revision", C.Object.Revision.str()}});
   }
 
   static void logStoreLost(std::string_view What, const Error &Why) {
@@ -342,12 +375,12 @@
     logEvent(LogLevel::Info, "store_regained", {{"watch", std::string(What)}});
   }
 
-  static void logListOutdated(std::string_view What, std::uint64_t Listed,
-                              std::uint64_t Read) {
+  static void logListOutdated(std::string_view What, StoreRevision Listed,
+                              StoreRevision Read) {
     logEvent(LogLevel::Warn, "list_outdated",
              {{"watch", std::string(What)},
-              {"listed", std::to_string(Listed)},
-              {"read", std::to_string(Read)}});
+              {"listed", Listed.str()},
+              {"read", Read.str()}});
   }
 
   EventLoop &Loop;
--- a/packages/front/StoreObjectApplier.cpp
+++ b/packages/front/StoreObjectApplier.cpp
@@ -15,7 +15,7 @@
 void logUnreadable(const KindObject &O, const Error &Why) {
   logEvent(LogLevel::Error, "object_unreadable",
            {{"object", loggedName(O)},
-            {"revision", std::to_string(O.Revision)},
+            {"revision", O.Revision.str()},
             {"code", codeLabel(Why.Code)},
             {"why", Why.Detail}});
 }
@@ -42,23 +42,23 @@
 }
 
 void StoreObjectApplier::applyReplicaList(const std::vector<KindObject> &Now,
-                                          std::uint64_t Revision) {
+                                          StoreRevision Revision) {
   std::vector<ReplicaEntry> Entries;
   for (const KindObject &O : Now)
     if (auto E = read(O))
       Entries.push_back(std::move(*E));
   logEvent(LogLevel::Info, "replicas_listed",
            {{"count", std::to_string(Entries.size())},
-            {"revision", std::to_string(Revision)}});
+            {"revision", Revision.str()}});
   D.replicas().replaceAll(std::move(Entries), Loop.now());
   D.replicasListed();
 }
 
 void StoreObjectApplier::applyReplica(const KindChange &C) {
   if (C.Removed) {
-    logEvent(LogLevel::Info, "replica_vanished",
-             {{"replica", C.Object.Name},
-              {"revision", std::to_string(C.Object.Revision)}});
+    logEvent(
+        LogLevel::Info, "replica_vanished",
+        {{"replica", C.Object.Name}, {"revision", C.Object.Revision.str()}});
     D.replicas().remove(UpstreamId(C.Object.Name), Loop.now());
     return;
   }
@@ -74,18 +74,18 @@
             {"address", E->At.str()},
             {"started_unix_ms", std::to_string(E->StartedUnixMs)},
             {"warmup_ms", std::to_string(toMillis(E->WarmupLeft))},
-            {"revision", std::to_string(C.Object.Revision)}});
+            {"revision", C.Object.Revision.str()}});
   D.replicas().put(std::move(*E), Loop.now());
 }
 
 void StoreObjectApplier::applyEvacuationList(const std::vector<KindObject> &Now,
-                                             std::uint64_t Revision) {
+                                             StoreRevision Revision) {
   Evacuated.clear();
   for (const KindObject &O : Now)
     Evacuated.insert(AvailabilityZone(O.Name));
   logEvent(LogLevel::Info, "evacuations_listed",
            {{"count", std::to_string(Evacuated.size())},
-            {"revision", std::to_string(Revision)}});
+            {"revision", Revision.str()}});
   D.evacuate(Evacuated);
 }
 
@@ -96,7 +96,7 @@
            C.Removed ? "evacuation_ended" : "evacuation_begun",
            {{"zone", loggedName(C.Object)},
             {"known", Known ? "yes" : "no"},
-            {"revision", std::to_string(C.Object.Revision)}});
+            {"revision", C.Object.Revision.str()}});
   if (C.Removed)
     Evacuated.erase(Zone);
   else
--- a/packages/front/StoreObjectApplier.h
+++ b/packages/front/StoreObjectApplier.h
@@ -40,11 +40,11 @@
   void applyConfig(const KindObject &O);
   /// Replaces all replicas with the registrations listed at \p Revision.
   void applyReplicaList(const std::vector<KindObject> &Now,
-                        std::uint64_t Revision);
+                        StoreRevision Revision);
   void applyReplica(const KindChange &C);
   /// Replaces all evacuations with those listed at \p Revision.
   void applyEvacuationList(const std::vector<KindObject> &Now,
-                           std::uint64_t Revision);
+                           StoreRevision Revision);
   void applyEvacuation(const KindChange &C);
 
 private:
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -17,6 +17,9 @@
 
 namespace shallot {
 
+/// The part of what a daemon has read that concerns one kind.
+using RevisionOf = StoreRevision (*)(const ReadRevisions &);
+
 template <CallableStore Store> class WatchedKind {
 public:
   /// \p Label is the kind's name in logs.
@@ -52,9 +55,18 @@
       Objects.renew();
   }
 
+  /// Called when another watch found that the store was restored and is now in
+  /// \p Epoch. Reads from the store anew instead of waiting for the end of the
+  /// pending call. Peers tell of the restore themselves.
+  void onRestored(std::uint64_t Epoch) {
+    if (Objects.listed() && Objects.revision().Epoch < Epoch &&
+        Source.direct() && !Source.receivedWithin(CatchUpTimeout))
+      Objects.relist();
+  }
+
   /// Guards against a source that no longer receives updates without noticing.
   /// Membership messages carry the revision that their sender has read
-  /// (\p Field); a daemon that is behind and receives nothing (CatchUp)
+  /// (\p Of); a daemon that is behind and receives nothing (CatchUp)
   /// switches to a peer that is ahead. Call this once every \p Period, with the
   /// revisions that this daemon has read and the newest ones that any of its
   /// peers has read.
@@ -63,35 +75,29 @@
   /// only infers from a list. With \p Once, each revision of a peer is
   /// therefore requested only once; without it, until this daemon has it.
   void switchIfBehind(const ReadRevisions &Mine, const ReadRevisions &Most,
-                      std::uint64_t ReadRevisions::*Field, bool Once,
-                      Duration Period) {
-    std::uint64_t Read = Mine.*Field;
-    std::uint64_t Known = Once ? std::max(Read, NewestRequested) : Read;
+                      RevisionOf Of, bool Once, Duration Period) {
+    StoreRevision Read = Of(Mine);
+    StoreRevision Known = Once ? std::max(Read, NewestRequested) : Read;
     bool Progressing = Read != std::exchange(PreviousRead, Read) ||
                        Source.receivedWithin(Period);
-    if (Behind.shouldSwitch(Most.*Field > Known, Progressing, Loop.now()))
-      switchToPeerAhead(Field, Known);
+    if (Behind.shouldSwitch(Of(Most) > Known, Progressing, Loop.now()))
+      switchToPeerAhead(Of, Known);
   }
 
 private:
-  /// Greater than or equal to every revision, so no peer is ahead of it.
-  static constexpr std::uint64_t NeverAhead = UINT64_MAX;
-
-  void switchToPeerAhead(std::uint64_t ReadRevisions::*Field,
-                         std::uint64_t Known) {
-    ReadRevisions Wanted{NeverAhead, NeverAhead, NeverAhead};
-    Wanted.*Field = Known;
-    std::optional<PeerAhead> Ahead = D.fleet().findPeerAhead(Wanted);
+  void switchToPeerAhead(RevisionOf Of, StoreRevision Known) {
+    std::optional<PeerAhead> Ahead = D.fleet().findPeerAhead(
+        [&](const ReadRevisions &Its) { return Of(Its) > Known; });
     if (!Ahead)
       return;
-    std::uint64_t Theirs = Ahead->Read.*Field;
+    StoreRevision Theirs = Of(Ahead->Read);
     NewestRequested = std::max(Known, Theirs);
     logEvent(LogLevel::Info, "peer_has_read_more",
              {{"peer", Ahead->Peer.Id.str()},
               {"watch", Label},
-              {"mine", std::to_string(Known)},
-              {"revision", std::to_string(Objects.revision())},
-              {"its", std::to_string(Theirs)}});
+              {"mine", Known.str()},
+              {"revision", Objects.revision().str()},
+              {"its", Theirs.str()}});
     sources().prefer(Ahead->Peer);
     Objects.renew();
   }
@@ -102,9 +108,9 @@
   RelayedStore<Store> Source;
   KindWatch<RelayedStore<Store>, EventLoop> Objects;
   CatchUp Behind;
-  std::uint64_t PreviousRead = 0; ///< Revision at the last comparison.
+  StoreRevision PreviousRead; ///< Revision at the last comparison.
   /// Newest revision that was requested from a peer.
-  std::uint64_t NewestRequested = 0;
+  StoreRevision NewestRequested;
 };
 
 } // namespace shallot
--- a/packages/peer/GossipCodec.cpp
+++ b/packages/peer/GossipCodec.cpp
@@ -93,8 +93,11 @@
   To.setTargetPort(M.TargetGossip.Port);
   To.setConfigGeneration(M.ConfigGeneration);
   To.setConfigHead(M.ConfigHead);
-  To.setQuarantineRevision(M.Revisions.Quarantine);
-  To.setEvacuationRevision(M.Revisions.Evacuations);
+  To.setHeadEpoch(M.Revisions.HeadEpoch);
+  To.setQuarantineRevision(M.Revisions.Quarantine.Number);
+  To.setQuarantineEpoch(M.Revisions.Quarantine.Epoch);
+  To.setEvacuationRevision(M.Revisions.Evacuations.Number);
+  To.setEvacuationEpoch(M.Revisions.Evacuations.Epoch);
   To.setBuckets(M.Buckets);
   if (!M.Digests.empty())
     To.setDigests(
@@ -115,7 +118,9 @@
   M.TargetGossip = endpoint(From.getTargetIp(), From.getTargetPort());
   M.ConfigGeneration = From.getConfigGeneration();
   M.ConfigHead = From.getConfigHead();
-  M.Revisions = {From.getQuarantineRevision(), From.getEvacuationRevision()};
+  M.Revisions = {From.getHeadEpoch(),
+                 {From.getQuarantineEpoch(), From.getQuarantineRevision()},
+                 {From.getEvacuationEpoch(), From.getEvacuationRevision()}};
   M.Buckets = From.getBuckets();
   // Lengths are checked before anything is allocated for them: a list of
   // nothings of any length fits into a few bytes.
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -142,4 +142,8 @@
   updates @11 :List(GossipMember);
   quarantineRevision @12 :UInt64;
   evacuationRevision @13 :UInt64;
+  # Epochs of configHead and the two revisions; 0 from versions without them.
+  headEpoch @14 :UInt64;
+  quarantineEpoch @15 :UInt64;
+  evacuationEpoch @16 :UInt64;
 }
--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -130,7 +130,7 @@
 }
 
 void Quarantine::replaceAll(const std::vector<SharedRecord> &Now,
-                            std::uint64_t Revision) {
+                            StoreRevision Revision) {
   std::set<RequestFingerprint> Kept;
   for (const SharedRecord &S : Now)
     Kept.insert(S.Record.Request);
@@ -156,7 +156,7 @@
   refreshEntry(At);
 }
 
-void Quarantine::remove(const RequestFingerprint &R, std::uint64_t Revision) {
+void Quarantine::remove(const RequestFingerprint &R, StoreRevision Revision) {
   auto At = Entries.find(R);
   if (At == Entries.end())
     return;
@@ -194,7 +194,8 @@
     return QuarantineWrite{E.Shared->Record, E.Shared->Revision, true};
   if (!E.Shared && SharedCount >= MaxSharedRecords)
     return evictionWrite();
-  return QuarantineWrite{recordToWrite(E), E.Shared ? E.Shared->Revision : 0};
+  return QuarantineWrite{recordToWrite(E),
+                         E.Shared ? E.Shared->Revision : StoreRevision()};
 }
 
 std::optional<QuarantineWrite>
@@ -207,7 +208,8 @@
   if (E.Clear || Next.quarantineState() != QuarantineState::OnTrial)
     return std::nullopt;
   ++Next.Trials;
-  return QuarantineWrite{std::move(Next), E.Shared ? E.Shared->Revision : 0};
+  return QuarantineWrite{std::move(Next),
+                         E.Shared ? E.Shared->Revision : StoreRevision()};
 }
 
 /// Handles \p E after EvidenceLifetimeMs without new evidence.
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -55,7 +55,7 @@
 /// A record in the store.
 struct SharedRecord {
   QuarantineRecord Record;
-  std::uint64_t Revision = 0;
+  StoreRevision Revision;
 
   friend bool operator==(const SharedRecord &, const SharedRecord &) = default;
 };
@@ -63,8 +63,8 @@
 /// A write to the store, conditional on the revision of the record.
 struct QuarantineWrite {
   QuarantineRecord Record;
-  /// Revision of the record to replace or remove; 0: none may exist.
-  std::uint64_t Revision = 0;
+  /// Revision of the record to replace or remove; number 0: none may exist.
+  StoreRevision Revision;
   bool Removes = false;
 
   friend bool operator==(const QuarantineWrite &,
@@ -91,14 +91,14 @@
 
   /// Applies the store's list of all records at \p Revision. Local evidence
   /// that is not in the store and newer records are kept.
-  void replaceAll(const std::vector<SharedRecord> &Now, std::uint64_t Revision);
+  void replaceAll(const std::vector<SharedRecord> &Now, StoreRevision Revision);
   /// Applies a record from the store unless its revision is already known or
   /// outdated.
   void put(SharedRecord Now);
   /// Applies the removal of a record from the store, which also voids the local
   /// evidence: another daemon saw a run succeed, an operator removed the
   /// record, or it expired. A removal older than the known revision is ignored.
-  void remove(const RequestFingerprint &R, std::uint64_t Revision);
+  void remove(const RequestFingerprint &R, StoreRevision Revision);
 
   /// The next write to make; empty if the store is up to date. Returns the same
   /// write until the store's record changes, but the return of a trial only
--- a/packages/store/KindCache.cpp
+++ b/packages/store/KindCache.cpp
@@ -6,8 +6,9 @@
 namespace shallot {
 
 void KindCache::replaceAll(const std::vector<KindObject> &Now,
-                           std::uint64_t NewRevision) {
+                           StoreRevision NewRevision) {
   ByName.clear();
+  LastChange = std::max(LastChange, StoreRevision{NewRevision.Epoch, 0});
   for (const KindObject &O : Now) {
     ByName.emplace(O.Name, O);
     LastChange = std::max(LastChange, O.Revision);
@@ -44,7 +45,7 @@
   ChangedAt.erase(At);
 }
 
-void KindCache::advance(std::uint64_t To) { Revision = std::max(Revision, To); }
+void KindCache::advance(StoreRevision To) { Revision = std::max(Revision, To); }
 
 KindPage KindCache::page(const std::string &After) const {
   KindPage P;
@@ -56,13 +57,13 @@
   return P;
 }
 
-std::optional<KindChanges> KindCache::since(std::uint64_t Since) const {
+std::optional<KindChanges> KindCache::since(StoreRevision Since) const {
   if (!keepsSince(Since))
     return std::nullopt;
   KindChanges Out;
   Out.Revision = std::max(Revision, Since);
-  for (auto At = Changes.lower_bound({Since + 1, {}}); At != Changes.end();
-       ++At)
+  StoreRevision Next{Since.Epoch, Since.Number + 1};
+  for (auto At = Changes.lower_bound({Next, {}}); At != Changes.end(); ++At)
     Out.Changes.push_back(At->second);
   return Out;
 }
--- a/packages/store/KindCache.h
+++ b/packages/store/KindCache.h
@@ -24,26 +24,28 @@
 
 class KindCache {
 public:
-  void replaceAll(const std::vector<KindObject> &Now, std::uint64_t Revision);
+  void replaceAll(const std::vector<KindObject> &Now, StoreRevision Revision);
   void apply(const KindChange &C);
   /// Nothing else has changed up to \p Revision.
-  void advance(std::uint64_t Revision);
+  void advance(StoreRevision Revision);
 
-  std::uint64_t revision() const { return Revision; }
+  StoreRevision revision() const { return Revision; }
   /// Of the newest change that was seen. revision() grows with changes of other
   /// kinds too.
-  std::uint64_t lastChange() const { return LastChange; }
+  StoreRevision lastChange() const { return LastChange; }
   std::size_t size() const { return ByName.size(); }
   /// False when the history since \p Since is not kept.
-  bool keepsSince(std::uint64_t Since) const { return Since >= ChangesFrom; }
+  bool keepsSince(StoreRevision Since) const { return Since >= ChangesFrom; }
   KindPage page(const std::string &After) const;
   /// What changed after \p Since, each object once, in its newest state;
   /// nothing when that history is not kept.
-  std::optional<KindChanges> since(std::uint64_t Since) const;
+  std::optional<KindChanges> since(StoreRevision Since) const;
+  /// The objects by name.
+  const std::map<std::string, KindObject> &objects() const { return ByName; }
 
 private:
   /// Sorted by revision.
-  using Place = std::pair<std::uint64_t, std::string>;
+  using Place = std::pair<StoreRevision, std::string>;
 
   void forgetChange(const std::string &Name);
 
@@ -55,10 +57,10 @@
   /// after five of them, 40 MB with the newest alone).
   /// Readers go by the newest state of an object, so nothing is missed.
   std::map<Place, KindChange> Changes;
-  std::map<std::string, std::uint64_t> ChangedAt; ///< Its place in Changes.
-  std::uint64_t ChangesFrom = 0; ///< Complete after this revision.
-  std::uint64_t Revision = 0;
-  std::uint64_t LastChange = 0;
+  std::map<std::string, StoreRevision> ChangedAt; ///< Its place in Changes.
+  StoreRevision ChangesFrom; ///< Complete after this revision.
+  StoreRevision Revision;
+  StoreRevision LastChange;
 };
 
 } // namespace shallot
--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -3,10 +3,11 @@
 // Lists the objects of one kind and then watches them. What it promises to its
 // owner, whatever the store does:
 //
-//   - an object never goes back to an older revision;
+//   - an object never goes back to an older revision, and one of an earlier
+//     epoch is older than each of a later one, whatever its number;
 //   - nothing is missed: after a lost reply or a cut watch it watches on from
 //     the last revision that it has seen, and lists anew when the store has
-//     forgotten that history;
+//     forgotten that history or was restored from a copy;
 //   - a list of several pages that changes between the pages is made whole by
 //     watching from the revision of the first page;
 //   - the owner is notified when the store stops and begins to answer, because
@@ -54,7 +55,9 @@
   /// It answers again.
   std::function<void()> Back;
   /// A list was refused because it is older than the data read before.
-  std::function<void(std::uint64_t Listed, std::uint64_t Read)> Outdated;
+  std::function<void(StoreRevision Listed, StoreRevision Read)> Outdated;
+  /// The store was restored from a copy; the list of its new epoch follows.
+  std::function<void(StoreRevision Listed, StoreRevision Read)> Restored;
   /// An answer has been taken in; cache() and heardAt() are up to date.
   std::function<void()> Advanced;
 };
@@ -73,7 +76,7 @@
   bool listed() const { return Listed; }
   /// False from a failed call to the next one that works.
   bool storeAnswers() const { return !Failing; }
-  std::uint64_t revision() const { return Cache.revision(); }
+  StoreRevision revision() const { return Cache.revision(); }
   /// What has been seen, to be passed on.
   const KindCache &cache() const { return Cache; }
   /// The last time at which the store is known to have answered this daemon or
@@ -87,6 +90,11 @@
     else
       list();
   }
+  /// The same, and reads everything anew.
+  void relist() {
+    ++Call;
+    list();
+  }
 
 private:
   /// Objects that were removed and are remembered, so that an older state of
@@ -112,7 +120,6 @@
     S.list(Kind, After, guarded([this](Attempt<KindPage> Page) {
              if (!Page)
                return failed(Page.error(), [this] { list(); });
-             answered(Page->Age);
              takePage(std::move(*Page));
            }));
   }
@@ -120,6 +127,10 @@
   void takePage(KindPage Page) {
     if (std::exchange(FirstPage, false))
       ListRevision = Page.Revision;
+    // The store was restored between two pages.
+    if (Page.Revision.Epoch != ListRevision.Epoch)
+      return again([this] { list(); });
+    ListAge = Page.Age;
     std::string Last;
     for (KindObject &O : Page.Objects) {
       Last = O.Name;
@@ -140,6 +151,10 @@
       again([this] { list(); });
       return;
     }
+    answered(ListAge);
+    if (Listed && ListRevision.Epoch != Cache.revision().Epoch &&
+        Hooks.Restored)
+      Hooks.Restored(ListRevision, Cache.revision());
     Cache.replaceAll(Pages, ListRevision);
     Seen.clear();
     for (const KindObject &O : Pages)
@@ -153,10 +168,8 @@
   void watch() {
     S.watchKind(Kind, Cache.revision(), Options.Wait,
                 guarded([this](Attempt<KindChanges> Got) {
-                  if (Got) {
-                    answered(Got->Age);
+                  if (Got)
                     return takeChanges(*Got);
-                  }
                   if (Got.error().Code == ResultCode::PlatformHistoryGone)
                     return list();
                   failed(Got.error(), [this] { watch(); });
@@ -164,6 +177,16 @@
   }
 
   void takeChanges(const KindChanges &Got) {
+    // Changes before Got's epoch began may be missing from it.
+    if (Got.Revision.Epoch > Cache.revision().Epoch)
+      return list();
+    if (Got.Revision.Epoch < Cache.revision().Epoch)
+      return failed(
+          {ResultCode::PlatformBadReply, "changes up to " + Got.Revision.str() +
+                                             ", but the revision read is " +
+                                             Cache.revision().str()},
+          [this] { watch(); });
+    answered(Got.Age);
     for (const KindChange &C : Got.Changes)
       take(C);
     Cache.advance(Got.Revision);
@@ -174,7 +197,7 @@
   }
 
   void take(const KindChange &C) {
-    std::uint64_t &Known = Seen[C.Object.Name];
+    StoreRevision &Known = Seen[C.Object.Name];
     if (C.Object.Revision < Known)
       return;
     Known = C.Object.Revision;
@@ -210,10 +233,11 @@
   Backoff Wait;
   std::vector<KindObject> Pages;
   bool FirstPage = true;
-  std::uint64_t ListRevision = 0;
+  StoreRevision ListRevision;
+  Duration ListAge{};
   KindCache Cache;
   std::uint64_t Call = 0; ///< Grows with renew().
-  std::map<std::string, std::uint64_t> Seen;
+  std::map<std::string, StoreRevision> Seen;
   bool Listed = false;
   bool Failing = false;
   Instant HeardAt{};
--- a/packages/store/ObjectStore.h
+++ b/packages/store/ObjectStore.h
@@ -70,7 +70,7 @@
 // NOLINTNEXTLINE(bugprone-exception-escape)
 struct KindObject {
   std::string Name;
-  std::uint64_t Revision = 0; ///< Of its last change; grows over the store.
+  StoreRevision Revision; ///< Of its last change; orders the whole store.
   nlohmann::json Content;
 
   friend bool operator==(const KindObject &, const KindObject &) = default;
@@ -80,7 +80,7 @@
 struct KindPage {
   std::vector<KindObject> Objects;
   bool More = false; ///< There are further pages, after the last one's name.
-  std::uint64_t Revision = 0; ///< The store's, when the page was made.
+  StoreRevision Revision; ///< The store's, when the page was made.
   /// How long ago whoever answered last had word from the store itself.
   Duration Age{};
 };
@@ -96,15 +96,17 @@
 /// What changed after a revision; empty when the wait ran out.
 struct KindChanges {
   std::vector<KindChange> Changes;
-  std::uint64_t Revision = 0; ///< To watch on from.
-  Duration Age{};             ///< As in KindPage.
+  StoreRevision Revision; ///< To watch on from.
+  Duration Age{};         ///< As in KindPage.
 };
 
 /// A store whose objects have kinds that can be listed and watched. A watch
-/// fails with PlatformHistoryGone when its revision is too old.
+/// fails with PlatformHistoryGone when its revision is too old, or when the
+/// store was restored to a state before it. If such a store has passed the
+/// number of the revision again, the watch returns changes of the new epoch.
 template <typename S>
 concept KindStore = requires(S &Store, std::string Kind, std::string After,
-                             std::uint64_t Revision, Duration Wait,
+                             StoreRevision Revision, Duration Wait,
                              StoreCallback<KindPage> OnPage,
                              StoreCallback<KindChanges> OnChanges) {
   Store.list(Kind, After, OnPage);
@@ -119,11 +121,12 @@
 };
 
 /// A store whose objects of kinds can be written. \p Revision is what the
-/// object must have; 0: there must be none. An error leaves open whether the
-/// write was done (mayHaveTakenEffect).
+/// object must have; number 0: there must be none. The revision of an earlier
+/// epoch may name another state of the object now, so such a write fails. An
+/// error leaves open whether the write was done (mayHaveTakenEffect).
 template <typename S>
 concept KindWriter = requires(S &Store, std::string Kind, std::string Name,
-                              nlohmann::json Content, std::uint64_t Revision,
+                              nlohmann::json Content, StoreRevision Revision,
                               StoreCallback<KindWriteReply> OnDone) {
   Store.writeObject(Kind, Name, Content, Revision, OnDone);
   Store.removeObject(Kind, Name, Revision, OnDone);
--- a/standins/KindService.cpp
+++ b/standins/KindService.cpp
@@ -111,10 +111,9 @@
 }
 
 Result<void> KindService::control(const Json &Orders) {
-  BOOST_LEAF_CHECK(
-      checkFields(Orders, {"mode", "busy_kind", "slow_ms", "lose_write_replies",
-                           "hide_era", "drop_history", "take_copy",
-                           "restore_copy", "remove"}));
+  BOOST_LEAF_CHECK(checkFields(
+      Orders, {"mode", "busy_kind", "slow_ms", "lose_write_replies", "hide_era",
+               "drop_history", "take_copy", "restore_copy", "remove"}));
   KindFaults F = Faults;
   std::string Mode(textOf(F.Mode));
   bool Drop = false;
--- a/tests/FakeKindStore.h
+++ b/tests/FakeKindStore.h
@@ -1,7 +1,8 @@
 //===- FakeKindStore.h - Objects with kinds, in virtual time ----*- C++ -*-===//
 //
 // A store that keeps revisions and history, with scripted troubles: calls that
-// fail, history that is dropped, replies that are behind, a restore from a copy.
+// fail, history that is dropped, replies that are behind, a restore from a
+// copy.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_TESTS_FAKEKINDSTORE_H
@@ -26,14 +27,14 @@
   unsigned Watches = 0;
 
   void put(const std::string &Name, int Value) {
-    KindObject O{Name, ++State.Revision, Value};
+    KindObject O{Name, next(), Value};
     State.Objects[Name] = O;
     State.History.push_back({O, false});
     wake();
   }
   void remove(const std::string &Name) {
     KindObject O = State.Objects.at(Name);
-    O.Revision = ++State.Revision;
+    O.Revision = next();
     State.Objects.erase(Name);
     State.History.push_back({O, true});
     wake();
@@ -45,9 +46,10 @@
   }
   /// Keeps a copy for restoreCopy().
   void takeCopy() { Copy = State; }
-  /// Returns to the copy and gives out the revisions since then once more.
+  /// Returns to the copy and gives out the numbers since then once more.
   void restoreCopy() {
     State = Copy;
+    ++Epoch;
     wake();
   }
   /// Runs between the pages of a list.
@@ -60,7 +62,7 @@
     if (Bad != ResultCode::Ok)
       return after(Millis(5), [=] { OnDone(Error{Bad, "scripted"}); });
     KindPage P;
-    P.Revision = State.Revision;
+    P.Revision = current();
     const auto &Objects = State.Objects;
     for (auto At = After.empty() ? Objects.begin() : Objects.upper_bound(After);
          At != Objects.end(); ++At) {
@@ -68,16 +70,17 @@
         P.More = true;
         break;
       }
-      P.Objects.push_back(At->second);
+      P.Objects.push_back(inEpoch(At->second));
     }
     after(Millis(5), [=] { OnDone(P); });
     if (BetweenPages)
       BetweenPages();
   }
 
-  void watchKind(const std::string &, std::uint64_t From, Duration Wait,
+  void watchKind(const std::string &, StoreRevision Since, Duration Wait,
                  StoreCallback<KindChanges> OnDone) {
     ++Watches;
+    std::uint64_t From = Since.Number;
     ResultCode Bad = Trouble(true);
     if (Bad == ResultCode::Ok && lacksHistory(From))
       Bad = ResultCode::PlatformHistoryGone;
@@ -108,10 +111,10 @@
       return;
     }
     KindChanges C;
-    C.Revision = State.Revision;
+    C.Revision = current();
     for (const KindChange &One : State.History)
-      if (One.Object.Revision > W.From)
-        C.Changes.push_back(One);
+      if (One.Object.Revision.Number > W.From)
+        C.Changes.push_back({inEpoch(One.Object), One.Removed});
     if (C.Changes.empty() && !Anyway)
       return;
     finish(W, C);
@@ -129,11 +132,19 @@
     std::uint64_t Revision = 10;
   };
 
+  /// \p O as the store shows it: all that it holds is of its epoch.
+  KindObject inEpoch(KindObject O) const {
+    O.Revision.Epoch = Epoch;
+    return O;
+  }
+  StoreRevision current() const { return {Epoch, State.Revision}; }
+  StoreRevision next() { return {Epoch, ++State.Revision}; }
   /// The history since \p From is gone, or has not happened.
   bool lacksHistory(std::uint64_t From) const {
     return From < State.HistoryFrom || From > State.Revision;
   }
 
+  std::uint64_t Epoch = 1;
   StoreState State;
   StoreState Copy;
   std::vector<std::shared_ptr<Waiter>> Waiting;
--- a/tests/FrontFixture.cpp
+++ b/tests/FrontFixture.cpp
@@ -36,7 +36,7 @@
       One(Loop.context(), Store, Log, shape("i-1", "s1", 'a')),
       Two(Loop.context(), Store, Log, shape("i-2", "s2", 'b')),
       Pay(Loop.context(), Store, Log, shape("i-3", "p", 'p')),
-      Client(Http, Set.Store) {
+      Client(Loop, Http, Set.Store) {
   Store.put("config", "main", config(7));
   REQUIRE(attempt([&] { return Store.listen(); }));
   for (standins::RegisteredReplica *R : {&One, &Two, &Pay}) {
--- a/tests/SlowPeers.cpp
+++ b/tests/SlowPeers.cpp
@@ -96,7 +96,7 @@
     W.Line->Output += httpOk(writePage(Cache.page(W.Question.After)));
     return true;
   }
-  KindChanges C = Cache.since(*W.Question.Since).value();
+  KindChanges C = Cache.since({0, *W.Question.Since}).value();
   if (C.Changes.empty() && Loop.now() < W.Until)
     return false;
   W.Line->Output += httpOk(writeChanges(C));
--- a/tests/correctness/WireObjectsAreRead.cpp
+++ b/tests/correctness/WireObjectsAreRead.cpp
@@ -31,12 +31,12 @@
 }
 
 Attempt<ServingConfig> readConfig(const nlohmann::json &Doc) {
-  return attempt([&] { return wire::readConfig({"main", 1, Doc}); });
+  return attempt([&] { return wire::readConfig({"main", {0, 1}, Doc}); });
 }
 
 Attempt<ReplicaEntry> readReplica(const std::string &Text) {
   return attempt([&] {
-    return wire::readReplica({"i-1", 1, nlohmann::json::parse(Text)},
+    return wire::readReplica({"i-1", {0, 1}, nlohmann::json::parse(Text)},
                              {{AvailabilityZone("z"), Region("r")}});
   });
 }
--- a/tests/failure/CrashesAreCountedOnce.cpp
+++ b/tests/failure/CrashesAreCountedOnce.cpp
@@ -29,7 +29,7 @@
   QuarantineRecord R{request(Request)};
   R.Crashed = std::move(Crashed);
   R.SeenAt = At;
-  return {R, Revision};
+  return {R, {0, Revision}};
 }
 
 } // namespace
@@ -69,9 +69,9 @@
   Q.share(request());
   auto W = Q.nextWrite();
   REQUIRE(W);
-  CHECK(W->Revision == 0);
+  CHECK(W->Revision.Number == 0);
   CHECK(W->Record.Crashed == std::vector<std::string>{"i-1"});
-  Q.put({W->Record, 5});
+  Q.put({W->Record, {0, 5}});
   CHECK_FALSE(Q.nextWrite());
 }
 
@@ -84,12 +84,12 @@
   auto W = Q.nextWrite();
   REQUIRE(W);
   CHECK(W->Removes);
-  CHECK(W->Revision == 5);
+  CHECK(W->Revision.Number == 5);
   // Evidence that another daemon added meanwhile is removed as well.
   Q.put(shared({"i-1", "i-2", "i-4"}, 6));
   CHECK(Q.quarantineState(request()) == QuarantineState::Clear);
-  CHECK(Q.nextWrite()->Revision == 6);
-  Q.remove(request(), 6);
+  CHECK(Q.nextWrite()->Revision.Number == 6);
+  Q.remove(request(), {0, 6});
   CHECK_FALSE(Q.nextWrite());
   CHECK(Q.size() == 0);
   CHECK(Q.shared() == 0);
@@ -104,13 +104,13 @@
   Q.writeStarted(request());
   Q.succeeded(request());
   CHECK(Q.quarantineState(request()) == QuarantineState::Clear);
-  Q.put({W->Record, 5}); // The write was applied.
+  Q.put({W->Record, {0, 5}}); // The write was applied.
   Q.writeEnded(request());
   CHECK(Q.quarantineState(request()) == QuarantineState::Clear);
   REQUIRE(Q.nextWrite());
   CHECK(Q.nextWrite()->Removes);
-  CHECK(Q.nextWrite()->Revision == 5);
-  Q.remove(request(), 5);
+  CHECK(Q.nextWrite()->Revision.Number == 5);
+  Q.remove(request(), {0, 5});
   CHECK(Q.size() == 0);
 }
 
@@ -118,7 +118,7 @@
   Quarantine Q;
   Q.put(shared({"i-1", "i-2", "i-3"}, 5));
   Q.put(shared({"i-1"}, 6, 2));
-  Q.replaceAll({shared({"i-1"}, 6, 2)}, 7);
+  Q.replaceAll({shared({"i-1"}, 6, 2)}, {0, 7});
   CHECK(Q.quarantineState(request()) == QuarantineState::Clear);
   CHECK(Q.quarantineState(request(2)) == QuarantineState::Suspect);
 }
@@ -133,10 +133,10 @@
 TEST_CASE("a removal or list older than a record does not remove it") {
   Quarantine Q;
   Q.put(shared({"i-1", "i-2", "i-3"}, 9)); // Written by this daemon.
-  Q.remove(request(), 8);                  // An earlier removal.
-  Q.replaceAll({}, 8);
+  Q.remove(request(), {0, 8});             // An earlier removal.
+  Q.replaceAll({}, {0, 8});
   CHECK(Q.quarantineState(request()) == QuarantineState::OnTrial);
-  Q.replaceAll({}, 9);
+  Q.replaceAll({}, {0, 9});
   CHECK(Q.quarantineState(request()) == QuarantineState::Clear);
 }
 
@@ -172,9 +172,9 @@
   REQUIRE(W);
   CHECK(W->Record.Request == request());
   CHECK_FALSE(W->Removes);
-  CHECK(W->Revision == 5);
+  CHECK(W->Revision.Number == 5);
   CHECK(W->Record.Trials == 0);
-  Q.put({W->Record, 7});
+  Q.put({W->Record, {0, 7}});
   CHECK(Q.quarantineState(request()) == QuarantineState::OnTrial);
   CHECK(Q.quarantineState(request(2)) == QuarantineState::Quarantined);
   Q.expire(Later, true);
@@ -186,11 +186,11 @@
   Q.put(shared({"i-1", "i-2", "i-3"}, 5));
   auto Granted = Q.trialWrite(request());
   REQUIRE(Granted);
-  Q.put({Granted->Record, 6});
+  Q.put({Granted->Record, {0, 6}});
   Q.trialUnused(request());
   auto W = Q.nextWrite();
   REQUIRE(W);
-  CHECK(W->Revision == 6);
+  CHECK(W->Revision.Number == 6);
   CHECK(W->Record.Trials == 0);
   // Its reply may be lost after the write was applied, so it is not repeated.
   Q.writeStarted(request());
@@ -213,7 +213,7 @@
   REQUIRE(W);
   CHECK(W->Removes);
   CHECK(W->Record.Request == request(0)); // The oldest is evicted.
-  Full.remove(request(0), 1);
+  Full.remove(request(0), {0, 1});
   W = Full.nextWrite();
   REQUIRE(W);
   CHECK_FALSE(W->Removes);
--- a/tests/failure/ForeignEntriesNameNoReplica.cpp
+++ b/tests/failure/ForeignEntriesNameNoReplica.cpp
@@ -30,7 +30,7 @@
 
 /// Number of replicas in the reply.
 std::size_t replicasIn(const std::string &Body) {
-  Attempt<KindPage> P = wire::readPage("servers", Body);
+  Attempt<KindPage> P = wire::readPage("servers", 3, Body);
   REQUIRE_MESSAGE(P, P.error().Detail);
   std::size_t Count = 0;
   for (const KindObject &O : P->Objects)
@@ -97,9 +97,9 @@
                      R"(},7,{},{"deleted":true,"object":{}},
                      {"deleted":"no","object":)" +
                      item("i-1", Sound) + R"(}],"current_rev":9})";
-  Attempt<KindChanges> C = wire::readChanges("servers", Body);
+  Attempt<KindChanges> C = wire::readChanges("servers", 3, Body);
   REQUIRE(C);
-  CHECK(C->Revision == 9);
+  CHECK(C->Revision == StoreRevision(3, 9));
   REQUIRE(C->Changes.size() == 2);
   CHECK(C->Changes[0].Object.Content.is_null());
   CHECK(C->Changes[1].Object.Name == "i-1");
@@ -110,9 +110,9 @@
   for (const char *Body :
        {"", "[", "7", "{}", R"({"items":{},"current_rev":9})",
         R"({"items":[],"current_rev":-9})", R"({"items":[]})"})
-    CHECK(wire::readPage("servers", Body).error().Code ==
+    CHECK(wire::readPage("servers", 3, Body).error().Code ==
           ResultCode::PlatformBadReply);
-  CHECK(wire::readChanges("servers", R"({"events":7,"current_rev":9})")
+  CHECK(wire::readChanges("servers", 3, R"({"events":7,"current_rev":9})")
             .error()
             .Code == ResultCode::PlatformBadReply);
 }
@@ -120,7 +120,7 @@
 TEST_CASE("only one configuration is kept") {
   std::string Body = page(item("main", R"({"version":1})") + "," +
                           item("other", R"({"version":2})"));
-  Attempt<KindPage> P = wire::readPage("config", Body);
+  Attempt<KindPage> P = wire::readPage("config", 3, Body);
   REQUIRE(P);
   REQUIRE(P->Objects.size() == 2);
   CHECK(P->Objects[0].Content.is_object());
--- a/tests/failure/KindWatchMissesNothing.cpp
+++ b/tests/failure/KindWatchMissesNothing.cpp
@@ -16,7 +16,7 @@
   FakeKindStore S;
   Random Rng{3};
   std::map<std::string, int> Held;
-  std::map<std::string, std::uint64_t> Revisions;
+  std::map<std::string, StoreRevision> Revisions;
   unsigned Away = 0, Back = 0, All = 0;
   bool WentBack = false;
   KindWatch<FakeKindStore, FakeKindStore> W{S, S, "things", {}, Rng, hooks()};
--- a/tests/failure/LargeChangeOnASlowLink.cpp
+++ b/tests/failure/LargeChangeOnASlowLink.cpp
@@ -38,7 +38,7 @@
   explicit SlowBed(std::size_t Padding = 0) {
     FrontFixture::Store.setFaults({.Mode = StoreMode::Busy});
     change(7, 10, Padding);
-    Known.Replicas.replaceAll({}, 9);
+    Known.Replicas.replaceAll({}, {0, 9});
     std::string Ip = ownLoopbackIp();
     Ip.pop_back();
     for (int N = 2; N <= 4; ++N) {
@@ -57,14 +57,15 @@
   /// Publishes the next version, \p Padding bytes larger than the first, to all
   /// peers at once.
   void change(int Version, std::uint64_t Revision, std::size_t Padding) {
-    KindObject O{"main", Revision, config(Version)};
+    StoreRevision At{0, Revision};
+    KindObject O{"main", At, config(Version)};
     O.Content["note"] = std::string(Padding, 'x');
     Known.Version = static_cast<std::uint64_t>(Version);
-    if (Known.Configs.revision() == 0)
-      Known.Configs.replaceAll({O}, Revision);
+    if (Known.Configs.revision() == StoreRevision())
+      Known.Configs.replaceAll({O}, At);
     else
       Known.Configs.apply({O, false});
-    Known.Configs.advance(Revision);
+    Known.Configs.advance(At);
     for (auto &P : Peers)
       P->advance();
   }
@@ -100,7 +101,7 @@
   SlowLink Link{Loop, StoreLinkRate};
   Endpoint Near = freeEndpoint(ownLoopbackIp());
   SlowProxy Proxy{Loop, Near, Set.Store, Link};
-  wire::WireStore Far{Http, Near};
+  wire::WireStore Far{Loop, Http, Near};
   ConfigWatch Watch{Far, Loop};
 };
 
--- a/tests/failure/ManyPeersOfASmallHost.cpp
+++ b/tests/failure/ManyPeersOfASmallHost.cpp
@@ -46,7 +46,7 @@
   unsigned Whole = 0;
 
   SmallHostBed() {
-    Cache.replaceAll({}, 1);
+    Cache.replaceAll({}, {0, 1});
     for (std::size_t I = 0; I < FeedFanOut; ++I)
       Readers.push_back(std::make_unique<RelayedStore<wire::WireStore>>(
           Loop, Http, Client, sources("asker" + std::to_string(I)), Rng,
@@ -72,7 +72,7 @@
   }
 
   KindObject large() {
-    KindObject O{"main", 2, config(8)};
+    KindObject O{"main", {0, 2}, config(8)};
     nlohmann::json Route = O.Content["routes"][0];
     for (std::size_t I = 0; I < Routes; ++I) {
       Route["name"] = "route-" + token(Rng, 6);
@@ -84,11 +84,12 @@
 
   void watchAll() {
     for (auto &A : Readers)
-      A->watchKind(
-          "config", 1, Seconds(4), [this](const Attempt<KindChanges> &C) {
-            Whole += C && C->Changes.size() == 1 &&
-                     C->Changes[0].Object.Content["routes"].size() > Routes;
-          });
+      A->watchKind("config", StoreRevision(0, 1), Seconds(4),
+                   [this](const Attempt<KindChanges> &C) {
+                     Whole +=
+                         C && C->Changes.size() == 1 &&
+                         C->Changes[0].Object.Content["routes"].size() > Routes;
+                   });
   }
 };
 
--- a/tests/failure/QuarantineWritesAreBounded.cpp
+++ b/tests/failure/QuarantineWritesAreBounded.cpp
@@ -18,14 +18,14 @@
 /// A store of records in virtual time whose replies can be lost.
 struct FakeRecords : test::VirtualTime {
   void writeObject(const std::string &, const std::string &Name,
-                   const nlohmann::json &Content, std::uint64_t If,
+                   const nlohmann::json &Content, StoreRevision If,
                    StoreCallback<KindWriteReply> Done) {
     answer(Name, If, std::move(Done), [this, Name, Content] {
-      Objects[Name] = {Name, ++Revision, Content};
+      Objects[Name] = {Name, {0, ++Revision}, Content};
     });
   }
   void removeObject(const std::string &, const std::string &Name,
-                    std::uint64_t If, StoreCallback<KindWriteReply> Done) {
+                    StoreRevision If, StoreCallback<KindWriteReply> Done) {
     answer(Name, If, std::move(Done), [this, Name] { Objects.erase(Name); });
   }
 
@@ -35,14 +35,15 @@
   std::map<std::string, KindObject> Objects;
 
 private:
-  void answer(const std::string &Name, std::uint64_t If,
+  void answer(const std::string &Name, StoreRevision If,
               StoreCallback<KindWriteReply> Done,
               const std::function<void()> &Apply) {
     ++Calls;
     if (Unavailable)
       return fail(std::move(Done), "away");
     auto At = Objects.find(Name);
-    std::uint64_t Has = At == Objects.end() ? 0 : At->second.Revision;
+    StoreRevision Has =
+        At == Objects.end() ? StoreRevision() : At->second.Revision;
     KindWriteReply Reply{Has == If, std::nullopt};
     if (Reply.Applied)
       Apply();
@@ -177,7 +178,7 @@
 }
 
 TEST_CASE_FIXTURE(SyncFixture, "a malformed record is replaced") {
-  Store.Objects[request().str()] = {request().str(), 9, "no record"};
+  Store.Objects[request().str()] = {request().str(), {0, 9}, "no record"};
   crash(A, "i-1");
   Store.runFor(Seconds(5));
   CHECK(stored().Crashed == std::vector<std::string>{"i-1"});
--- a/tests/failure/RecordsShareOneObject.cpp
+++ b/tests/failure/RecordsShareOneObject.cpp
@@ -19,7 +19,7 @@
   using Reply = std::shared_ptr<std::optional<Attempt<KindWriteReply>>>;
 
   Reply write(Document &D, const std::string &Name, int Value,
-              std::uint64_t Revision) {
+              StoreRevision Revision) {
     auto Result = std::make_shared<std::optional<Attempt<KindWriteReply>>>();
     D.writeObject(
         "records", Name, Value, Revision,
@@ -51,9 +51,9 @@
 
 TEST_CASE_FIXTURE(Fixture,
                   "concurrent writes of different records are all kept") {
-  Reply First = write(A, "x", 1, 0);
-  Reply Second = write(B, "y", 2, 0);
-  Reply Third = write(B, "z", 3, 0);
+  Reply First = write(A, "x", 1, {});
+  Reply Second = write(B, "y", 2, {});
+  Reply Third = write(B, "z", 3, {});
   Store.run();
   CHECK(applied(First));
   CHECK(applied(Second));
@@ -63,8 +63,8 @@
 
 TEST_CASE_FIXTURE(Fixture,
                   "of two concurrent writes of one record one is applied") {
-  Reply First = write(A, "x", 1, 0);
-  Reply Second = write(B, "x", 2, 0);
+  Reply First = write(A, "x", 1, {});
+  Reply Second = write(B, "x", 2, {});
   Store.run();
   CHECK(applied(First));
   CHECK_FALSE(applied(Second));
@@ -78,7 +78,7 @@
 
 TEST_CASE_FIXTURE(Fixture,
                   "an outdated daemon rereads before it reports a conflict") {
-  Reply First = write(A, "x", 1, 0);
+  Reply First = write(A, "x", 1, {});
   Store.run();
   REQUIRE(applied(First));
   // It learned the revision from a peer's record before the document.
@@ -92,11 +92,11 @@
   Store.OnCall = [](const FakeCall &C) {
     return C.Number == 1 ? Fault::LostReply : Fault::None;
   };
-  Reply First = write(A, "x", 1, 0);
+  Reply First = write(A, "x", 1, {});
   Store.run();
   REQUIRE(*First);
   CHECK_FALSE(**First); // Unknown whether it was applied.
-  Reply Again = write(A, "x", 1, 0);
+  Reply Again = write(A, "x", 1, {});
   Store.run();
   CHECK_FALSE(applied(Again));
   CHECK((**Again)->Now->Content == 1);
@@ -107,10 +107,10 @@
                   "each newer state is reported, an older one is not") {
   std::vector<std::uint64_t> Seen;
   B.onChange([&](const RecordSet &P) { Seen.push_back(P.Revision); });
-  write(A, "x", 1, 0);
+  write(A, "x", 1, {});
   Store.run();
   StoredObject Old = A.stored();
-  write(A, "y", 1, 0);
+  write(A, "y", 1, {});
   Store.run();
   B.update(A.stored());
   B.update(Old);
@@ -119,10 +119,10 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "a removed document is created again") {
-  write(A, "x", 1, 0);
+  write(A, "x", 1, {});
   Store.run();
   Store.remove("q/r", Precondition::ifAbsent(), [](const Attempt<Done> &) {});
-  Reply Next = write(A, "y", 2, 0);
+  Reply Next = write(A, "y", 2, {});
   Store.run();
   CHECK(applied(Next));
   CHECK(stored() == std::map<std::string, int>{{"y", 2}});
@@ -131,7 +131,7 @@
 TEST_CASE_FIXTURE(Fixture, "a malformed document is replaced") {
   Store.write("q/r", "no JSON", Precondition::ifAbsent(),
               [](const Attempt<std::uint64_t> &) {});
-  Reply Next = write(A, "x", 1, 0);
+  Reply Next = write(A, "x", 1, {});
   Store.run();
   CHECK(applied(Next));
   CHECK(stored() == std::map<std::string, int>{{"x", 1}});
--- a/tests/failure/RelayedRepliesDoNotLoop.cpp
+++ b/tests/failure/RelayedRepliesDoNotLoop.cpp
@@ -30,7 +30,7 @@
   void pollForever(bool Relays) {
     FeedRequest Q;
     Q.Kind = "config";
-    Q.Since = Cache.revision();
+    Q.Since = Cache.revision().Number;
     Q.Wait = Seconds(20);
     Q.Relays = Relays;
     HttpRequest R;
--- a/tests/failure/RestoredStoreIsFollowed.cpp
+++ b/tests/failure/RestoredStoreIsFollowed.cpp
@@ -1,4 +1,5 @@
-// Guards against changes that are ignored after the store came back from a copy.
+// Guards against changes that are ignored after the store came back from a
+// copy.
 #include "FakeKindStore.h"
 
 #include <doctest/doctest.h>
@@ -8,7 +9,8 @@
 
 namespace {
 
-/// Longer than any wait of a watch, so that what was held back has been decided.
+/// Longer than any wait of a watch, so that what was held back has been
+/// decided.
 constexpr Duration Settled = Seconds(20);
 
 struct RestoredFixture {
--- a/tests/failure/TrialsAreBoundedInTheFleet.cpp
+++ b/tests/failure/TrialsAreBoundedInTheFleet.cpp
@@ -16,18 +16,19 @@
 /// A store of records by request with one revision counter.
 struct Store {
   std::map<RequestFingerprint, SharedRecord> Records;
-  std::uint64_t Revision = 10;
+  StoreRevision Revision{0, 10};
 
   bool write(const QuarantineWrite &W) {
     auto At = Records.find(W.Record.Request);
-    std::uint64_t Now = At == Records.end() ? 0 : At->second.Revision;
+    StoreRevision Now =
+        At == Records.end() ? StoreRevision() : At->second.Revision;
     if (Now != W.Revision)
       return false;
     if (W.Removes)
       Records.erase(At);
     else
       Records.insert_or_assign(W.Record.Request,
-                               SharedRecord{W.Record, ++Revision});
+                               SharedRecord{W.Record, {0, ++Revision.Number}});
     return true;
   }
   std::vector<SharedRecord> all() const {
--- a/tests/fuzz/DocumentTargets.cpp
+++ b/tests/fuzz/DocumentTargets.cpp
@@ -75,15 +75,15 @@
   nlohmann::json Doc = nlohmann::json::parse(Input, nullptr, false);
   if (Doc.is_discarded())
     return; // The store holds JSON; replies that are none: storeReply().
-  Attempt<KindPage> P = wire::readPage("servers", listAround(Input));
+  Attempt<KindPage> P = wire::readPage("servers", 0, listAround(Input));
   require(bool(P), "a list with one foreign entry is read");
   require(soundIn(*P) >= 2, "its neighbours are named");
 }
 
 void storeReply(const std::string &Input) {
   for (const char *Kind : {"servers", "config"}) {
-    Attempt<KindPage> P = wire::readPage(Kind, Input);
-    Attempt<KindChanges> C = wire::readChanges(Kind, Input);
+    Attempt<KindPage> P = wire::readPage(Kind, 0, Input);
+    Attempt<KindChanges> C = wire::readChanges(Kind, 0, Input);
     for (const KindObject &O : P ? P->Objects : std::vector<KindObject>()) {
       (void)attempt([&] { return wire::readReplica(O, {}); });
       (void)attempt([&] { return wire::readConfig(O); });
@@ -224,13 +224,13 @@
 }
 
 std::vector<std::string> peerExamples() {
-  KindObject O{"i-1", 7, nlohmann::json::parse(Registration)};
+  KindObject O{"i-1", {2, 7}, nlohmann::json::parse(Registration)};
   KindPage P;
   P.Objects = {O};
-  P.Revision = 9;
+  P.Revision = {2, 9};
   KindChanges C;
   C.Changes = {{O, false}};
-  C.Revision = 9;
+  C.Revision = {2, 9};
   return {writePage(P), writeChanges(C)};
 }
 
--- a/tests/performance/BenchQuarantine.cpp
+++ b/tests/performance/BenchQuarantine.cpp
@@ -47,16 +47,16 @@
   std::uint64_t Bytes = 0;
 
   void writeObject(const std::string &, const std::string &Name,
-                   const nlohmann::json &Content, std::uint64_t,
+                   const nlohmann::json &Content, StoreRevision,
                    StoreCallback<KindWriteReply> Done) {
     ++Writes;
     Bytes += Name.size() + Content.dump().size();
-    Objects[Name] = {Name, ++Revision, Content};
+    Objects[Name] = {Name, {0, ++Revision}, Content};
     after(Millis(4), [Done = std::move(Done), Now = Objects[Name]] {
       Done(KindWriteReply{true, Now});
     });
   }
-  void removeObject(const std::string &, const std::string &Name, std::uint64_t,
+  void removeObject(const std::string &, const std::string &Name, StoreRevision,
                     StoreCallback<KindWriteReply> Done) {
     ++Writes;
     Bytes += Name.size();
@@ -92,7 +92,7 @@
   for (int N = 0; N < int(MaxQuarantineEntries) * 2; ++N) {
     Table->crashed(record(N));
     if (N < int(MaxSharedRecords))
-      Table->put({record(N), std::uint64_t(N) + 1});
+      Table->put({record(N), {0, std::uint64_t(N) + 1}});
   }
   double Bytes = double(heapInUse() - Before);
   fmt::print("entries of one daemon: {}\n", Table->size());
