quarantine: evidence stands when the store loses or brings back a record

A store that comes back from a copy shows quarantine records as they were: some are missing, some have less evidence or fewer trials, some are back after their removal. A missing record voided the evidence everywhere, so that a request of death was sent on; a record with fewer trials granted more of them; a request that an operator had released was refused again.

The first list of an epoch voids nothing: what the store lost or holds with less is kept as evidence of this daemon.

--- a/packages/quarantine/Quarantine.cpp
+++ b/packages/quarantine/Quarantine.cpp
@@ -2,6 +2,7 @@
 #include "quarantine/Quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shallot {
 
@@ -9,12 +10,13 @@
   return E.Shared && !E.Clear ? merged(E.Shared->Record, E.Own) : E.Own;
 }
 
-bool Quarantine::needsWrite(const Entry &E) {
+bool Quarantine::needsWrite(const Entry &E) const {
+  bool Restores = E.Restored && this->Restores;
   if (E.Clear)
-    return E.Shared.has_value();
+    return E.Shared && (!E.Restored || Restores);
   if (E.Shared && (E.ReturnTrial || E.RenewAt != 0))
     return true;
-  if (!E.Share)
+  if (!E.Share && !Restores)
     return false;
   if (!E.Shared)
     return E.Own.quarantineState() != QuarantineState::Clear;
@@ -22,7 +24,7 @@
   QuarantineRecord All = combined(E);
   const QuarantineRecord &Stored = E.Shared->Record;
   return All.Crashed.size() > Stored.Crashed.size() ||
-         All.Proven != Stored.Proven;
+         All.Trials > Stored.Trials || All.Proven != Stored.Proven;
 }
 
 /// The record that should replace Shared in the store.
@@ -136,14 +138,55 @@
     Kept.insert(S.Record.Request);
   for (auto At = Entries.begin(); At != Entries.end();) {
     auto Next = std::next(At);
-    if (!Kept.contains(At->first))
-      remove(At->first, Revision);
+    const std::optional<SharedRecord> &Known = At->second.Shared;
+    if (Known && !Kept.contains(At->first)) {
+      if (Known->Revision.Epoch < Revision.Epoch)
+        keepLost(At);
+      else
+        remove(At->first, Revision);
+    }
     At = Next;
   }
   for (const SharedRecord &S : Now)
     put(S);
 }
 
+void Quarantine::keepLost(Table::iterator At) {
+  Entry &E = At->second;
+  E.Own = combined(E);
+  E.Shared.reset();
+  --SharedCount;
+  // A write in progress may bring back a record that is void.
+  E.Clear = E.Clear && E.Writes > 0;
+  E.ReturnTrial = false;
+  E.RenewAt = 0;
+  E.Restored = true;
+  refreshEntry(At);
+}
+
+void Quarantine::putRemoved(SharedRecord Now) {
+  auto At = Entries.find(Now.Record.Request);
+  if (At != Entries.end())
+    return put(std::move(Now));
+  Entry E{QuarantineRecord{Now.Record.Request}};
+  E.Shared = std::move(Now);
+  E.Clear = E.Restored = true;
+  ++SharedCount;
+  At = Entries.emplace(E.Own.Request, std::move(E)).first;
+  refreshEntry(At);
+}
+
+void Quarantine::setRestores(bool Writes) {
+  if (std::exchange(Restores, Writes) == Writes)
+    return;
+  for (auto At = Entries.begin(); At != Entries.end();) {
+    auto Next = std::next(At);
+    if (At->second.Restored)
+      refreshEntry(At);
+    At = Next;
+  }
+}
+
 void Quarantine::put(SharedRecord Now) {
   auto [At, New] = Entries.try_emplace(
       Now.Record.Request, Entry{QuarantineRecord{Now.Record.Request}});
@@ -151,6 +194,14 @@
   if (E.Shared && Now.Revision <= E.Shared->Revision)
     return;
   SharedCount += !E.Shared;
+  bool Restored = E.Shared && E.Shared->Revision.Epoch < Now.Revision.Epoch;
+  if (E.Clear && E.Restored)
+    E.Clear = E.Restored = false; // There is evidence since its removal.
+  if (Restored && !E.Clear) {
+    E.Own = combined(E);
+    E.ReturnTrial = false;
+    E.Restored = true;
+  }
   E.Shared = std::move(Now);
   E.RenewAt = 0; // Renewed by the writer, or no longer needed.
   refreshEntry(At);
@@ -166,7 +217,7 @@
   --SharedCount;
   E.Shared.reset();
   E.Own = QuarantineRecord{At->first};
-  E.Share = E.Clear = E.ReturnTrial = false;
+  E.Share = E.Clear = E.ReturnTrial = E.Restored = false;
   E.RenewAt = 0;
   refreshEntry(At);
 }
@@ -229,6 +280,7 @@
 }
 
 void Quarantine::expire(WallTime Now, bool Writes) {
+  setRestores(Writes);
   for (auto At = Entries.begin(); At != Entries.end();) {
     auto Next = std::next(At);
     Entry &E = At->second;
--- a/packages/quarantine/Quarantine.h
+++ b/packages/quarantine/Quarantine.h
@@ -8,6 +8,7 @@
 //   share()       no run of the attempt succeeded: other daemons should know
 //   succeeded()   a run succeeded: all evidence against the request is void
 //   put(), remove(), replaceAll()   changes of the store's records
+//   putRemoved()  the store holds a record again after its removal
 //   nextWrite()   the next write to the store, if any
 //
 // An attempt whose replica crashed but that another replica served is cleared
@@ -22,6 +23,11 @@
 // daemons ended, they are renewed after EvidenceLifetimeMs: the request may be
 // harmless.
 //
+// A restore of the store takes back changes of its last seconds. The evidence
+// stands, since every daemon has read it: a record that the store lost, or
+// holds with less evidence, is written again, and one that had been removed is
+// removed again, by the daemons that read from the store.
+//
 // A flood of distinct requests is bounded to MaxQuarantineEntries entries of a
 // few hundred bytes in the daemon, which then ignores crashes under further
 // requests, and to MaxSharedRecords objects in the store, where the oldest
@@ -90,11 +96,16 @@
   bool succeeded(const RequestFingerprint &R);
 
   /// Applies the store's list of all records at \p Revision. Local evidence
-  /// that is not in the store and newer records are kept.
+  /// that is not in the store, newer records and, in the first list of an
+  /// epoch, evidence of records that the store lost are kept.
   void replaceAll(const std::vector<SharedRecord> &Now, StoreRevision Revision);
   /// Applies a record from the store unless its revision is already known or
   /// outdated.
   void put(SharedRecord Now);
+  /// Applies a record that the store holds again after its removal was read: it
+  /// is void and must be removed once more. Counts like any other record if
+  /// there has been evidence against the request since.
+  void putRemoved(SharedRecord Now);
   /// Applies the removal of a record from the store, which also voids the local
   /// evidence: another daemon saw a run succeed, an operator removed the
   /// record, or it expired. A removal older than the known revision is ignored.
@@ -111,7 +122,8 @@
   /// The write that grants a trial; empty if none is left.
   std::optional<QuarantineWrite> trialWrite(const RequestFingerprint &R) const;
   /// Removes expired evidence and renews inconclusive trials; in the store only
-  /// if \p Writes is set.
+  /// if \p Writes is set. Until the next call, \p Writes also decides whether
+  /// this daemon writes what a restore of the store took back.
   void expire(WallTime Now, bool Writes);
 
   std::size_t size() const { return Entries.size(); }
@@ -126,21 +138,26 @@
     bool Share = false;       ///< Own must be written.
     bool Clear = false;       ///< Shared is void and must be removed.
     bool ReturnTrial = false; ///< One trial of Shared must be returned.
-    WallTime RenewAt = 0;     ///< Time of a due renewal of trials; 0: none.
-    unsigned Writes = 0;      ///< Writes in progress.
+    /// A restore of the store took back a change of its record.
+    bool Restored = false;
+    WallTime RenewAt = 0; ///< Time of a due renewal of trials; 0: none.
+    unsigned Writes = 0;  ///< Writes in progress.
   };
   using Table = std::map<RequestFingerprint, Entry>;
 
   static QuarantineRecord combined(const Entry &E);
-  static bool needsWrite(const Entry &E);
+  bool needsWrite(const Entry &E) const;
   static QuarantineRecord recordToWrite(const Entry &E);
   static void expireEntry(Entry &E, WallTime Now, bool Writes);
   void refreshEntry(Table::iterator At);
+  void keepLost(Table::iterator At);
+  void setRestores(bool Writes);
   std::optional<QuarantineWrite> evictionWrite() const;
 
   Table Entries;
   std::set<RequestFingerprint> PendingWrites; ///< Entries that need a write.
   std::size_t SharedCount = 0;
+  bool Restores = false; ///< This daemon writes entries that are Restored.
 };
 
 } // namespace shallot
