store, front: a restore of the store undoes nothing that was in force

Between the return of a store from a copy and the moment at which the operator and the replicas have written again what it lost, the list of the new epoch shows a state that has passed. Taken as it is, a replica that registered lately is dropped while it lives, one that left or drains gets requests again, an evacuation ends, and a daemon passes an older configuration on.

A configuration with a higher version outlives the store's for good, also in what peers are told; so does the state of a replica that is leaving, over the restore.

--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -57,6 +57,10 @@
 /// after this time.
 inline constexpr Duration EvacuationWatchWait = Millis(2500);
 
+/// After a restore of the store, an operator may need this long to order an
+/// evacuation or its end again.
+inline constexpr Duration OperatorRewriteTime = Seconds(10);
+
 template <typename Store>
 requires CallableStore<Store> && KindWriter<Store>
 class ServingFeed {
@@ -217,12 +221,15 @@
     O.Wait = QuarantineWatchWait;
     O.FirstBackoff = QuarantineFirstBackoff;
     O.MostBackoff = QuarantineMaxBackoff;
+    // The quarantine table keeps them, and writes them again.
+    O.Restore.KeepLost = Duration(0);
     return O;
   }
 
   static KindWatchOptions evacuationOptions() {
     KindWatchOptions O;
     O.Wait = EvacuationWatchWait;
+    O.Restore = {OperatorRewriteTime, OperatorRewriteTime};
     return O;
   }
 
@@ -251,6 +258,9 @@
     H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
       restored("config", Listed, Read);
     };
+    H.Outlives = [this](const KindObject &Held, const KindObject *Stored) {
+      return Entries.configOutlives(Held, Stored);
+    };
     H.Advanced = [this] { Server.advanced(Schema.ConfigKind); };
     return H;
   }
@@ -277,6 +287,9 @@
     H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
       restored("replicas", Listed, Read);
     };
+    H.Outlives = [this](const KindObject &Held, const KindObject *Stored) {
+      return Entries.replicaOutlives(Held, Stored);
+    };
     H.Advanced = [this] { Server.advanced(Schema.ReplicaKind); };
     return H;
   }
@@ -298,6 +311,10 @@
     H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
       restored("quarantine", Listed, Read);
     };
+    H.Withheld = [this](const KindObject &O) {
+      if (auto R = QuarantineSync<Store, EventLoop>::readShared(O))
+        D.quarantine().table().putRemoved(std::move(*R));
+    };
     H.Advanced = [this] { Server.advanced(Schema.QuarantineKind); };
     return H;
   }
--- a/packages/front/StoreObjectApplier.cpp
+++ b/packages/front/StoreObjectApplier.cpp
@@ -78,6 +78,23 @@
   D.replicas().put(std::move(*E), Loop.now());
 }
 
+bool StoreObjectApplier::configOutlives(const KindObject &Held,
+                                        const KindObject *Stored) const {
+  if (Held.Name != Schema.ConfigName)
+    return false;
+  return !Stored || Schema.ConfigVersion(Held) > Schema.ConfigVersion(*Stored);
+}
+
+bool StoreObjectApplier::replicaOutlives(const KindObject &Held,
+                                         const KindObject *Stored) const {
+  if (!Stored || Stored->Revision.Epoch <= Held.Revision.Epoch)
+    return false;
+  auto Was = attempt([&] { return Schema.ReadReplica(Held); });
+  auto Is = attempt([&] { return Schema.ReadReplica(*Stored); });
+  return Was && Is && Was->Leaving && !Is->Leaving &&
+         Was->StartedUnixMs == Is->StartedUnixMs;
+}
+
 void StoreObjectApplier::applyEvacuationList(const std::vector<KindObject> &Now,
                                              StoreRevision Revision) {
   Evacuated.clear();
--- a/packages/front/StoreObjectApplier.h
+++ b/packages/front/StoreObjectApplier.h
@@ -28,6 +28,9 @@
   /// Objects are named after zones; empty where zones are not evacuated.
   std::string EvacuationKind;
   std::function<Result<ServingConfig>(const KindObject &)> ReadConfig;
+  /// The operator's version of a configuration, without reading the rest; 0 if
+  /// it has none.
+  std::function<std::uint64_t(const KindObject &)> ConfigVersion;
   std::function<Result<ReplicaEntry>(const KindObject &)> ReadReplica;
 };
 
@@ -46,6 +49,12 @@
   void applyEvacuationList(const std::vector<KindObject> &Now,
                            StoreRevision Revision);
   void applyEvacuation(const KindChange &C);
+  /// Whether a configuration stays although the store holds \p Stored: one with
+  /// a lower version, or none. See RestoreRecovery::OutlivesFn.
+  bool configOutlives(const KindObject &Held, const KindObject *Stored) const;
+  /// The same for a registration: a replica that was leaving before a restore
+  /// of the store does not become ready by it.
+  bool replicaOutlives(const KindObject &Held, const KindObject *Stored) const;
 
 private:
   std::optional<ReplicaEntry> read(const KindObject &O) const;
--- a/packages/store/KindCache.h
+++ b/packages/store/KindCache.h
@@ -42,6 +42,11 @@
   std::optional<KindChanges> since(StoreRevision Since) const;
   /// The objects by name.
   const std::map<std::string, KindObject> &objects() const { return ByName; }
+  /// Null if there is no such object.
+  const KindObject *find(const std::string &Name) const {
+    auto Found = ByName.find(Name);
+    return Found == ByName.end() ? nullptr : &Found->second;
+  }
 
 private:
   /// Sorted by revision.
--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -8,6 +8,8 @@
 //   - nothing is missed: after a lost reply or a cut watch it watches on from
 //     the last revision that it has seen, and lists anew when the store has
 //     forgotten that history or was restored from a copy;
+//   - what a restore took back stays in force for a while, until it is written
+//     again (RestoreRecovery);
 //   - a list of several pages that changes between the pages is made whole by
 //     watching from the revision of the first page;
 //   - the owner is notified when the store stops and begins to answer, because
@@ -25,6 +27,7 @@
 #include "store/Backoff.h"
 #include "store/KindCache.h"
 #include "store/ObjectStore.h"
+#include "store/RestoreRecovery.h"
 
 #include <map>
 #include <memory>
@@ -41,13 +44,14 @@
   Duration MostBackoff = Millis(900);
   /// Changes that come in a row are taken together.
   Duration Pause = Millis(30);
+  RestoreOptions Restore;
 
   friend bool operator==(const KindWatchOptions &,
                          const KindWatchOptions &) = default;
 };
 
 struct KindWatchHooks {
-  /// Everything there is. Called after each list.
+  /// Everything in force. Called after each list.
   std::function<void(std::vector<KindObject>)> All;
   std::function<void(const KindChange &)> Changed;
   /// The store stopped answering us; why.
@@ -58,6 +62,10 @@
   std::function<void(StoreRevision Listed, StoreRevision Read)> Outdated;
   /// The store was restored from a copy; the list of its new epoch follows.
   std::function<void(StoreRevision Listed, StoreRevision Read)> Restored;
+  /// The store holds an object again after its removal was read.
+  std::function<void(const KindObject &)> Withheld;
+  /// See RestoreRecovery::OutlivesFn.
+  RestoreRecovery::OutlivesFn Outlives;
   /// An answer has been taken in; cache() and heardAt() are up to date.
   std::function<void()> Advanced;
 };
@@ -67,7 +75,8 @@
   KindWatch(Store &S, Time &T, std::string Kind, KindWatchOptions O,
             Random &Rng, KindWatchHooks H)
       : S(S), T(T), Kind(std::move(Kind)), Options(O), Rng(Rng),
-        Hooks(std::move(H)), Wait(O.FirstBackoff, O.MostBackoff) {}
+        Hooks(std::move(H)), Wait(O.FirstBackoff, O.MostBackoff),
+        Recovery(O.Restore, Hooks.Outlives) {}
   KindWatch(const KindWatch &) = delete;
   KindWatch &operator=(const KindWatch &) = delete;
 
@@ -90,10 +99,12 @@
     else
       list();
   }
-  /// The same, and reads everything anew.
+  /// The same, and reads everything anew. If that turns out to be older, the
+  /// watch goes on from where it was.
   void relist() {
     ++Call;
     list();
+    MayResume = Listed;
   }
 
 private:
@@ -111,6 +122,7 @@
   }
 
   void list() {
+    MayResume = false;
     Pages.clear();
     FirstPage = true;
     nextPage({});
@@ -146,25 +158,62 @@
   void takeList() {
     // A store that is behind itself would take everything back.
     if (ListRevision < Cache.revision()) {
+      takeOutliving();
       if (Hooks.Outdated)
         Hooks.Outdated(ListRevision, Cache.revision());
-      again([this] { list(); });
-      return;
+      if (MayResume)
+        return watch();
+      return again([this] { list(); });
     }
     answered(ListAge);
-    if (Listed && ListRevision.Epoch != Cache.revision().Epoch &&
-        Hooks.Restored)
+    bool Restored = Listed && ListRevision.Epoch != Cache.revision().Epoch;
+    if (Restored && Hooks.Restored)
       Hooks.Restored(ListRevision, Cache.revision());
-    Cache.replaceAll(Pages, ListRevision);
+    std::vector<KindObject> Now =
+        Recovery.listed(Cache.objects(), std::exchange(Pages, {}), ListRevision,
+                        Restored, T.now());
+    Cache.replaceAll(Now, ListRevision);
     Seen.clear();
-    for (const KindObject &O : Pages)
+    for (const KindObject &O : Now)
       Seen[O.Name] = O.Revision;
     Listed = true;
-    Hooks.All(std::exchange(Pages, {}));
+    Hooks.All(Recovery.inForce(std::move(Now)));
+    if (Hooks.Withheld)
+      for (const auto &[Name, O] : Recovery.withheld())
+        Hooks.Withheld(O);
     Hooks.Advanced();
+    if (Restored)
+      settleLater();
     watch();
   }
 
+  /// An object that its owner orders by itself may be newer in an older list.
+  void takeOutliving() {
+    for (KindObject &O : Pages) {
+      const KindObject *Held = Cache.find(O.Name);
+      if (!Held || !Recovery.outlives(O, Held))
+        continue;
+      O.Revision = Cache.revision();
+      KindChange C{std::move(O), false};
+      Cache.apply(C);
+      Hooks.Changed(C);
+    }
+  }
+
+  void settleLater() {
+    std::optional<Instant> End = Recovery.nextEnd();
+    if (!End)
+      return;
+    T.after(std::max(Duration(0), *End - T.now()),
+            [this, Weak = std::weak_ptr(Alive)] {
+              if (Weak.expired())
+                return;
+              for (const KindChange &C : Recovery.settle(T.now()))
+                Hooks.Changed(C);
+              settleLater();
+            });
+  }
+
   void watch() {
     S.watchKind(Kind, Cache.revision(), Options.Wait,
                 guarded([this](Attempt<KindChanges> Got) {
@@ -203,7 +252,11 @@
     Known = C.Object.Revision;
     if (Seen.size() > MaxRemembered)
       Seen.clear();
+    const KindObject *Held = Cache.find(C.Object.Name);
+    if (Held && !C.Removed && Recovery.outlives(*Held, &C.Object))
+      return;
     Cache.apply(C);
+    Recovery.changed(C, T.now());
     Hooks.Changed(C);
   }
 
@@ -233,8 +286,10 @@
   Backoff Wait;
   std::vector<KindObject> Pages;
   bool FirstPage = true;
+  bool MayResume = false; ///< The revision read is still good for a watch.
   StoreRevision ListRevision;
   Duration ListAge{};
+  RestoreRecovery Recovery;
   KindCache Cache;
   std::uint64_t Call = 0; ///< Grows with renew().
   std::map<std::string, StoreRevision> Seen;
--- a/tests/FakeKindStore.h
+++ b/tests/FakeKindStore.h
@@ -52,6 +52,8 @@
     ++Epoch;
     wake();
   }
+  /// The next list shows the copy, as one from a source that is behind does.
+  void answerFromCopy() { ListsCopy = true; }
   /// Runs between the pages of a list.
   std::function<void()> BetweenPages;
 
@@ -62,8 +64,9 @@
     if (Bad != ResultCode::Ok)
       return after(Millis(5), [=] { OnDone(Error{Bad, "scripted"}); });
     KindPage P;
-    P.Revision = current();
-    const auto &Objects = State.Objects;
+    const StoreState &Shown = std::exchange(ListsCopy, false) ? Copy : State;
+    P.Revision = {Epoch, Shown.Revision};
+    const auto &Objects = Shown.Objects;
     for (auto At = After.empty() ? Objects.begin() : Objects.upper_bound(After);
          At != Objects.end(); ++At) {
       if (P.Objects.size() == PageSize) {
@@ -147,6 +150,7 @@
   std::uint64_t Epoch = 1;
   StoreState State;
   StoreState Copy;
+  bool ListsCopy = false;
   std::vector<std::shared_ptr<Waiter>> Waiting;
 };
 
--- a/tests/front.cmake
+++ b/tests/front.cmake
@@ -7,6 +7,7 @@
           failure/ColdReplicasInAFleet.cpp
           failure/DeadHostsAreNotNamed.cpp
           failure/FarMembersAreProbedSeldom.cpp
-          failure/RelayedRepliesDoNotLoop.cpp)
+          failure/RelayedRepliesDoNotLoop.cpp
+          failure/RestoredStoreReachesPeers.cpp)
 shallot_test(front_error PACKAGES front LABELS error
   SOURCES error/FrontSettingsAreChecked.cpp)
--- a/tests/store.cmake
+++ b/tests/store.cmake
@@ -3,7 +3,8 @@
           failure/ChangesRace.cpp failure/ChangeMeetsOutage.cpp
           failure/KindWatchMissesNothing.cpp failure/StoreCallsFail.cpp)
 shallot_test(restored_store_failure PACKAGES store LABELS failure
-  SOURCES failure/RestoredStoreIsFollowed.cpp)
+  SOURCES failure/RestoredStoreIsFollowed.cpp
+          failure/RestoredStateStaysInForce.cpp)
 shallot_test(store_correctness PACKAGES store LABELS correctness
   SOURCES correctness/BackoffIsSpread.cpp
           correctness/KindCachePassesOn.cpp)
