front: a starting daemon takes the configuration of its peers if it is newer

A daemon that starts after a restore and reads from the store finds an older version than the one that was confirmed and that all its peers have in force. It let callers in with it. Gossip tells the versions, but the way to a peer that is ahead was a watch from a revision, in whose order the newer version comes first, so that the peer had nothing to tell.

A newer version is now read with a list of the peer, in which it counts by itself, whatever the list's revision; the watch then goes on from where it was. Until it is announced as ready a daemon does so without waiting for its usual source, and it is not ready while a live peer has a newer version, for 1.5 s at most.

restored_store_daemons restarts each of six daemons after a restore, with nobody writing again: all are ready with the version in force.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -45,6 +45,10 @@
 /// Time after start until a daemon knows its fleet: 295 hosts that start
 /// together know each other after this time.
 constexpr Duration FleetKnownAfter = Seconds(3);
+/// A daemon that starts with an older configuration than its peers waits this
+/// long for theirs before it lets callers in: two tries at a list, should one
+/// of the peers be gone.
+constexpr Duration MaxConfigWait = Millis(1500);
 
 Duration clockGap(clockid_t Clock) {
   timespec T{};
@@ -98,6 +102,7 @@
   void fleetChanged();
   void announceIfReady();
   bool ready() const;
+  bool behindPeers() const;
   void beginStop();
   void pollStop();
   void stopListening();
@@ -121,6 +126,7 @@
   HttpServer::Handler PeerHandler;
   std::function<void()> FleetChangedFn;
   bool Listed = false;
+  bool Announced = false; ///< As ready for callers.
   bool Leaving = false;
   Instant LeavingSince;
   std::function<void()> Gone;
@@ -215,12 +221,22 @@
 }
 
 bool FrontDaemon::Impl::ready() const {
-  return Requests.config() && Listed && Replicas.zonesKnown() && !Leaving;
+  return Requests.config() && Listed && Replicas.zonesKnown() && !Leaving &&
+         (Announced || !behindPeers());
+}
+
+/// The store may be restored to a state before the latest change; its peers
+/// still have that change.
+bool FrontDaemon::Impl::behindPeers() const {
+  return Loop.now() - Started < MaxConfigWait &&
+         Fleet->newestPeerRevisions().ConfigVersion >
+             Requests.config()->version();
 }
 
 void FrontDaemon::Impl::announceIfReady() {
-  if (!ready() || Fleet->view().Members.empty())
+  if (Announced || !ready() || Fleet->view().Members.empty())
     return;
+  Announced = true;
   Fleet->setState(MemberState::Alive);
   logEvent(LogLevel::Info, "ready",
            {{"config", std::to_string(Requests.config()->version())},
@@ -292,6 +308,7 @@
   Requests.tick();
   updateSharing(Loop.now());
   measureLoad();
+  announceIfReady();
   Timers.after(HousekeepingPeriod, [this] { housekeeping(); });
 }
 
@@ -397,14 +414,12 @@
                 {"in_force", std::to_string(Before->version())}});
     return;
   }
-  bool First = !Before;
   logEvent(LogLevel::Info, "config_installed",
            {{"version", std::to_string(Config.version())},
             {"routes", std::to_string(Config.routes().size())}});
   I->Callers->setOptions(callerOptions(Config.limits()));
   I->Requests.install(std::make_shared<ServingConfig>(std::move(Config)));
-  if (First)
-    I->announceIfReady();
+  I->announceIfReady();
 }
 
 ReplicaRegistry &FrontDaemon::replicas() { return I->Replicas; }
@@ -437,6 +452,8 @@
 
 FleetLink &FrontDaemon::fleet() { return *I->Fleet; }
 
+bool FrontDaemon::announced() const { return I->Announced; }
+
 std::uint64_t FrontDaemon::configVersion() const {
   return I->Requests.config() ? I->Requests.config()->version() : 0;
 }
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -77,6 +77,8 @@
   void onFleetChanged(std::function<void()> Fn);
   const FleetView &view() const;
   FleetLink &fleet();
+  /// True once this daemon has announced itself ready for callers.
+  bool announced() const;
   /// Version of the configuration in force; 0 if there is none yet.
   std::uint64_t configVersion() const;
   const FrontSettings &settings() const;
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -162,22 +162,21 @@
                              ? D.fleet().newestPeerRevisions()
                              : ReadRevisions();
     Duration Period = FeedTick * CompareEvery;
-    Configs.switchIfBehind(
-        Mine, Most,
-        [](const ReadRevisions &R) {
-          return StoreRevision(0, R.ConfigVersion);
-        },
-        false, Period);
-    Replicas.switchIfBehind(
-        Mine, Most, [](const ReadRevisions &R) { return R.Replicas; }, true,
-        Period);
-    Records.switchIfBehind(
-        Mine, Most, [](const ReadRevisions &R) { return R.Quarantine; }, true,
-        Period);
+    RevisionOf Version = [](const ReadRevisions &R) {
+      return StoreRevision(0, R.ConfigVersion);
+    };
+    // Callers are not to be served by a configuration that the fleet has left.
+    if (!D.announced())
+      Configs.switchAtOnceIfBehind(Mine, Most, Version);
+    Configs.switchIfBehind(Mine, Most, Version, AheadBy::WriterVersion, Period);
+    auto Compare = [&](Kind &K, RevisionOf Of) {
+      K.switchIfBehind(Mine, Most, Of, AheadBy::StoreRevision, Period);
+    };
+    Compare(Replicas, [](const ReadRevisions &R) { return R.Replicas; });
+    Compare(Records, [](const ReadRevisions &R) { return R.Quarantine; });
     if (!Schema.EvacuationKind.empty())
-      Evacuations.switchIfBehind(
-          Mine, Most, [](const ReadRevisions &R) { return R.Evacuations; },
-          true, Period);
+      Compare(Evacuations,
+              [](const ReadRevisions &R) { return R.Evacuations; });
   }
 
   /// Other watches may wait seconds for changes after a revision that the store
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -17,6 +17,14 @@
 
 namespace shallot {
 
+/// What tells which of two daemons is ahead.
+enum class AheadBy : std::uint8_t {
+  StoreRevision, ///< The store's order of changes.
+  /// A number of the objects' writer. The object may have an older revision
+  /// than those read before, so it is read with a list.
+  WriterVersion,
+};
+
 /// The part of what a daemon has read that concerns one kind.
 using RevisionOf = StoreRevision (*)(const ReadRevisions &);
 
@@ -72,20 +80,27 @@
   /// peers has read.
   ///
   /// Two daemons can differ permanently when one saw a removal that the other
-  /// only infers from a list. With \p Once, each revision of a peer is
-  /// therefore requested only once; without it, until this daemon has it.
+  /// only infers from a list. Each store revision of a peer is therefore
+  /// requested only once, a version until this daemon has it.
   void switchIfBehind(const ReadRevisions &Mine, const ReadRevisions &Most,
-                      RevisionOf Of, bool Once, Duration Period) {
+                      RevisionOf Of, AheadBy By, Duration Period) {
     StoreRevision Read = Of(Mine);
-    StoreRevision Known = Once ? std::max(Read, NewestRequested) : Read;
+    StoreRevision Known =
+        By == AheadBy::StoreRevision ? std::max(Read, NewestRequested) : Read;
     bool Progressing = Read != std::exchange(PreviousRead, Read) ||
                        Source.receivedWithin(Period);
     if (Behind.shouldSwitch(Of(Most) > Known, Progressing, Loop.now()))
-      switchToPeerAhead(Of, Known);
+      switchToPeerAhead(Of, By, Known);
+  }
+  /// The same for a version, and without waiting for the usual source.
+  void switchAtOnceIfBehind(const ReadRevisions &Mine,
+                            const ReadRevisions &Most, RevisionOf Of) {
+    if (Of(Most) > Of(Mine) && !Source.receivedWithin(CatchUpTimeout))
+      switchToPeerAhead(Of, AheadBy::WriterVersion, Of(Mine));
   }
 
 private:
-  void switchToPeerAhead(RevisionOf Of, StoreRevision Known) {
+  void switchToPeerAhead(RevisionOf Of, AheadBy By, StoreRevision Known) {
     std::optional<PeerAhead> Ahead = D.fleet().findPeerAhead(
         [&](const ReadRevisions &Its) { return Of(Its) > Known; });
     if (!Ahead)
@@ -99,7 +114,10 @@
               {"revision", Objects.revision().str()},
               {"its", Theirs.str()}});
     sources().prefer(Ahead->Peer);
-    Objects.renew();
+    if (By == AheadBy::WriterVersion)
+      Objects.relist();
+    else
+      Objects.renew();
   }
 
   EventLoop &Loop;
--- a/tests/failure/restored_store.py
+++ b/tests/failure/restored_store.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "tools"))
 
-from deployment import Deployment  # noqa: E402
+from deployment import READY_SECONDS, Deployment  # noqa: E402
 from fleet import wait_until  # noqa: E402
 
 DAEMONS = 6         # Two in each region: one reads the store, one its peer.
@@ -41,6 +41,19 @@
     print(f"version {version} in force after {time.monotonic() - began:.2f} s")
 
 
+def start_in_the_middle(deployment, version):
+    """A daemon that starts while the store lacks a version that the others have
+    in force lets callers in with that version."""
+    deployment.order_store(take_copy=True)
+    write(deployment, version)
+    deployment.order_store(restore_copy=True)
+    time.sleep(AWAY_S)
+    for n in range(1, deployment.daemons + 1):
+        deployment.restart(n)
+        assert installed(deployment, n)[-1] == version, \
+            f"front-{n} is ready with {installed(deployment, n)}"
+
+
 def play(deployment):
     version = 7
     deployment.put_config(deployment.config(version))
@@ -58,13 +71,25 @@
         deployment.put_config(deployment.config(version))
         version += 3
         write(deployment, version)
+    start_in_the_middle(deployment, version + 3)
     for n in range(1, deployment.daemons + 1):
         versions = installed(deployment, n)
         assert versions == sorted(set(versions)), f"front-{n}: {versions}"
 
 
+class RestartedDeployment(Deployment):
+    def restart(self, n):
+        """Kills a daemon and waits until its successor is ready."""
+        child = self.children[f"front-{n}"]
+        child.kill()
+        child.wait()
+        self.path(f"front-{n}.log").unlink()
+        self.start_daemon(n)
+        wait_until(f"front-{n} is ready", READY_SECONDS, lambda: self.ready(n))
+
+
 def main():
-    with Deployment(sys.argv[1], "127.0.46", daemons=DAEMONS) as deployment:
+    with RestartedDeployment(sys.argv[1], "127.0.46", daemons=DAEMONS) as deployment:
         play(deployment)
 
 
