--- a/tests/correctness/ShallotctlSession.cpp
+++ b/tests/correctness/ShallotctlSession.cpp
@@ -191,7 +191,7 @@
   RecordDocument<StoreClient> Records(S.platform(), std::string(RecordsPath));
   using Written = Attempt<KindWriteReply>;
   Written Done = S.await<Written>([&](const std::function<void(Written)> &Go) {
-    Records.writeObject("", Search.str(), recordContent(R), 0, Go);
+    Records.writeObject("", Search.str(), recordContent(R), {}, Go);
   });
   REQUIRE(Done);
   REQUIRE(Done->Applied);
--- a/tests/error/RecordDocumentsAreChecked.cpp
+++ b/tests/error/RecordDocumentsAreChecked.cpp
@@ -31,8 +31,8 @@
 
 TEST_CASE("a document is unchanged after formatting and parsing") {
   RecordSet P{7, {}};
-  P.Objects["a"] = {"a", 5, {{"trials", 1}}};
-  P.Objects["b"] = {"b", 7, "anything"};
+  P.Objects["a"] = {"a", {0, 5}, {{"trials", 1}}};
+  P.Objects["b"] = {"b", {0, 7}, "anything"};
   auto Back = attempt([&] { return parseRecordSet(formatRecordSet(P)); });
   REQUIRE(Back);
   CHECK(*Back == P);
--- a/tests/fuzz/DocumentTargets.cpp
+++ b/tests/fuzz/DocumentTargets.cpp
@@ -103,7 +103,7 @@
   nlohmann::json Doc = nlohmann::json::parse(Input, nullptr, false);
   if (Doc.is_discarded())
     return;
-  auto E = attempt([&] { return wire::readReplica({"i-1", 1, Doc}, {}); });
+  auto E = attempt([&] { return wire::readReplica({"i-1", {0, 1}, Doc}, {}); });
   if (!E)
     return;
   require(Doc.is_object(), "a replica is an object");
@@ -117,7 +117,7 @@
   nlohmann::json Doc = nlohmann::json::parse(Input, nullptr, false);
   if (Doc.is_discarded())
     return;
-  auto C = attempt([&] { return wire::readConfig({"main", 1, Doc}); });
+  auto C = attempt([&] { return wire::readConfig({"main", {0, 1}, Doc}); });
   if (!C)
     return;
   for (const Route &R : C->routes()) {
@@ -253,7 +253,7 @@
       {"query",
        Shape::Bytes,
        {"name=a.example&region=r&zone=hall+1", "since=5&wait_ms=4000&relays=1",
-        "after=i-1%20&wait_ms=1"},
+        "after=i-1%20&wait_ms=1", "since=5&epoch=2&wait_ms=1"},
        &query},
       {"settings",
        Shape::Json,
--- a/tests/performance/BenchQuarantine.cpp
+++ b/tests/performance/BenchQuarantine.cpp
@@ -110,7 +110,7 @@
   RecordSet Page{1, {}};
   for (int N = 0; N < int(MaxSharedRecords); ++N) {
     QuarantineRecord R = record(N);
-    Page.Objects[R.Request.str()] = {R.Request.str(), 1, recordContent(R)};
+    Page.Objects[R.Request.str()] = {R.Request.str(), {0, 1}, recordContent(R)};
   }
   double Bytes = double(formatRecordSet(Page).size());
   fmt::print("bytes of a record in the store: {:.0f}\n",
