front: a restore is logged with what it kept, and the feed's timing has its own file

store_restored names the revisions before and after and how many objects are kept and withheld, and shallot_store_restores_total counts it: from the log alone one could not tell what was in force between the restore and the second writing. A starting daemon asks a peer for each newer version once, and then waits as usual, so that a slow peer is not asked again five times a second. A version taken from an older list is told to waiting peers.

--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -10,6 +10,7 @@
 #define SHALLOTSHIFT_FRONT_SERVINGFEED_H
 
 #include "front/FeedServer.h"
+#include "front/FeedTiming.h"
 #include "front/StoreObjectApplier.h"
 #include "front/WatchedKind.h"
 #include "shallotshift/crashguard.h"
@@ -19,48 +20,6 @@
 
 namespace shallot {
 
-/// How long the store holds a watch call without a change. The age of the data
-/// that other daemons rely on (MaxFeedAge) depends on it. A silent connection
-/// is detected after this time plus the timeout of the call; the other watches
-/// are then renewed too. Each call costs money: the two watches with this wait
-/// make 1.3 calls per second in each region.
-inline constexpr Duration StoreWatchWait = Millis(1500);
-
-/// Changes within this interval are fetched together. Replicas register
-/// individually and update their warm-up time, and each change would otherwise
-/// be one call to the store from every region. A leaving replica must receive
-/// nothing after 3 s, and each of the three levels of the relay tree may add
-/// this delay.
-inline constexpr Duration ReplicaBatchDelay = Millis(150);
-/// Shorter than for replicas: configuration changes are rare, and a caller may
-/// already depend on the new configuration.
-inline constexpr Duration ConfigBatchDelay = Millis(30);
-
-/// A daemon that has just started waits this long for a peer before it calls
-/// the store. The daemons of a fleet that starts as a whole discover each other
-/// within this time, so the store is called once per region instead of once per
-/// daemon.
-inline constexpr Duration FirstPeersTimeout = Millis(250);
-/// Delay from the first message of a peer to the choice of a source, to let
-/// replies from the other seeds arrive.
-inline constexpr Duration PeerSettleTime = Millis(40);
-
-/// Quarantine records are few and change seldom, and each call costs money, so
-/// their watch waits longer. A silent connection is detected by the other
-/// watches and through peers that are ahead.
-inline constexpr Duration QuarantineWatchWait = Seconds(15);
-inline constexpr Duration QuarantineFirstBackoff = Millis(600);
-inline constexpr Duration QuarantineMaxBackoff = Seconds(4);
-
-/// Evacuations are few, but one must take effect everywhere within seconds,
-/// even if the connection of the watch has gone silent: the call is renewed
-/// after this time.
-inline constexpr Duration EvacuationWatchWait = Millis(2500);
-
-/// After a restore of the store, an operator may need this long to order an
-/// evacuation or its end again.
-inline constexpr Duration OperatorRewriteTime = Seconds(10);
-
 template <typename Store>
 requires CallableStore<Store> && KindWriter<Store>
 class ServingFeed {
@@ -69,13 +28,13 @@
               StoreSchema F)
       : Loop(Loop), D(D), Schema(std::move(F)), Entries(Loop, D, Schema),
         Configs(Loop, Http, S, D, Schema.ConfigKind, "config",
-                options(ConfigBatchDelay), configHooks()),
+                configWatchOptions(), configHooks()),
         Replicas(Loop, Http, S, D, Schema.ReplicaKind, "replicas",
-                 options(ReplicaBatchDelay), replicaHooks()),
+                 replicaWatchOptions(), replicaHooks()),
         Records(Loop, Http, S, D, Schema.QuarantineKind, "quarantine",
-                recordOptions(), recordHooks()),
+                recordWatchOptions(), recordHooks()),
         Evacuations(Loop, Http, S, D, Schema.EvacuationKind, "evacuations",
-                    evacuationOptions(), evacuationHooks()),
+                    evacuationWatchOptions(), evacuationHooks()),
         Sync(Loop, S, Schema.QuarantineKind, D.quarantine().table(),
              D.random()),
         Server(
@@ -181,13 +140,15 @@
 
   /// Other watches may wait seconds for changes after a revision that the store
   /// no longer has.
-  void restored(std::string_view What, StoreRevision Listed,
-                StoreRevision Read) {
+  void restored(const char *Watch, const RestoreReport &R) {
+    D.metrics().count("shallot_store_restores_total", {{"watch", Watch}});
     logEvent(LogLevel::Warn, "store_restored",
-             {{"watch", std::string(What)},
-              {"listed", Listed.str()},
-              {"read", Read.str()}});
-    Loop.post([this, Epoch = Listed.Epoch] {
+             {{"watch", Watch},
+              {"listed", R.Listed.str()},
+              {"read", R.Read.str()},
+              {"kept", std::to_string(R.Kept)},
+              {"withheld", std::to_string(R.Withheld)}});
+    Loop.post([this, Epoch = R.Listed.Epoch] {
       for (const NamedKind &K : Kinds)
         K.Objects->onRestored(Epoch);
     });
@@ -208,28 +169,14 @@
   static constexpr unsigned CompareEvery = 2;
   static constexpr unsigned SyncEvery = QuarantineSyncInterval / FeedTick;
 
-  static KindWatchOptions options(Duration Pause) {
-    KindWatchOptions O;
-    O.Wait = StoreWatchWait;
-    O.Pause = Pause;
-    return O;
-  }
-
-  static KindWatchOptions recordOptions() {
-    KindWatchOptions O;
-    O.Wait = QuarantineWatchWait;
-    O.FirstBackoff = QuarantineFirstBackoff;
-    O.MostBackoff = QuarantineMaxBackoff;
-    // The quarantine table keeps them, and writes them again.
-    O.Restore.KeepLost = Duration(0);
-    return O;
-  }
-
-  static KindWatchOptions evacuationOptions() {
-    KindWatchOptions O;
-    O.Wait = EvacuationWatchWait;
-    O.Restore = {OperatorRewriteTime, OperatorRewriteTime};
-    return O;
+  /// \p Watch names the kind in logs and metrics.
+  void reportRestores(KindWatchHooks &H, const char *Watch) {
+    H.Restored = [this, Watch](const RestoreReport &R) { restored(Watch, R); };
+    H.Outdated = [Watch](StoreRevision Listed, StoreRevision Read) {
+      logEvent(
+          LogLevel::Warn, "list_outdated",
+          {{"watch", Watch}, {"listed", Listed.str()}, {"read", Read.str()}});
+    };
   }
 
   KindWatchHooks configHooks() {
@@ -251,12 +198,7 @@
       logStoreRegained("config");
       renewFailedWatches();
     };
-    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
-      logListOutdated("config", Listed, Read);
-    };
-    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
-      restored("config", Listed, Read);
-    };
+    reportRestores(H, "config");
     H.Outlives = [this](const KindObject &Held, const KindObject *Stored) {
       return Entries.configOutlives(Held, Stored);
     };
@@ -280,12 +222,7 @@
       D.replicas().storeRecovered(Loop.now());
       renewFailedWatches();
     };
-    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
-      logListOutdated("replicas", Listed, Read);
-    };
-    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
-      restored("replicas", Listed, Read);
-    };
+    reportRestores(H, "replicas");
     H.Outlives = [this](const KindObject &Held, const KindObject *Stored) {
       return Entries.replicaOutlives(Held, Stored);
     };
@@ -304,12 +241,7 @@
       logStoreRegained("quarantine");
       Sync.pump();
     };
-    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
-      logListOutdated("quarantine", Listed, Read);
-    };
-    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
-      restored("quarantine", Listed, Read);
-    };
+    reportRestores(H, "quarantine");
     H.Withheld = [this](const KindObject &O) {
       if (auto R = QuarantineSync<Store, EventLoop>::readShared(O))
         D.quarantine().table().putRemoved(std::move(*R));
@@ -326,12 +258,7 @@
     H.Changed = [this](const KindChange &C) { Entries.applyEvacuation(C); };
     H.Away = [](const Error &Why) { logStoreLost("evacuations", Why); };
     H.Back = [] { logStoreRegained("evacuations"); };
-    H.Outdated = [](StoreRevision Listed, StoreRevision Read) {
-      logListOutdated("evacuations", Listed, Read);
-    };
-    H.Restored = [this](StoreRevision Listed, StoreRevision Read) {
-      restored("evacuations", Listed, Read);
-    };
+    reportRestores(H, "evacuations");
     H.Advanced = [this] { Server.advanced(Schema.EvacuationKind); };
     return H;
   }
@@ -391,14 +318,6 @@
     logEvent(LogLevel::Info, "store_regained", {{"watch", std::string(What)}});
   }
 
-  static void logListOutdated(std::string_view What, StoreRevision Listed,
-                              StoreRevision Read) {
-    logEvent(LogLevel::Warn, "list_outdated",
-             {{"watch", std::string(What)},
-              {"listed", Listed.str()},
-              {"read", Read.str()}});
-  }
-
   EventLoop &Loop;
   FrontDaemon &D;
   StoreSchema Schema;
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -92,10 +92,12 @@
     if (Behind.shouldSwitch(Of(Most) > Known, Progressing, Loop.now()))
       switchToPeerAhead(Of, By, Known);
   }
-  /// The same for a version, and without waiting for the usual source.
+  /// The same for a version, without waiting for the usual source. Requests
+  /// each version once, to leave the peer time for the reply.
   void switchAtOnceIfBehind(const ReadRevisions &Mine,
                             const ReadRevisions &Most, RevisionOf Of) {
-    if (Of(Most) > Of(Mine) && !Source.receivedWithin(CatchUpTimeout))
+    if (Of(Most) > std::max(Of(Mine), NewestRequested) &&
+        !Source.receivedWithin(CatchUpTimeout))
       switchToPeerAhead(Of, AheadBy::WriterVersion, Of(Mine));
   }
 
--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -61,7 +61,7 @@
   /// A list was refused because it is older than the data read before.
   std::function<void(StoreRevision Listed, StoreRevision Read)> Outdated;
   /// The store was restored from a copy; the list of its new epoch follows.
-  std::function<void(StoreRevision Listed, StoreRevision Read)> Restored;
+  std::function<void(const RestoreReport &)> Restored;
   /// The store holds an object again after its removal was read.
   std::function<void(const KindObject &)> Withheld;
   /// See RestoreRecovery::OutlivesFn.
@@ -166,12 +166,14 @@
       return again([this] { list(); });
     }
     answered(ListAge);
-    bool Restored = Listed && ListRevision.Epoch != Cache.revision().Epoch;
-    if (Restored && Hooks.Restored)
-      Hooks.Restored(ListRevision, Cache.revision());
+    StoreRevision Read = Cache.revision();
+    bool Restored = Listed && ListRevision.Epoch != Read.Epoch;
     std::vector<KindObject> Now =
         Recovery.listed(Cache.objects(), std::exchange(Pages, {}), ListRevision,
                         Restored, T.now());
+    if (Restored && Hooks.Restored)
+      Hooks.Restored({ListRevision, Read, Recovery.kept().size(),
+                      Recovery.withheld().size()});
     Cache.replaceAll(Now, ListRevision);
     Seen.clear();
     for (const KindObject &O : Now)
@@ -197,6 +199,7 @@
       KindChange C{std::move(O), false};
       Cache.apply(C);
       Hooks.Changed(C);
+      Hooks.Advanced();
     }
   }
 
--- a/packages/store/RestoreRecovery.cpp
+++ b/packages/store/RestoreRecovery.cpp
@@ -5,10 +5,10 @@
 
 namespace shallot {
 
-std::vector<KindObject>
-RestoreRecovery::listed(const ObjectsByName &Cached,
-                        std::vector<KindObject> Now, StoreRevision Revision,
-                        bool Restored, Instant At) {
+std::vector<KindObject> RestoreRecovery::listed(const ObjectsByName &Cached,
+                                                std::vector<KindObject> Now,
+                                                StoreRevision Revision,
+                                                bool Restored, Instant At) {
   forgetRemovals(At);
   ObjectsByName Listed;
   for (KindObject &O : Now)
@@ -19,7 +19,8 @@
     KeepUntil = At + Options.KeepLost;
     WithholdUntil = At + Options.WithholdRemoved;
   } else {
-    std::erase_if(Kept, [&](const auto &K) { return Listed.contains(K.first); });
+    std::erase_if(Kept,
+                  [&](const auto &K) { return Listed.contains(K.first); });
     std::erase_if(Withheld,
                   [&](const auto &W) { return !Listed.contains(W.first); });
   }
--- a/packages/store/RestoreRecovery.h
+++ b/packages/store/RestoreRecovery.h
@@ -47,6 +47,17 @@
 /// 10,000 replicas fits.
 inline constexpr std::size_t MaxRemovals = 20000;
 
+/// A restore of the store, as one daemon saw it.
+struct RestoreReport {
+  StoreRevision Listed;     ///< The first list of the new epoch.
+  StoreRevision Read;       ///< What was read before.
+  std::size_t Kept = 0;     ///< Objects that the store has lost.
+  std::size_t Withheld = 0; ///< Objects that are back after their removal.
+
+  friend bool operator==(const RestoreReport &,
+                         const RestoreReport &) = default;
+};
+
 using ObjectsByName = std::map<std::string, KindObject>;
 
 class RestoreRecovery {
