--- a/tests/failure/RestoredRecordsAreWrittenAgain.cpp
+++ b/tests/failure/RestoredRecordsAreWrittenAgain.cpp
@@ -1,4 +1,5 @@
-// Guards against requests of death that are sent on after a restore of the store.
+// Guards against requests of death that are sent on after a restore of the
+// store.
 #include "shallotshift/quarantine.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/RestoredStoreReachesPeers.cpp
+++ b/tests/failure/RestoredStoreReachesPeers.cpp
@@ -1,4 +1,5 @@
-// Guards against peers that wait for changes of a state that the store has lost.
+// Guards against peers that wait for changes of a state that the store has
+// lost.
 #include "NetFixture.h"
 #include "shallotshift/front.h"
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -23,6 +23,7 @@
 
 # What the users' platform promises its callers; the daemons are told the same.
 GRACE_S, DRAIN_MS, EVACUATION_MS = 6, 3000, 2000
+HEARTBEAT_S = 1.2
 RETRY_RATIO, RETRY_WINDOW_S, RETRY_CONSTANT = 0.2, 10, 52
 
 
--- a/tools/soakkit/faults.py
+++ b/tools/soakkit/faults.py
@@ -9,7 +9,7 @@
 import signal
 import time
 
-from deployment import EVACUATION_MS, ZONES
+from deployment import EVACUATION_MS, HEARTBEAT_S, ZONES
 from soakkit.proxy import DOWN, UP
 
 # Seconds without new disturbances before the end, in which all must be well.
@@ -17,6 +17,10 @@
 QUIET_START = 1.5
 MEAN_GAP = 0.9
 SHORTEST, LONGEST = 0.2, 4.0
+# Restores of the store in a run, beside those that are drawn like the others.
+FEWEST_RESTORES, MOST_RESTORES = 1, 2
+# Live replicas write lost registrations again within this time.
+REWRITE_SECONDS = 1.5
 # Routes that the configuration grows by at most: 0.6 MB.
 GROWN = 3000
 
@@ -28,7 +32,12 @@
         moments.append((at, rng.choice(sorted(KINDS)),
                         rng.uniform(SHORTEST, LONGEST)))
         at += rng.expovariate(1 / MEAN_GAP)
-    return moments
+    # They take long, and what they bring back must be gone by the end.
+    last = max(QUIET_START, seconds - QUIET_END - LONGEST)
+    for _ in range(rng.randint(FEWEST_RESTORES, MOST_RESTORES)):
+        moments.append((rng.uniform(QUIET_START, last), "store_restored",
+                        rng.uniform(SHORTEST, LONGEST)))
+    return sorted(moments)
 
 
 class Faults:
@@ -160,6 +169,34 @@
     async def history_dropped(self, _length):
         await self.store_trouble(0.2, drop_history=True)
 
+    async def store_restored(self, length):
+        """The store goes away and comes back from a copy that is some seconds
+        old. Whoever wrote what is lost writes it again, within seconds."""
+        if self.take(["copy of the store"]) is None:
+            return
+        await self.world.tell("store", take_copy=True)
+        await asyncio.sleep(length)
+        mark = self.begin("restore", "store")
+        await self.world.tell("store", mode=self.rng.choice(
+            ["busy", "silent", "reset"]))
+        await asyncio.sleep(self.rng.uniform(0, 1))
+        await self.world.tell("store", restore_copy=True, mode="serving")
+        await asyncio.gather(self.world.write_operator_again(),
+                             self.write_replicas_again())
+        mark.end = time.monotonic()
+        self.busy.discard("copy of the store")
+
+    async def write_replicas_again(self):
+        states = list(self.world.states.items())
+        for name, state in states:
+            await asyncio.sleep(REWRITE_SECONDS / len(states))
+            if self.world.states.get(name) == state and state != "gone":
+                await self.world.tell_replica(name, state=state)
+        # Registrations of replicas that have left expire.
+        await asyncio.sleep(max(0, 3 * HEARTBEAT_S - REWRITE_SECONDS))
+        gone = [n for n, state in self.world.states.items() if state == "gone"]
+        await self.world.tell("store", remove=gone)
+
     async def entries_lapse(self, length):
         """Entries of live replicas lapse while the store is away and are back
         within two seconds of its return."""
@@ -254,26 +291,34 @@
         if name is None:
             return
         mark = self.begin("leave", f"replica {name}", planned=True)
-        await self.world.tell_replica(name, state="draining")
+        await self.set_state(name, "draining")
         self.world.history.draining[name] = time.monotonic()
         await asyncio.sleep(3.5)
-        await self.world.tell_replica(name, state="gone")
+        await self.set_state(name, "gone")
         await asyncio.sleep(2.2)
         service = self.rng.choice(self.world.services())
+        successor = f"{service}-{name}"
         await self.world.tell_replica(
-            name, become={"id": f"{service}-{name}", "service": service})
+            name, become={"id": successor, "service": service})
+        self.world.states[successor] = "ready"
         mark.end = time.monotonic()
         # It stays taken: it is another replica now.
 
+    async def set_state(self, name, state):
+        self.world.states[name] = state
+        await self.world.tell_replica(name, state=state)
+
     async def zone_evacuated(self, length):
         """A zone's replicas are to get nothing for a while."""
         zone = self.take([name for name, _ in ZONES])
         if zone is None:
             return
         ordered_at = await self.world.insist(self.world.evacuate, zone)
+        self.world.evacuated.add(zone)
         await asyncio.sleep(EVACUATION_MS / 1000 + length)
         self.world.history.evacuations.append(
             (zone, ordered_at, time.monotonic()))
+        self.world.evacuated.discard(zone)
         await self.world.insist(self.world.take_back, zone)
         self.busy.discard(zone)
 
@@ -305,7 +350,8 @@
 KINDS = {name: getattr(Faults, name) for name in (
     "planned_stop", "rolling_stop", "killed", "herd_killed",
     "killed_while_stopping", "paused", "reloaded", "store_busy", "store_silent",
-    "store_reset", "store_slow", "history_dropped", "entries_lapse",
+    "store_reset", "store_slow", "store_restored", "history_dropped",
+    "entries_lapse",
     "store_link", "callers_link", "replica_link", "replica_dies",
     "replica_hangs", "replica_sheds", "replica_fails", "replica_slow",
     "replica_garbles", "replica_leaves", "config_changes", "config_grows",
--- a/tools/soakkit/world.py
+++ b/tools/soakkit/world.py
@@ -31,6 +31,9 @@
         self.history = History()
         self.version = 0
         self.operator = asyncio.Lock()
+        self.evacuated = set()  # Zones that the operator has ordered.
+        # By id, what each replica has registered; "gone": it has left.
+        self.states = {r["id"]: "ready" for r in self.replicas}
         self.expected_exit = set()
 
     # Proxies -----------------------------------------------------------------
@@ -196,6 +199,15 @@
             taken_at = await self.insist(self.put_config, document)
             self.history.versions.append((taken_at, document))
 
+    async def write_operator_again(self):
+        """Writes what the operator has in force, for a store that lost it."""
+        async with self.operator:
+            if self.history.versions:
+                await self.insist(self.put_config, self.history.versions[-1][1])
+        for zone, _ in ZONES:
+            order = self.evacuate if zone in self.evacuated else self.take_back
+            await self.insist(order, zone)
+
     async def tell_replica(self, replica, **fields):
         await self.tell("replicas", replica=replica, **fields)
 
