front: restores are logged and counted beside the other reports of the feed

The log lines and the counter of restores stood in ServingFeed.h, where the check that the operators' page lists every metric does not look, and which decides nothing about them. FeedReport has them now.

--- a/packages/front/FeedReport.cpp
+++ b/packages/front/FeedReport.cpp
@@ -42,4 +42,20 @@
               {"silent_ms", std::to_string(toMillis(P.Silent))}});
 }
 
+void reportRestore(Metrics &Meter, const char *Watch, const RestoreReport &R) {
+  Meter.count("shallot_store_restores_total", {{"watch", Watch}});
+  logEvent(LogLevel::Warn, "store_restored",
+           {{"watch", Watch},
+            {"listed", R.Listed.str()},
+            {"read", R.Read.str()},
+            {"kept", std::to_string(R.Kept)},
+            {"withheld", std::to_string(R.Withheld)}});
+}
+
+void reportOutdatedList(const char *Watch, StoreRevision Listed,
+                        StoreRevision Read) {
+  logEvent(LogLevel::Warn, "list_outdated",
+           {{"watch", Watch}, {"listed", Listed.str()}, {"read", Read.str()}});
+}
+
 } // namespace shallot
--- a/packages/front/FeedReport.h
+++ b/packages/front/FeedReport.h
@@ -1,7 +1,8 @@
 //===- FeedReport.h - Logs and metrics of feed calls ------------*- C++ -*-===//
 //
 // Log lines and counters that show, after a late change, whether replies were
-// cancelled while they arrived, arrived slowly or never began. Only large
+// cancelled while they arrived, arrived slowly or never began, and what daemons
+// made of a restore of the store. Only large
 // replies and calls that were cancelled during their reply are logged, to keep
 // the lines few.
 //
@@ -10,6 +11,7 @@
 #define SHALLOTSHIFT_FRONT_FEEDREPORT_H
 
 #include "shallotshift/net.h"
+#include "shallotshift/store.h"
 #include "shallotshift/telemetry.h"
 
 #include <string>
@@ -30,6 +32,13 @@
 void reportCancelled(Metrics &Meter, const FeedCallName &Call,
                      const TransferProgress &P);
 
+/// Records a restore of the store that the watch \p Watch met.
+void reportRestore(Metrics &Meter, const char *Watch, const RestoreReport &R);
+
+/// Records that a list was refused because \p Read was read before it.
+void reportOutdatedList(const char *Watch, StoreRevision Listed,
+                        StoreRevision Read);
+
 } // namespace shallot
 
 #endif // SHALLOTSHIFT_FRONT_FEEDREPORT_H
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -18,7 +18,7 @@
 
 namespace shallot {
 
-/// What a daemon has read from the store.
+/// Positions up to which a daemon has read the store, by kind.
 struct ReadRevisions {
   std::uint64_t ConfigVersion = 0; ///< The operator's number.
   StoreRevision Replicas;
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -141,13 +141,7 @@
   /// Other watches may wait seconds for changes after a revision that the store
   /// no longer has.
   void restored(const char *Watch, const RestoreReport &R) {
-    D.metrics().count("shallot_store_restores_total", {{"watch", Watch}});
-    logEvent(LogLevel::Warn, "store_restored",
-             {{"watch", Watch},
-              {"listed", R.Listed.str()},
-              {"read", R.Read.str()},
-              {"kept", std::to_string(R.Kept)},
-              {"withheld", std::to_string(R.Withheld)}});
+    reportRestore(D.metrics(), Watch, R);
     Loop.post([this, Epoch = R.Listed.Epoch] {
       for (const NamedKind &K : Kinds)
         K.Objects->onRestored(Epoch);
@@ -173,9 +167,7 @@
   void reportRestores(KindWatchHooks &H, const char *Watch) {
     H.Restored = [this, Watch](const RestoreReport &R) { restored(Watch, R); };
     H.Outdated = [Watch](StoreRevision Listed, StoreRevision Read) {
-      logEvent(
-          LogLevel::Warn, "list_outdated",
-          {{"watch", Watch}, {"listed", Listed.str()}, {"read", Read.str()}});
+      reportOutdatedList(Watch, Listed, Read);
     };
   }
 
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -17,7 +17,7 @@
 
 namespace shallot {
 
-/// What tells which of two daemons is ahead.
+/// The order that decides which of two daemons is ahead.
 enum class AheadBy : std::uint8_t {
   StoreRevision, ///< The store's order of changes.
   /// A number of the objects' writer. The object may have an older revision
--- a/packages/store/RestoreRecovery.h
+++ b/packages/store/RestoreRecovery.h
@@ -81,7 +81,7 @@
                                  std::vector<KindObject> Now,
                                  StoreRevision Revision, bool Restored,
                                  Instant At);
-  /// What is in force of \p Cached, the result of listed().
+  /// The objects in force, given \p Cached, the result of listed().
   std::vector<KindObject> inForce(std::vector<KindObject> Cached) const;
   /// Takes note of a change that the store reports.
   void changed(const KindChange &C, Instant At);
--- a/tests/failure/RestoredStoreTakesNothingBack.cpp
+++ b/tests/failure/RestoredStoreTakesNothingBack.cpp
@@ -15,7 +15,7 @@
     Store.restoreCopy();
     runFor(Millis(400));
   }
-  /// What this daemon tells its peers of the configuration.
+  /// The configuration as this daemon passes it on to peers.
   KindPage toldToPeers() {
     FeedRequest Q;
     Q.Kind = "config";
