limits, peer: quotas of organisations over the whole fleet

An organisation's rate and burst hold for all daemons together, and nothing enforced them: a hot organisation ran as much as the replicas took.

Each organisation has an owner, selected by rendezvous hashing among the 32 largest hosts, which grants tokens from one bucket, and a standby. Daemons hold the tokens of half a second in advance and return what they do not use.

GossipSocket keeps its interface; what it shares with quota messages moved to DatagramSocket and DatagramReading.

--- a/packages/daemon/ControlPlane.h
+++ b/packages/daemon/ControlPlane.h
@@ -55,7 +55,7 @@
   const Membership &membership() const { return Members; }
   const EntryDirectory &entries() const { return Entries; }
   const LifecycleOutput &phase() const { return Last; }
-  const GossipSocketStats &gossipStats() const { return Gossip->stats(); }
+  const DatagramStats &gossipStats() const { return Gossip->stats(); }
   /// What the host list said last, for daemons that do not watch it.
   const LeavingUpstreams &leaving() const { return Leaving; }
   /// Callers' requests may be served: ready or leaving, and not just back from
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -231,7 +231,7 @@
   Meter.gauge("shallot_routed", {{"way", "served"}}, double(R.Served));
   Meter.gauge("shallot_routed", {{"way", "rerouted"}}, double(R.Rerouted));
   Meter.gauge("shallot_routed", {{"way", "no_holder"}}, double(R.NoHolder));
-  const GossipSocketStats &G = Control->gossipStats();
+  const DatagramStats &G = Control->gossipStats();
   Meter.gauge("shallot_gossip_bytes", {{"dir", "sent"}}, double(G.SentBytes));
   Meter.gauge("shallot_gossip_bytes", {{"dir", "received"}},
               double(G.ReceivedBytes));
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -61,6 +61,10 @@
   void setLoad(std::uint32_t Load);
 
   const FleetView &view() const { return Members.view(); }
+  /// Membership::mayAct(), settled() and heardAt().
+  bool mayAct(Instant Now) const { return Members.mayAct(Now); }
+  bool settled(Instant Now) const { return Members.settled(Now); }
+  Instant heardAt() const { return Members.heardAt(); }
   /// This daemon as it announces itself.
   const Member &self() const { return Members.self(); }
   /// Daemons that share the connections to replicas and the retry allowance.
@@ -71,7 +75,7 @@
   /// Sets the revisions that every membership message carries.
   void announce(const ReadRevisions &S);
   /// Traffic counters of the membership protocol.
-  const GossipSocketStats &traffic() const { return Socket->stats(); }
+  const DatagramStats &traffic() const { return Socket->stats(); }
   /// Newest revision of each kind that any live peer has read.
   ReadRevisions newestPeerRevisions() const;
   /// A live peer whose revisions \p IsAhead accepts, if any: from this region
--- /dev/null
+++ b/packages/limits/QuotaOwners.cpp
@@ -0,0 +1,109 @@
+//===- QuotaOwners.cpp ----------------------------------------------------===//
+#include "limits/QuotaOwners.h"
+
+#include <algorithm>
+#include <set>
+
+namespace shallot {
+
+namespace {
+
+/// More than the time in which any quota fills up again; an owner of longer
+/// standing is treated alike.
+constexpr Duration PeriodsKept = Seconds(60);
+constexpr std::size_t MaxPeriods = 64;
+
+bool isLive(const Member &M) {
+  return takesNewWork(M) || M.State == MemberState::Leaving;
+}
+
+double liveZones(const FleetView &View) {
+  std::set<AvailabilityZone> Known;
+  std::set<AvailabilityZone> Live;
+  for (const Member &M : View.Members) {
+    Known.insert(M.Zone);
+    if (isLive(M))
+      Live.insert(M.Zone);
+  }
+  return Known.empty() ? 1 : double(Live.size()) / double(Known.size());
+}
+
+bool sameHosts(const std::vector<Member> &A, const std::vector<Member> &B) {
+  return std::ranges::equal(A, B, {}, &Member::Id, &Member::Id);
+}
+
+} // namespace
+
+/// The largest hosts, since they are the least busy. Among hosts of one size the
+/// hash decides, so that a loss brings in one other host and moves no more.
+QuotaOwners::Hosts QuotaOwners::candidates(const FleetView &View) {
+  std::vector<const Member *> Found;
+  for (const Member &M : View.Members)
+    if (takesNewWork(M))
+      Found.push_back(&M);
+  auto Rank = [](const Member *M) {
+    return std::pair(~std::uint64_t(M->Capacity), hash64(M->Id.Host.str()));
+  };
+  std::size_t Count = std::min(Found.size(), MaxQuotaHosts);
+  std::ranges::partial_sort(
+      Found, Found.begin() + static_cast<std::ptrdiff_t>(Count), {}, Rank);
+  Hosts Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.push_back(*Found[I]);
+  std::ranges::sort(Out, {}, &Member::Id);
+  return Out;
+}
+
+bool QuotaOwners::update(const FleetView &View, Instant Now) {
+  ZonesInReach.grant(liveZones(View), Now);
+  Hosts Next = candidates(View);
+  if (!Periods.empty() && sameHosts(Periods.back().Candidates, Next)) {
+    Periods.back().Candidates = std::move(Next);
+    return false;
+  }
+  Periods.push_back({Now, std::move(Next)});
+  while (Periods.size() > MaxPeriods ||
+         (Periods.size() > 1 && Periods[1].From < Now - PeriodsKept))
+    Periods.pop_front();
+  return true;
+}
+
+const Member *QuotaOwners::best(const Hosts &From, const Tenant &Name,
+                                const Member *Except) {
+  const Member *Best = nullptr;
+  std::uint64_t BestWeight = 0;
+  for (const Member &M : From) {
+    std::uint64_t Weight = rendezvousWeight(Name.str(), M.Id.Host.str());
+    if (&M == Except || (Best && Weight <= BestWeight))
+      continue;
+    Best = &M;
+    BestWeight = Weight;
+  }
+  return Best;
+}
+
+const Member *QuotaOwners::owner(const Tenant &Name) const {
+  return Periods.empty() ? nullptr : best(Periods.back().Candidates, Name);
+}
+
+const Member *QuotaOwners::standby(const Tenant &Name) const {
+  if (Periods.empty())
+    return nullptr;
+  const Hosts &Now = Periods.back().Candidates;
+  return best(Now, Name, best(Now, Name));
+}
+
+bool QuotaOwners::isOwner(const Hosts &From, const Tenant &Name) const {
+  const Member *Owner = best(From, Name);
+  return Owner && Owner->Id.Host == Self;
+}
+
+std::optional<Instant> QuotaOwners::ownedSince(const Tenant &Name) const {
+  std::optional<Instant> Since;
+  for (auto P = Periods.rbegin();
+       P != Periods.rend() && isOwner(P->Candidates, Name); ++P)
+    Since = P->From;
+  return Since;
+}
+
+} // namespace shallot
--- a/packages/limits/include/shallotshift/limits.h
+++ b/packages/limits/include/shallotshift/limits.h
@@ -7,6 +7,8 @@
 // (HandoverGuard.h), hand-over of shares of a rate limit (GrantedShare.h), and
 // the queue in front of a daemon's slots (SlotQueue.h).
 //
+// Quotas of organisations over the whole fleet (QuotaAgent.h).
+//
 // Overload control at the entry daemon: admission by class (Admission.h) under
 // an adaptive concurrency limit (ConcurrencyLimit.h), budgets for hedges and
 // retries (Budget.h), and slow start of an upstream that shed load or is cold
@@ -24,6 +26,8 @@
 #include "limits/ConcurrencyLimit.h"
 #include "limits/GrantedShare.h"
 #include "limits/HandoverGuard.h"
+#include "limits/Quota.h"
+#include "limits/QuotaAgent.h"
 #include "limits/SlotAllocation.h"
 #include "limits/SlotQueue.h"
 #include "limits/SlowStart.h"
--- a/packages/peer/GossipCodec.cpp
+++ b/packages/peer/GossipCodec.cpp
@@ -1,28 +1,17 @@
 #include "peer/GossipCodec.h"
 
+#include "peer/DatagramReading.h"
 #include "peer/generated/Peer.capnp.h"
 
 #include <arpa/inet.h>
-#include <capnp/serialize.h>
-#include <cstring>
-#include <kj/debug.h>
 #include <netinet/in.h>
 
 namespace shallot {
 
 namespace {
 
-capnp::Text::Reader text(const std::string &From) {
-  return {From.c_str(), From.size()};
-}
-
-/// A name from the network: empty, or one that passes the check of all names.
-std::string name(capnp::Text::Reader From) {
-  std::string Text(From.begin(), From.size());
-  KJ_REQUIRE(Text.empty() || attempt([&] { return checkName(Text, "name"); }),
-             "bad name");
-  return Text;
-}
+using internal::readName;
+using internal::textOf;
 
 /// The address as a number in host order; 0 for an empty one.
 std::uint32_t ipNumber(const std::string &Ip) {
@@ -46,10 +35,10 @@
 }
 
 void put(const MemberUpdate &U, wire::GossipMember::Builder To) {
-  To.setHost(text(U.Who.Id.Host.str()));
+  To.setHost(textOf(U.Who.Id.Host.str()));
   To.setIncarnation(U.Who.Id.Incarnation);
-  To.setZone(text(U.Who.Zone.str()));
-  To.setRegion(text(U.Who.Reg.str()));
+  To.setZone(textOf(U.Who.Zone.str()));
+  To.setRegion(textOf(U.Who.Reg.str()));
   To.setHttpIp(ipNumber(U.Who.Http.Ip));
   To.setGossipIp(ipNumber(U.Who.Gossip.Ip));
   To.setRpcIp(ipNumber(U.Who.Rpc.Ip));
@@ -62,14 +51,14 @@
   To.setCapacity(U.Who.Capacity);
   To.setLoad(U.Who.Load);
   if (!U.Accuser.empty())
-    To.setAccuser(text(U.Accuser.str()));
+    To.setAccuser(textOf(U.Accuser.str()));
 }
 
 MemberUpdate take(wire::GossipMember::Reader From) {
   MemberUpdate U;
-  U.Who.Id = {HostId(name(From.getHost())), From.getIncarnation()};
-  U.Who.Zone = AvailabilityZone(name(From.getZone()));
-  U.Who.Reg = Region(name(From.getRegion()));
+  U.Who.Id = {HostId(readName(From.getHost())), From.getIncarnation()};
+  U.Who.Zone = AvailabilityZone(readName(From.getZone()));
+  U.Who.Reg = Region(readName(From.getRegion()));
   U.Who.Http = endpoint(From.getHttpIp(), From.getHttpPort());
   U.Who.Gossip = endpoint(From.getGossipIp(), From.getGossipPort());
   U.Who.Rpc = endpoint(From.getRpcIp(), From.getRpcPort());
@@ -78,7 +67,7 @@
   U.Who.Capacity = From.getCapacity();
   U.Who.Load = From.getLoad();
   U.ObservedHealth = checked(From.getThought(), Health::Failed);
-  U.Accuser = HostId(name(From.getAccuser()));
+  U.Accuser = HostId(readName(From.getAccuser()));
   return U;
 }
 
@@ -87,7 +76,7 @@
   put(M.Sender, To.initSender());
   To.setSequence(M.Sequence);
   if (!M.Target.Host.empty())
-    To.setTargetHost(text(M.Target.Host.str()));
+    To.setTargetHost(textOf(M.Target.Host.str()));
   To.setTargetIncarnation(M.Target.Incarnation);
   To.setTargetIp(ipNumber(M.TargetGossip.Ip));
   To.setTargetPort(M.TargetGossip.Port);
@@ -114,7 +103,8 @@
   M.Kind = checked(From.getKind(), GossipKind::Notice);
   M.Sender = take(From.getSender());
   M.Sequence = From.getSequence();
-  M.Target = {HostId(name(From.getTargetHost())), From.getTargetIncarnation()};
+  M.Target = {HostId(readName(From.getTargetHost())),
+              From.getTargetIncarnation()};
   M.TargetGossip = endpoint(From.getTargetIp(), From.getTargetPort());
   M.ConfigGeneration = From.getConfigGeneration();
   M.ConfigHead = From.getConfigHead();
@@ -133,44 +123,22 @@
   return M;
 }
 
-/// What one datagram may make us read: its own bytes and little more, however
-/// often its pointers lead to the same place.
-capnp::ReaderOptions gossipOptions() {
-  capnp::ReaderOptions Options;
-  Options.traversalLimitInWords = 2 * MaxGossipBytes / sizeof(capnp::word);
-  Options.nestingLimit = 6;
-  return Options;
-}
-
 } // namespace
 
 std::vector<std::byte> encodeGossip(const GossipMessage &M) {
   capnp::MallocMessageBuilder Message(MaxGossipBytes / sizeof(capnp::word));
   put(M, Message.initRoot<wire::Gossip>());
-  kj::Array<capnp::word> Buffer = capnp::messageToFlatArray(Message);
-  const auto *Bytes = reinterpret_cast<const std::byte *>(Buffer.begin());
-  return {Bytes, Bytes + Buffer.asBytes().size()};
+  return internal::datagramOf(Message);
 }
 
 Result<GossipMessage> decodeGossip(std::span<const std::byte> Datagram) {
-  if (Datagram.empty() || Datagram.size() > MaxGossipBytes ||
-      Datagram.size() % sizeof(capnp::word) != 0)
-    return fail(ResultCode::PeerBadMessage, "a datagram of a wrong size");
-  // The reader needs whole, aligned words.
-  capnp::word Buffer[MaxGossipBytes / sizeof(capnp::word)];
-  std::memcpy(Buffer, Datagram.data(), Datagram.size());
-  try {
-    capnp::FlatArrayMessageReader Reader(
-        kj::arrayPtr(Buffer, Datagram.size() / sizeof(capnp::word)),
-        gossipOptions());
-    GossipMessage M = take(Reader.getRoot<wire::Gossip>());
-    auto Checked = attempt([&] { return checkMessage(M); });
-    if (!Checked)
-      return fail(ResultCode::PeerBadMessage, Checked.error().Detail);
-    return M;
-  } catch (const kj::Exception &E) {
-    return fail(ResultCode::PeerBadMessage, E.getDescription().cStr());
-  }
+  BOOST_LEAF_AUTO(
+      M, internal::readDatagram<wire::Gossip>(
+             Datagram, [](wire::Gossip::Reader From) { return take(From); }));
+  auto Checked = attempt([&] { return checkMessage(M); });
+  if (!Checked)
+    return fail(ResultCode::PeerBadMessage, Checked.error().Detail);
+  return M;
 }
 
 } // namespace shallot
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -127,6 +127,38 @@
   load @15 :UInt32;
 }
 
+# Quotas of organisations; a datagram holds one Quotas.
+struct QuotaAsk {
+  name @0 :Text;
+  spent @1 :UInt64;
+  returned @2 :UInt64;
+  needed @3 :UInt32;
+  wanted @4 :UInt32;
+}
+
+struct QuotaGrant {
+  name @0 :Text;
+  granted @1 :UInt64;
+  waitMicros @2 :UInt32;
+  intervalMicros @3 :UInt32;
+}
+
+struct QuotaRelease {
+  name @0 :Text;
+  level @1 :Float64;
+  outstanding @2 :Float64;
+}
+
+struct Quotas {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  asks @3 :List(QuotaAsk);
+  grants @4 :List(QuotaGrant);
+  releases @5 :List(QuotaRelease);
+  claims @6 :List(Text);  # Names.
+}
+
 struct Gossip {
   kind @0 :UInt8;
   sender @1 :GossipMember;
--- a/packages/peer/include/shallotshift/peer.h
+++ b/packages/peer/include/shallotshift/peer.h
@@ -1,7 +1,8 @@
 //===- shallotshift/peer.h - Daemons talking to daemons ---------*- C++ -*-===//
 //
 // The public header of package peer: calls between daemons by Cap'n Proto RPC
-// (PeerNode.h) and the datagrams of the membership protocol (GossipSocket.h).
+// (PeerNode.h), the datagrams of the membership protocol (GossipSocket.h) and
+// those of quotas (QuotaCodec.h).
 // Callbacks run on the thread of the EventLoop and never before the call that
 // asked for them has returned.
 //
@@ -9,9 +10,11 @@
 #ifndef SHALLOTSHIFT_PEER_H
 #define SHALLOTSHIFT_PEER_H
 
+#include "peer/DatagramSocket.h"
 #include "peer/GossipCodec.h"
 #include "peer/GossipSocket.h"
 #include "peer/PeerNode.h"
 #include "peer/PeerTypes.h"
+#include "peer/QuotaCodec.h"
 
 #endif // SHALLOTSHIFT_PEER_H
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -7,8 +7,12 @@
 shallot_test(limits_failure PACKAGES limits LABELS failure
   SOURCES failure/ReturnsAreSpread.cpp failure/GrantedSharesChangeHands.cpp
           failure/SlotsChangeHands.cpp)
+shallot_test(quota_failure PACKAGES limits store peer LABELS failure
+  SOURCES QuotaFleet.cpp failure/QuotasHoldInEveryWindow.cpp)
 
 shallot_bench(bench_overload PACKAGES limits TEST bench_overload
   SOURCES performance/BenchOverload.cpp performance/OverloadModel.cpp)
+shallot_bench(bench_quotas PACKAGES limits forward store peer TEST bench_quotas
+  SOURCES QuotaFleet.cpp performance/BenchQuotas.cpp)
 shallot_bench(bench_allotment PACKAGES limits TEST bench_allotment
   SOURCES performance/BenchSlotAllocation.cpp)
--- a/tests/peer.cmake
+++ b/tests/peer.cmake
@@ -5,6 +5,7 @@
           failure/PeerConnectionGoesSilent.cpp failure/PeerIsLost.cpp)
 shallot_test(peer_error PACKAGES peer LABELS error
   SOURCES error/HostileGossipIsDropped.cpp
+          error/HostileQuotaMessages.cpp
           error/PackedDatagramsAreBounded.cpp)
 shallot_bench(bench_peer PACKAGES peer TEST bench_peer
   SOURCES performance/BenchPeer.cpp)
