front, forward, platform: callers are identified by key and held to quotas

A key is looked up in an index of the installed configuration, before anything else is done for the request; SS1023 (401) refuses an unknown one, also credentials that are sent twice or in another scheme. Replicas get the organisation's name in place of the key, whatever the caller sent. Fingerprints of requests cover the organisation and no longer the key. A request of an organisation with a quota needs a token (front/QuotaLink), else SS2013 (429) with a time to return or SS2014 (503). Its priority goes before the route's, and among requests of one organisation the routes' priorities decide.

--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -203,6 +203,8 @@
   /// for SettleTime, or no other member is known SettleTime after every seed
   /// was asked.
   bool settled(Instant Now) const;
+  /// When the last message of another member arrived.
+  Instant heardAt() const;
   /// Live members that have answered a table comparison since the start or the
   /// last pause.
   std::size_t peersHeard() const;
--- a/packages/fleet/MembershipState.h
+++ b/packages/fleet/MembershipState.h
@@ -183,6 +183,7 @@
 
   // Start and pauses.
   Instant LastRunAt;
+  Instant LastHeardAt;
   Instant LastJoinAt;
   Instant LastExpiryAt;
   bool NeedsCatchUp = false;
--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -173,6 +173,7 @@
   const DaemonId &From = M.Sender.Who.Id;
   if (From == Self.Who.Id)
     return; // The seeds may include our own endpoint.
+  LastHeardAt = Now;
   applyUpdate(M.Sender, From.Host, Now);
   Table.recordContact(M, Now);
   for (const MemberUpdate &U : M.Updates)
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -108,10 +108,18 @@
 struct ForwardRequest {
   std::shared_ptr<const ServingConfig> Config;
   const Route *Matched = nullptr; ///< A route of Config.
+  /// An organisation of Config; null on public routes and without keys.
+  const Organisation *Caller = nullptr;
   Instant Arrived;
   Duration CallerWaits{}; ///< The caller's own deadline, from Arrived.
   SendRestriction Restriction = SendRestriction::None;
   unsigned CrashedBefore = 0; ///< Replicas that crashed in earlier attempts.
+
+  /// 0 is the most urgent. That of the organisation goes before the route's.
+  unsigned priority() const {
+    return Caller ? Caller->Priority.value_or(Matched->Priority)
+                  : Matched->Priority;
+  }
 };
 
 /// A send to start.
@@ -169,7 +177,10 @@
 class ForwardRun {
 public:
   explicit ForwardRun(ForwardRequest A)
-      : Request(std::move(A)), ServingRegions(Request.Matched->Regions) {}
+      : Request(std::move(A)), ServingRegions(Request.Matched->Regions) {
+    if (Request.Caller)
+      restrictRegions(Request.Caller->Regions);
+  }
 
   /// Restricts the sends, after \p Before replicas crashed in earlier attempts.
   /// Call it before begin().
--- a/packages/forward/Route.cpp
+++ b/packages/forward/Route.cpp
@@ -71,10 +71,11 @@
 
 } // namespace
 
-Result<ServingConfig>
-ServingConfig::make(std::uint64_t Version, std::vector<Route> Routes,
-                    std::vector<ServiceInfo> Services, CallerLimits Limits,
-                    const std::vector<TenantRegions> &Tenants) {
+Result<ServingConfig> ServingConfig::make(std::uint64_t Version,
+                                          std::vector<Route> Routes,
+                                          std::vector<ServiceInfo> Services,
+                                          CallerLimits Limits,
+                                          Organisations Callers) {
   ServingConfig C;
   C.Version = Version;
   C.Limits = Limits;
@@ -87,10 +88,10 @@
            std::tuple(std::string_view(B.Host), A.PathPrefix.size());
   });
   for (Route &R : Routes)
-    for (const TenantRegions &T : Tenants)
-      if (R.Owner == T.Name)
-        R.Regions = R.Regions.intersect(T.Regions);
+    if (const Organisation *O = R.Owner ? Callers.find(*R.Owner) : nullptr)
+      R.Regions = R.Regions.intersect(O->Regions);
   C.Routes = std::move(Routes);
+  C.Callers = std::move(Callers);
   return C;
 }
 
--- a/packages/forward/Route.h
+++ b/packages/forward/Route.h
@@ -15,6 +15,7 @@
 #ifndef SHALLOTSHIFT_FORWARD_ROUTE_H
 #define SHALLOTSHIFT_FORWARD_ROUTE_H
 
+#include "forward/Organisation.h"
 #include "shallotshift/base.h"
 
 #include <map>
@@ -66,9 +67,11 @@
   unsigned MaxAttempts = 1; ///< How many replicas of one service may run it.
   RouteTarget Target;
   /// Regions whose replicas may run requests of this route.
-  /// ServingConfig::make() intersects them with those of the route's tenant.
+  /// ServingConfig::make() intersects them with those of the route's owner.
   AllowedRegions Regions = AllowedRegions::anywhere();
   std::optional<Tenant> Owner;
+  /// Callers need no key.
+  bool Public = false;
 
   /// The fan-out, or null if the route has another target.
   const ShardFanOut *fanOut() const {
@@ -88,15 +91,6 @@
   friend bool operator==(const ServiceInfo &, const ServiceInfo &) = default;
 };
 
-/// The regions that may serve the requests of a tenant.
-struct TenantRegions {
-  Tenant Name;
-  AllowedRegions Regions = AllowedRegions::anywhere();
-
-  friend bool operator==(const TenantRegions &,
-                         const TenantRegions &) = default;
-};
-
 /// Limits on the size and the duration of callers' requests.
 struct CallerLimits {
   std::size_t MaxHeaderBytes = 16 << 10;
@@ -113,12 +107,13 @@
   /// times above zero, at least one attempt, services that are listed, weights
   /// of 0 or more that are not all 0, and for a fan-out distinct shards and
   /// Idempotent. Fails with ConfigInvalid, naming the route. Restricts each
-  /// route to the regions of its tenant; tenants that are not in \p Tenants
+  /// route to the regions of its owner; owners that are not in \p Callers
   /// restrict nothing.
-  static Result<ServingConfig>
-  make(std::uint64_t Version, std::vector<Route> Routes,
-       std::vector<ServiceInfo> Services, CallerLimits Limits,
-       const std::vector<TenantRegions> &Tenants = {});
+  static Result<ServingConfig> make(std::uint64_t Version,
+                                    std::vector<Route> Routes,
+                                    std::vector<ServiceInfo> Services,
+                                    CallerLimits Limits,
+                                    Organisations Callers = {});
 
   std::uint64_t version() const { return Version; }
   const std::vector<Route> &routes() const { return Routes; }
@@ -126,6 +121,8 @@
     return Services;
   }
   const CallerLimits &limits() const { return Limits; }
+  /// Empty if callers need no key.
+  const Organisations &callers() const { return Callers; }
 
   /// The route with the longest prefix of \p Path among those of \p Host, or
   /// null if there is none. \p Path has no query.
@@ -146,6 +143,7 @@
   std::vector<Route> Routes;
   std::map<ServiceName, ServiceInfo> Services;
   CallerLimits Limits;
+  Organisations Callers;
 };
 
 /// Selects a service of \p Split in proportion to the weights. \p Draw is
--- a/packages/forward/RouteAdmission.cpp
+++ b/packages/forward/RouteAdmission.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace shallot {
@@ -39,10 +40,20 @@
   return fromMillisF(toMillisF(Whole) * Factor);
 }
 
-/// Routes of the same priority and objective share a queue, so that a thousand
-/// routes need a handful of classes.
-CallerClass classOf(const Route &R) {
-  return CallerClass(fmt::format("p{}-{}", R.Priority, toMillis(R.Objective)));
+/// Requests of the same priorities and objective share a queue, so that a
+/// thousand routes need a handful of classes. \p Priority is that of the
+/// organisation, if it has one.
+CallerClass classOf(unsigned Priority, const Route &R) {
+  return CallerClass(
+      fmt::format("p{}-{}-{}", Priority, R.Priority, toMillis(R.Objective)));
+}
+
+std::set<unsigned> prioritiesOf(const Organisations &Callers) {
+  std::set<unsigned> Found;
+  for (const Organisation &O : Callers.all())
+    if (O.Priority)
+      Found.insert(*O.Priority);
+  return Found;
 }
 
 /// Computes the group of each route: routes that have a service in common are
@@ -79,11 +90,26 @@
   std::vector<std::size_t> Parent;
 };
 
-ClassPolicies policiesOf(const std::vector<const Route *> &Routes) {
-  ClassPolicies Policies;
+/// The classes of \p Routes, for the priority of each route and for those of
+/// the organisations. Among requests of one organisation the priorities of the
+/// routes decide.
+ClassPolicies policiesOf(const std::vector<const Route *> &Routes,
+                         const std::set<unsigned> &OfCallers) {
+  std::set<std::pair<unsigned, const Route *>> Members;
+  std::set<std::pair<unsigned, unsigned>> Ranks;
   for (const Route *R : Routes) {
-    ClassPolicy &C = Policies[classOf(*R)];
-    C.Priority = R->Priority;
+    std::set<unsigned> Priorities = OfCallers;
+    Priorities.insert(R->Priority);
+    for (unsigned Priority : Priorities) {
+      Members.insert({Priority, R});
+      Ranks.insert({Priority, R->Priority});
+    }
+  }
+  ClassPolicies Policies;
+  for (const auto &[Priority, R] : Members) {
+    ClassPolicy &C = Policies[classOf(Priority, *R)];
+    C.Priority = static_cast<unsigned>(
+        std::distance(Ranks.begin(), Ranks.find({Priority, R->Priority})));
     C.QueueWait = scaled(R->Objective, QueueWaitFraction);
     C.QueueLimit = MaxWaiting;
   }
@@ -104,15 +130,16 @@
   std::map<std::size_t, std::vector<const Route *>> Members;
   for (std::size_t I = 0; I < C.routes().size(); ++I)
     Members[Of.of(I)].push_back(&C.routes()[I]);
+  std::set<unsigned> OfCallers = prioritiesOf(C.callers());
   auto Before = std::exchange(ByRoute, {});
   auto GroupsBefore = std::exchange(Groups, {});
   for (const auto &[Number, Routes] : Members) {
     GroupPtr G = existingGroup(Before, Routes);
     if (G)
-      G->setClasses(policiesOf(Routes), targetQueued(Routes));
+      G->setClasses(policiesOf(Routes, OfCallers), targetQueued(Routes));
     else
-      G = std::make_shared<Admission>(policiesOf(Routes), targetQueued(Routes),
-                                      limitOptions());
+      G = std::make_shared<Admission>(policiesOf(Routes, OfCallers),
+                                      targetQueued(Routes), limitOptions());
     Groups.push_back(G);
     for (const Route *R : Routes)
       ByRoute[R->Name] = G;
@@ -135,10 +162,12 @@
   return nullptr;
 }
 
-AdmissionDecision RouteAdmission::offer(const Route &R, TicketId Id,
-                                        Instant Deadline, Instant Now) {
+AdmissionDecision RouteAdmission::offer(const Route &R, unsigned Priority,
+                                        TicketId Id, Instant Deadline,
+                                        Instant Now) {
   const GroupPtr &G = ByRoute.at(R.Name);
-  AdmissionDecision Decision = G->offer({Id, classOf(R), Deadline}, Now);
+  AdmissionDecision Decision =
+      G->offer({Id, classOf(Priority, R), Deadline}, Now);
   if (Decision.What != AdmissionAction::Refuse)
     Tickets.emplace(Id, G);
   return Decision;
--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -34,9 +34,10 @@
   void install(const ServingConfig &C);
 
   /// Returns Start, Wait, or Refuse with a code that proves "not run" and a
-  /// Retry-After time. \p R is a route of the installed configuration.
-  AdmissionDecision offer(const Route &R, TicketId Id, Instant Deadline,
-                          Instant Now);
+  /// Retry-After time. \p R is a route of the installed configuration, and
+  /// \p Priority its own or that of one of the organisations.
+  AdmissionDecision offer(const Route &R, unsigned Priority, TicketId Id,
+                          Instant Deadline, Instant Now);
   /// A started request was answered, or waits for stragglers only.
   void done(TicketId Id, const LoadSample &S, Instant Now);
   /// The caller closed its connection, or the request was dropped.
--- a/packages/forward/include/shallotshift/forward.h
+++ b/packages/forward/include/shallotshift/forward.h
@@ -3,6 +3,7 @@
 // The public header of package forward:
 //
 //   Route.h, RouteAdmission.h   routes and admission of requests
+//   Organisation.h              organisations, their keys and quotas
 //   Replica.h, IncarnationTable.h, ReplicaRegistry.h
 //                               replicas, their incarnations, replica selection
 //   WarmupShare.h               which daemon sends to a cold replica
@@ -17,6 +18,7 @@
 
 #include "forward/ForwardRun.h"
 #include "forward/IncarnationTable.h"
+#include "forward/Organisation.h"
 #include "forward/RecordMerge.h"
 #include "forward/Replica.h"
 #include "forward/ReplicaRegistry.h"
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <ctime>
 
 namespace shallot {
 
@@ -50,18 +49,6 @@
 /// of the peers be gone.
 constexpr Duration MaxConfigWait = Millis(1500);
 
-Duration clockGap(clockid_t Clock) {
-  timespec T{};
-  clock_gettime(Clock, &T);
-  return Seconds(T.tv_sec) + Duration(T.tv_nsec);
-}
-
-/// Time that the monotonic clock did not count because the machine was
-/// suspended.
-Duration suspendedTime() {
-  return clockGap(CLOCK_BOOTTIME) - clockGap(CLOCK_MONOTONIC);
-}
-
 CallerServerOptions callerOptions(const CallerLimits &L) {
   CallerServerOptions O;
   O.MaxHeaderBytes = L.MaxHeaderBytes;
@@ -118,6 +105,7 @@
   ReplicaRegistry Replicas;
   RequestHandler Requests;
   std::unique_ptr<FleetLink> Fleet;
+  std::unique_ptr<QuotaLink> Quotas;
   std::unique_ptr<CallerServer> Callers;
   std::unique_ptr<HttpServer> Directory;
   std::unique_ptr<HttpServer> Readiness;
@@ -181,6 +169,8 @@
 Result<void> FrontDaemon::Impl::open() {
   BOOST_LEAF_ASSIGN(
       Fleet, FleetLink::open(Loop, Set, Rng, [this] { fleetChanged(); }));
+  BOOST_LEAF_ASSIGN(Quotas, QuotaLink::open(Loop, Timers, Set, *Fleet));
+  Requests.limitBy(*Quotas);
   BOOST_LEAF_ASSIGN(
       Callers,
       CallerServer::open(Loop, Timers, Set.Callers, callerOptions({}),
@@ -216,6 +206,8 @@
   RetryShare.grant(Shared.RetryShare, Loop.now());
   updateSharing(Loop.now());
   updateWarmupSenders(Loop.now());
+  if (Quotas)
+    Quotas->fleetChanged();
   if (FleetChangedFn)
     FleetChangedFn();
 }
@@ -287,10 +279,14 @@
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
   Meter.gauge("shallot_load_millicores", {}, double(Fleet->self().Load));
   Requests.quarantine().writeGauges(Meter);
-  const GossipSocketStats &G = Fleet->traffic();
+  const DatagramStats &G = Fleet->traffic();
   Meter.gauge("shallot_membership_sent_bytes", {}, double(G.SentBytes));
   Meter.gauge("shallot_membership_received_bytes", {}, double(G.ReceivedBytes));
   Meter.gauge("shallot_membership_malformed", {}, double(G.Malformed));
+  const DatagramStats &Q = Quotas->traffic();
+  Meter.gauge("shallot_quota_sent_bytes", {}, double(Q.SentBytes));
+  Meter.gauge("shallot_quota_received_bytes", {}, double(Q.ReceivedBytes));
+  Meter.gauge("shallot_quota_malformed", {}, double(Q.Malformed));
   ServerReply Reply;
   Reply.ContentType = "text/plain; version=0.0.4";
   Reply.Body = Meter.text();
@@ -418,6 +414,7 @@
            {{"version", std::to_string(Config.version())},
             {"routes", std::to_string(Config.routes().size())}});
   I->Callers->setOptions(callerOptions(Config.limits()));
+  I->Quotas->install(Config.callers());
   I->Requests.install(std::make_shared<ServingConfig>(std::move(Config)));
   I->announceIfReady();
 }
--- a/packages/front/FrontSettings.cpp
+++ b/packages/front/FrontSettings.cpp
@@ -48,6 +48,7 @@
   BOOST_LEAF_ASSIGN(S.Directory, endpoint(F, "directory"));
   BOOST_LEAF_ASSIGN(S.Peers, endpoint(F, "peers"));
   BOOST_LEAF_ASSIGN(S.Gossip, endpoint(F, "gossip"));
+  BOOST_LEAF_ASSIGN(S.Quotas, endpoint(F, "quotas"));
   BOOST_LEAF_ASSIGN(S.Metrics, endpoint(F, "metrics"));
   BOOST_LEAF_ASSIGN(S.Store, endpoint(F, "store"));
   BOOST_LEAF_AUTO(Seeds, F.array("seeds"));
@@ -60,6 +61,21 @@
   return {};
 }
 
+Result<void> readQuotaLimits(JsonFields &F, QuotaTolerance &T) {
+  if (F.has("quota_window_s")) {
+    BOOST_LEAF_ASSIGN(T.Window, seconds(F, "quota_window_s"));
+  }
+  if (F.has("quota_overage")) {
+    BOOST_LEAF_ASSIGN(T.Overage, F.number("quota_overage", 0, MaxRetries));
+  }
+  if (F.has("quota_slack")) {
+    BOOST_LEAF_ASSIGN(T.Slack, F.number("quota_slack", 0, MaxRetries));
+  }
+  if (T.Window < Seconds(1))
+    return fail(ResultCode::OutOfRange, "quota_window_s: must be at least 1");
+  return {};
+}
+
 Result<void> readBounds(JsonFields &F, FrontSettings &S) {
   BOOST_LEAF_ASSIGN(S.StopGrace, seconds(F, "stop_grace_s"));
   BOOST_LEAF_AUTO(DrainMs, F.number("drain_ms", 0, MaxSeconds * 1000));
@@ -80,6 +96,7 @@
   if (F.has("warmup_slack")) {
     BOOST_LEAF_ASSIGN(S.Warmup.Slack, F.number("warmup_slack", 0, MaxRetries));
   }
+  BOOST_LEAF_CHECK(readQuotaLimits(F, S.QuotaLimits));
   BOOST_LEAF_AUTO(Share, F.number("cpu_share", 0, 1));
   BOOST_LEAF_AUTO(Cores, F.number("cores", 0, MaxCores));
   S.Cores = Share * Cores;
--- a/packages/front/FrontSettings.h
+++ b/packages/front/FrontSettings.h
@@ -8,16 +8,18 @@
 //   {"host": "front-1", "zone": "dkh-hall-1", "region": "darkhan",
 //    "callers": "10.0.0.1:8226", "readiness": "10.0.0.1:8227",
 //    "directory": "10.0.0.1:8225", "peers": "10.0.0.1:8224",
-//    "gossip": "10.0.0.1:7740", "metrics": "10.0.0.1:9180",
+//    "gossip": "10.0.0.1:7740", "quotas": "10.0.0.1:7741",
+//    "metrics": "10.0.0.1:9180",
 //    "store": "10.200.1.7:8229", "seeds": ["10.0.0.2:8224"],
 //    "zones": {"dkh-hall-1": "darkhan"},
 //    "stop_grace_s": 6, "drain_ms": 3000, "entry_validity_s": 5,
 //    "cpu_share": 0.25, "cores": 1,
 //    "retry_ratio": 0.2, "retry_window_s": 10, "retry_constant": 52,
-//    "evacuation_ms": 5000, "warmup_overage": 1.5, "warmup_slack": 5}
+//    "evacuation_ms": 5000, "warmup_overage": 1.5, "warmup_slack": 5,
+//    "quota_window_s": 5, "quota_overage": 0.1, "quota_slack": 20}
 //
-// The last three fields are omitted where availability zones are not evacuated
-// and the load on cold replicas is not bounded.
+// The last six fields are omitted where availability zones are not evacuated,
+// the load on cold replicas is not bounded and organisations have no quotas.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FRONTSETTINGS_H
@@ -41,6 +43,7 @@
   Endpoint Directory;
   Endpoint Peers;  ///< HTTP between daemons.
   Endpoint Gossip; ///< UDP, membership.
+  Endpoint Quotas; ///< UDP, quotas; all daemons use the same port.
   Endpoint Metrics;
   Endpoint Store;
   /// Addresses of peers to contact first; they may be out of date.
@@ -54,6 +57,7 @@
   /// more requests; not set where zones are not evacuated.
   std::optional<Duration> Evacuation;
   WarmupBound Warmup;
+  QuotaTolerance QuotaLimits;
   double Cores = 0; ///< Share of the host for this process, in cores.
 
   friend bool operator==(const FrontSettings &,
--- a/packages/front/HeaderNames.h
+++ b/packages/front/HeaderNames.h
@@ -21,6 +21,9 @@
   std::string NotRun;        ///< The replica did not run the request.
   std::string Signatures;    ///< Signatures of the parts of a merged answer.
   std::string MissingParts;  ///< Number of missing parts in a merged answer.
+  std::string Organisation;  ///< Organisation of the caller, for replicas.
+  std::string Credentials;   ///< Scheme and key of the caller.
+  std::string KeyScheme;     ///< The scheme that a key is sent with.
 
   friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
 };
--- /dev/null
+++ b/packages/front/QuotaLink.cpp
@@ -0,0 +1,120 @@
+//===- QuotaLink.cpp ------------------------------------------------------===//
+#include "front/QuotaLink.h"
+
+#include "shallotshift/telemetry.h"
+
+#include <fmt/format.h>
+
+namespace shallot {
+
+namespace {
+
+/// A daemon that has heard from no other for this long may be partitioned, and
+/// the others may soon have new owners. Shorter than the time in which they
+/// take a member for failed, and the time of several probes.
+constexpr Duration MaxSilence = Seconds(2);
+
+} // namespace
+
+QuotaLink::QuotaLink(EventLoop &Loop, TimerQueue &Timers,
+                     const FrontSettings &Set, FleetLink &Fleet)
+    : Loop(Loop), Timers(Timers), Port(Set.Quotas.Port), Fleet(Fleet),
+      Agent(Fleet.self().Id, Set.QuotaLimits) {}
+
+QuotaLink::~QuotaLink() { Timers.cancel(Timer); }
+
+Result<std::unique_ptr<QuotaLink>> QuotaLink::open(EventLoop &Loop,
+                                                   TimerQueue &Timers,
+                                                   const FrontSettings &Set,
+                                                   FleetLink &Fleet) {
+  std::unique_ptr<QuotaLink> L(new QuotaLink(Loop, Timers, Set, Fleet));
+  auto Read = [Raw = L.get()](std::span<const std::byte> Plain,
+                              const Endpoint &) {
+    auto M = attempt([&] { return decodeQuota(Plain); });
+    if (M)
+      Raw->apply(Raw->Agent.receive(*M, Raw->now()));
+    return bool(M);
+  };
+  BOOST_LEAF_ASSIGN(L->Socket,
+                    DatagramSocket::open(Loop, Set.Quotas, "quotas", Read));
+  return L;
+}
+
+/// Counts suspensions of the machine, in which tokens expire.
+Instant QuotaLink::now() const { return Loop.now() + suspendedTime(); }
+
+void QuotaLink::install(const Organisations &Callers) {
+  std::unordered_map<Tenant, Quota> Quotas;
+  for (const Organisation &O : Callers.all()) {
+    if (O.Limit != Agent.quotaOf(O.Name))
+      logEvent(LogLevel::Info, "quota_changed",
+               {{"organisation", O.Name.str()},
+                {"rate", fmt::format("{}", O.Limit.Rate)},
+                {"burst", fmt::format("{}", O.Limit.Burst)}});
+    if (O.Limit.limited())
+      Quotas.emplace(O.Name, O.Limit);
+  }
+  Enforces = Enforces || !Quotas.empty();
+  Agent.setQuotas(std::move(Quotas));
+  if (Enforces && Timer == 0)
+    tick();
+}
+
+void QuotaLink::fleetChanged() { ViewIsNew = true; }
+
+bool QuotaLink::mayGrant() const {
+  Instant Now = Loop.now();
+  if (!Fleet.mayAct(Now) || Fleet.self().State == MemberState::Left)
+    return false;
+  if (Fleet.view().Members.size() == 1)
+    return Fleet.settled(Now);
+  return Now - Fleet.heardAt() < MaxSilence;
+}
+
+void QuotaLink::tick() {
+  Timer = 0;
+  Agent.setMayGrant(mayGrant(), now());
+  if (std::exchange(ViewIsNew, false))
+    apply(Agent.update(Fleet.view(), now()));
+  apply(Agent.tick(now()));
+  schedule();
+}
+
+void QuotaLink::schedule() {
+  Instant Next = Loop.now() + (Agent.waiting() ? QuotaWaitTick : QuotaTick);
+  if (Timer != 0 && TimerAt <= Next)
+    return;
+  Timers.cancel(Timer);
+  TimerAt = Next;
+  Timer = Timers.at(Next, [this] { tick(); });
+}
+
+void QuotaLink::apply(QuotaOutput Out) {
+  for (const QuotaSend &S : Out.Sends)
+    Socket->send({S.To.Gossip.Ip, Port}, encodeQuota(S.Message));
+  for (const AdmissionEvent &E : Out.Events)
+    if (auto Found = Waiting.extract(E.Id))
+      Found.mapped()(E.Final);
+}
+
+AdmissionDecision QuotaLink::acquire(const Tenant &Name, TicketId Id,
+                                     Duration MaxWait, Callback Fn) {
+  Instant Now = now();
+  QuotaOutput Out;
+  AdmissionDecision Decision = Agent.offer(Name, Id, Now + MaxWait, Out, Now);
+  if (Decision.What == AdmissionAction::Wait) {
+    Waiting.emplace(Id, std::move(Fn));
+    schedule();
+  }
+  apply(std::move(Out));
+  return Decision;
+}
+
+void QuotaLink::cancel(const Tenant &Name, TicketId Id) {
+  Waiting.erase(Id);
+  Agent.cancel(Name, Id);
+}
+
+void QuotaLink::putBack(const Tenant &Name) { Agent.putBack(Name); }
+
+} // namespace shallot
--- /dev/null
+++ b/packages/front/QuotaLink.h
@@ -0,0 +1,72 @@
+//===- QuotaLink.h - Quotas of front daemons --------------------*- C++ -*-===//
+//
+// Runs the QuotaAgent of this daemon over UDP and calls back requests that wait
+// for a token. Idle without quotas in the configuration.
+//
+//===----------------------------------------------------------------------===//
+#ifndef SHALLOTSHIFT_FRONT_QUOTALINK_H
+#define SHALLOTSHIFT_FRONT_QUOTALINK_H
+
+#include "front/FleetLink.h"
+#include "shallotshift/forward.h"
+#include "shallotshift/http1.h"
+#include "shallotshift/peer.h"
+
+#include <unordered_map>
+
+namespace shallot {
+
+class QuotaLink {
+public:
+  using Callback = std::function<void(const AdmissionDecision &)>;
+
+  /// Opens the socket. Fails with AddressInUse.
+  static Result<std::unique_ptr<QuotaLink>>
+  open(EventLoop &Loop, TimerQueue &Timers, const FrontSettings &Set,
+       FleetLink &Fleet);
+  ~QuotaLink();
+  QuotaLink(const QuotaLink &) = delete;
+  QuotaLink &operator=(const QuotaLink &) = delete;
+
+  /// Enforces the quotas of \p Callers from now on.
+  void install(const Organisations &Callers);
+  /// Applies the fleet's current view.
+  void fleetChanged();
+
+  /// Start, Wait, or Refuse with QuotaExceeded. A request that waits is called
+  /// back with one of the others after \p MaxWait at most; \p Id identifies it.
+  AdmissionDecision acquire(const Tenant &Name, TicketId Id, Duration MaxWait,
+                            Callback Fn);
+  /// Drops a waiting request.
+  void cancel(const Tenant &Name, TicketId Id);
+  /// Returns the token of a request that was not sent.
+  void putBack(const Tenant &Name);
+
+  const DatagramStats &traffic() const { return Socket->stats(); }
+
+private:
+  QuotaLink(EventLoop &Loop, TimerQueue &Timers, const FrontSettings &Set,
+            FleetLink &Fleet);
+
+  Instant now() const;
+  void tick();
+  void schedule();
+  bool mayGrant() const;
+  void apply(QuotaOutput Out);
+
+  EventLoop &Loop;
+  TimerQueue &Timers;
+  std::uint16_t Port;
+  FleetLink &Fleet;
+  QuotaAgent Agent;
+  std::unique_ptr<DatagramSocket> Socket;
+  std::unordered_map<TicketId, Callback> Waiting;
+  TimerQueue::Key Timer = 0;
+  Instant TimerAt;
+  bool Enforces = false;
+  bool ViewIsNew = true;
+};
+
+} // namespace shallot
+
+#endif // SHALLOTSHIFT_FRONT_QUOTALINK_H
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -1,6 +1,6 @@
 //===- RequestAdmission.cpp -----------------------------------------------===//
 //
-// Handling of requests before their first send: quarantine checks and
+// Handling of requests before their first send: quotas, quarantine checks and
 // admission.
 //
 //===----------------------------------------------------------------------===//
@@ -16,8 +16,50 @@
           "request rate exceeds the capacity of the replicas"};
 }
 
+/// How long a request may wait for a token, as a fraction of its latency
+/// objective. A round trip to the owner is a few milliseconds; a request that
+/// starts after this time has too little left.
+constexpr int MaxQuotaWaitDivisor = 2;
+
+LocalAnswer quotaAnswer(const AdmissionDecision &V, const Tenant &Caller) {
+  std::string Why =
+      V.Code == ResultCode::QuotaExceeded
+          ? "more requests than the quota of organisation " + Caller.str()
+          : "no daemon granted a request of organisation " + Caller.str();
+  return {V.Code, V.RetryAfter, std::move(Why)};
+}
+
 } // namespace
 
+/// A request of an organisation with a quota needs a token of it.
+void RequestHandler::Impl::acquireToken(const JobPtr &J) {
+  const ForwardRequest &Request = J->Run.request();
+  if (!Quotas || !Request.Caller || !Request.Caller->Limit.limited())
+    return checkQuarantine(J);
+  J->QuotaTicket = ++LastTicket;
+  AdmissionDecision V = Quotas->acquire(
+      Request.Caller->Name, J->QuotaTicket,
+      Request.Matched->Objective / MaxQuotaWaitDivisor,
+      [this, Weak = std::weak_ptr(J)](const AdmissionDecision &Final) {
+        if (JobPtr J = Weak.lock())
+          tokenDecided(J, Final);
+      });
+  if (V.What != AdmissionAction::Wait)
+    tokenDecided(J, V);
+}
+
+void RequestHandler::Impl::tokenDecided(const JobPtr &J,
+                                        const AdmissionDecision &V) {
+  J->QuotaTicket = 0;
+  if (V.What == AdmissionAction::Start) {
+    J->HasToken = true;
+    return checkQuarantine(J);
+  }
+  const Tenant &Caller = J->Run.request().Caller->Name;
+  Meter.count("shallot_quota_refused_total", {{"tenant", Caller.str()}});
+  reject(J, quotaAnswer(V, Caller));
+}
+
 /// A quarantined request is rejected; one on trial waits until a trial is
 /// granted and holds no place in the admission queue meanwhile. A request that
 /// is only suspected of crashing replicas is admitted.
@@ -66,7 +108,7 @@
   const ForwardRequest &Request = J->Run.request();
   J->Ticket = ++LastTicket;
   AdmissionDecision V =
-      Admission.offer(*Request.Matched, J->Ticket,
+      Admission.offer(*Request.Matched, Request.priority(), J->Ticket,
                       Request.Arrived + Request.CallerWaits, Timers.now());
   switch (V.What) {
   case AdmissionAction::Start:
@@ -101,6 +143,8 @@
 void RequestHandler::Impl::reject(const JobPtr &J, LocalAnswer A) {
   if (TicketId Ticket = std::exchange(J->Ticket, 0))
     Admission.done(Ticket, {}, Timers.now());
+  if (std::exchange(J->HasToken, false))
+    Quotas->putBack(J->Run.request().Caller->Name);
   J->Run.callerGone(Timers.now());
   answer(J, std::move(A));
   Jobs.erase(J);
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -41,6 +41,20 @@
   E->reply(writeOwnAnswer(A, std::move(Id)));
 }
 
+void RequestHandler::Impl::refuseUnknownKey(const ExchangePtr &E,
+                                            const Error &Why) {
+  std::string Id(headerValue(E->request().Headers, Names.RequestId));
+  logEvent(LogLevel::Info, "request_refused",
+           {{"id", Id},
+            {"code", codeLabel(Why.Code)},
+            {"why", Why.Detail},
+            {"config", std::to_string(Config->version())}});
+  Meter.count("shallot_forward_refused_total", {{"code", codeLabel(Why.Code)}});
+  CallerReply Reply = writeOwnAnswer({Why.Code, {}, Why.Detail}, std::move(Id));
+  Reply.Headers.push_back({"WWW-Authenticate", Names.KeyScheme});
+  E->reply(std::move(Reply));
+}
+
 void RequestHandler::Impl::handle(const ExchangePtr &E) {
   const CallerRequest &R = E->request();
   if (!Config) {
@@ -54,17 +68,24 @@
     refuse(E, {ResultCode::NoRoute, {}, Host + std::string(R.path())});
     return;
   }
+  auto Caller =
+      attempt([&] { return identifyCaller(R, Names, *Config, *Matched); });
+  if (!Caller) {
+    refuseUnknownKey(E, Caller.error());
+    return;
+  }
   ForwardRequest Request;
   Request.Config = Config;
   Request.Matched = Matched;
+  Request.Caller = *Caller;
   Request.Arrived = R.Arrived;
   Request.CallerWaits = readDeadline(headerValue(R.Headers, Names.Deadline))
                             .value_or(Matched->Timeout);
   std::string Id(headerValue(R.Headers, Names.RequestId));
-  auto J =
-      std::make_shared<Job>(E, std::move(Request),
-                            nameRequest(R, Host, Matched->Name, std::move(Id)));
-  J->Head = forwardedHead(R, Names);
+  RequestAttempt Name = nameRequest(R, Names, Host, Matched->Name,
+                                    std::move(Id), *Config, *Caller);
+  auto J = std::make_shared<Job>(E, std::move(Request), std::move(Name));
+  J->Head = forwardedHead(R, Names, *Config, *Caller);
   Jobs.insert(J);
   ++Unanswered;
   ++Handled;
@@ -74,12 +95,14 @@
       return;
     --Unanswered;
     Meter.count("shallot_forward_gone_total");
+    if (TicketId Id = std::exchange(J->QuotaTicket, 0))
+      Quotas->cancel(J->Run.request().Caller->Name, Id);
     releaseTicket(J);
     apply(J, J->Run.callerGone(Timers.now()));
     reportCrashes(J);
     returnUnusedTrial(J);
   });
-  checkQuarantine(J);
+  acquireToken(J);
 }
 
 void RequestHandler::Impl::apply(const JobPtr &J, RunOutput Out) {
@@ -227,9 +250,15 @@
     std::string Host = hostOf(headerValue(R.Headers, "Host"));
     if (const Route *Now = Config->match(Host, R.path()))
       J->Run.restrictRegions(Now->Regions);
+    const Organisation *Caller = J->Run.request().Caller;
+    if (const auto *Now =
+            Caller ? Config->callers().find(Caller->Name) : Caller)
+      J->Run.restrictRegions(Now->Regions);
   }
 }
 
+void RequestHandler::limitBy(QuotaLink &Quotas) { I->Quotas = &Quotas; }
+
 void RequestHandler::install(std::shared_ptr<const ServingConfig> Config) {
   I->Config = std::move(Config);
   I->restrictActiveRequests();
--- a/packages/front/RequestHandler.h
+++ b/packages/front/RequestHandler.h
@@ -10,6 +10,7 @@
 #define SHALLOTSHIFT_FRONT_REQUESTHANDLER_H
 
 #include "front/HeaderNames.h"
+#include "front/QuotaLink.h"
 #include "shallotshift/crashguard.h"
 #include "shallotshift/forward.h"
 #include "shallotshift/http1.h"
@@ -29,6 +30,8 @@
   RequestHandler(const RequestHandler &) = delete;
   RequestHandler &operator=(const RequestHandler &) = delete;
 
+  /// Enforces quotas through \p Quotas, which must outlive this object.
+  void limitBy(QuotaLink &Quotas);
   /// Applies \p Config to requests that arrive from now on. Earlier ones keep
   /// their configuration, but no longer use regions that \p Config forbids.
   void install(std::shared_ptr<const ServingConfig> Config);
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -1,7 +1,7 @@
 //===- RequestHandlerImpl.h - The state of a RequestHandler -----*- C++ -*-===//
 //
 // Internal to package front. RequestAdmission.cpp handles a request before its
-// first send: whether it may be sent, and when. RequestHandler.cpp handles the
+// first send: quota, quarantine and admission. RequestHandler.cpp handles the
 // rest.
 //
 //===----------------------------------------------------------------------===//
@@ -34,6 +34,9 @@
     TimerQueue::Key Timer = 0;
     Instant TimerAt = Instant::max();
     TicketId Ticket = 0; ///< In Admission; 0: holds no place there.
+    /// Waits for a token of its organisation's quota under this id; 0: no.
+    TicketId QuotaTicket = 0;
+    bool HasToken = false; ///< Of its organisation's quota.
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -50,6 +53,9 @@
 
   void handle(const ExchangePtr &E);
   void refuse(const ExchangePtr &E, const LocalAnswer &A);
+  void refuseUnknownKey(const ExchangePtr &E, const Error &Why);
+  void acquireToken(const JobPtr &J);
+  void tokenDecided(const JobPtr &J, const AdmissionDecision &V);
   void checkQuarantine(const JobPtr &J);
   void awaitTrial(const JobPtr &J);
   void admit(const JobPtr &J);
@@ -76,6 +82,7 @@
   ServiceTimeEstimates ServiceTimes;
   ForwardShared Shared;
   Metrics &Meter;
+  QuotaLink *Quotas = nullptr; ///< Null: quotas are not enforced.
   CrashCheck Crashes;
   QuarantineGate Gate;
   std::shared_ptr<const ServingConfig> Config;
--- a/packages/front/RequestReading.cpp
+++ b/packages/front/RequestReading.cpp
@@ -10,9 +10,16 @@
 
 constexpr Duration MaxCallerWait = Seconds(300);
 
-/// Identifies the caller, if present. It is part of the fingerprint, since a
-/// replica may handle the same request differently for another caller.
-constexpr char CredentialsHeader[] = "Authorization";
+/// The key in \p Credentials, or nothing if they are of another scheme.
+std::string_view keyOf(std::string_view Credentials, std::string_view Scheme) {
+  std::size_t Space = Credentials.find(' ');
+  if (Space == std::string_view::npos ||
+      !sameHeaderName(Credentials.substr(0, Space), Scheme))
+    return {};
+  std::size_t Key = Credentials.find_first_not_of(' ', Space);
+  return Key == std::string_view::npos ? std::string_view()
+                                       : Credentials.substr(Key);
+}
 
 } // namespace
 
@@ -33,23 +40,62 @@
   return Host;
 }
 
-std::string forwardedHead(const CallerRequest &R, const HeaderNames &Names) {
+Result<const Organisation *> identifyCaller(const CallerRequest &R,
+                                            const HeaderNames &Names,
+                                            const ServingConfig &Config,
+                                            const Route &On) {
+  if (Config.callers().empty())
+    return nullptr;
+  auto IsCredentials = [&](const HttpHeader &H) {
+    return sameHeaderName(H.Name, Names.Credentials);
+  };
+  auto Count = std::ranges::count_if(R.Headers, IsCredentials);
+  std::string_view Key =
+      keyOf(headerValue(R.Headers, Names.Credentials), Names.KeyScheme);
+  const Organisation *Caller =
+      Count == 1 ? Config.callers().findByKey(Key) : nullptr;
+  if (Caller || On.Public)
+    return Caller;
+  if (Count == 0)
+    return fail(ResultCode::UnknownKey, "no key was sent");
+  if (Count > 1)
+    return fail(ResultCode::UnknownKey, "credentials were sent twice");
+  return fail(ResultCode::UnknownKey,
+              Key.empty()
+                  ? "the credentials are not of scheme " + Names.KeyScheme
+                  : "no organisation holds the key that was sent");
+}
+
+std::string forwardedHead(const CallerRequest &R, const HeaderNames &Names,
+                          const ServingConfig &Config,
+                          const Organisation *Caller) {
   std::string_view Connection = headerValue(R.Headers, "Connection");
+  bool HasKeys = !Config.callers().empty();
   HttpHeaders Kept;
   for (const HttpHeader &H : R.Headers) {
     bool Ours = sameHeaderName(H.Name, Names.Deadline) ||
                 sameHeaderName(H.Name, Names.TargetReplica) ||
+                sameHeaderName(H.Name, Names.Organisation) ||
+                (HasKeys && sameHeaderName(H.Name, Names.Credentials)) ||
                 sameHeaderName(H.Name, "Expect");
     if (!Ours && !isHopHeader(H.Name, Connection))
       Kept.push_back(H);
   }
+  if (Caller)
+    Kept.push_back({Names.Organisation, Caller->Name.str()});
   return requestHead(R.Method, R.Target, Kept);
 }
 
-RequestAttempt nameRequest(const CallerRequest &R, std::string_view Host,
-                           std::string Route, std::string Id) {
-  RequestIdentity Parts{R.Method, Host, R.Target,
-                        headerValue(R.Headers, CredentialsHeader), R.Body};
+RequestAttempt nameRequest(const CallerRequest &R, const HeaderNames &Names,
+                           std::string_view Host, std::string Route,
+                           std::string Id, const ServingConfig &Config,
+                           const Organisation *Caller) {
+  std::string_view Sender;
+  if (Caller)
+    Sender = Caller->Name.str();
+  else if (Config.callers().empty())
+    Sender = headerValue(R.Headers, Names.Credentials);
+  RequestIdentity Parts{R.Method, Host, R.Target, Sender, R.Body};
   return {RequestFingerprint::of(Parts), std::move(Id), std::move(Route),
           std::string(R.path())};
 }
--- a/packages/front/RequestReading.h
+++ b/packages/front/RequestReading.h
@@ -9,6 +9,7 @@
 
 #include "front/HeaderNames.h"
 #include "shallotshift/crashguard.h"
+#include "shallotshift/forward.h"
 #include "shallotshift/http1.h"
 
 #include <optional>
@@ -24,13 +25,28 @@
 /// "search.example" of "Search.Example:80".
 std::string hostOf(std::string_view Value);
 
-/// Method, target and headers that are sent to replicas, without hop-by-hop
-/// headers and those that this daemon sets itself.
-std::string forwardedHead(const CallerRequest &R, const HeaderNames &Names);
-
-/// Identifies an attempt for \p Host on the route \p Route.
-RequestAttempt nameRequest(const CallerRequest &R, std::string_view Host,
-                           std::string Route, std::string Id);
+/// Finds the organisation of a caller by its key. A caller needs one, unless
+/// \p On is public or there are no organisations in \p Config. Returns null for
+/// a caller without one, and fails with UnknownKey. Credentials that are sent
+/// twice are refused: another daemon might go by the other key.
+Result<const Organisation *> identifyCaller(const CallerRequest &R,
+                                            const HeaderNames &Names,
+                                            const ServingConfig &Config,
+                                            const Route &On);
+
+/// Method, target and headers that are sent to replicas: without hop-by-hop
+/// headers and those that this daemon sets itself, and with the name of the
+/// organisation \p Caller in place of its credentials. \p Caller may be null.
+std::string forwardedHead(const CallerRequest &R, const HeaderNames &Names,
+                          const ServingConfig &Config,
+                          const Organisation *Caller);
+
+/// Identifies an attempt for \p Host on the route \p Route. Two keys of one
+/// organisation make no difference.
+RequestAttempt nameRequest(const CallerRequest &R, const HeaderNames &Names,
+                           std::string_view Host, std::string Route,
+                           std::string Id, const ServingConfig &Config,
+                           const Organisation *Caller);
 
 } // namespace shallot
 
--- a/packages/front/include/shallotshift/front.h
+++ b/packages/front/include/shallotshift/front.h
@@ -18,6 +18,7 @@
 #include "front/FrontDaemon.h"
 #include "front/FrontSettings.h"
 #include "front/HeaderNames.h"
+#include "front/QuotaLink.h"
 #include "front/RelayedStore.h"
 #include "front/ReplyReading.h"
 #include "front/ServingFeed.h"
--- a/packages/net/include/shallotshift/net.h
+++ b/packages/net/include/shallotshift/net.h
@@ -13,6 +13,7 @@
 #include "net/HttpServer.h"
 #include "net/HttpTypes.h"
 #include "net/Problem.h"
+#include "net/SuspendedTime.h"
 #include "net/TcpOptions.h"
 
 #endif // SHALLOTSHIFT_NET_H
--- a/tests/ForwardWorld.cpp
+++ b/tests/ForwardWorld.cpp
@@ -134,8 +134,9 @@
   J->Ticket = ++LastTicket;
   const ForwardRequest &Request = J->Run.request();
   Daemon &D = *Daemons[Home];
-  AdmissionDecision V = D.Admit.offer(*Request.Matched, J->Ticket,
-                                      Now + Request.CallerWaits, Now);
+  AdmissionDecision V =
+      D.Admit.offer(*Request.Matched, Request.priority(), J->Ticket,
+                    Now + Request.CallerWaits, Now);
   if (V.What == AdmissionAction::Start)
     return begin(J);
   if (V.What == AdmissionAction::Refuse)
--- a/tests/FrontFixture.cpp
+++ b/tests/FrontFixture.cpp
@@ -20,6 +20,7 @@
   S.Directory = Free();
   S.Peers = Free();
   S.Gossip = Free();
+  S.Quotas = Free();
   S.Metrics = Free();
   S.Store = Free();
   S.StopGrace = Millis(1500);
--- a/tests/error/FrontSettingsAreChecked.cpp
+++ b/tests/error/FrontSettingsAreChecked.cpp
@@ -14,7 +14,7 @@
     "host": "front-1", "zone": "z", "region": "r",
     "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2",
     "directory": "10.0.0.1:3", "peers": "10.0.0.1:4",
-    "gossip": "10.0.0.1:5", "metrics": "10.0.0.1:6", "store": "10.0.0.9:7",
+    "gossip": "10.0.0.1:5", "quotas": "10.0.0.1:8", "metrics": "10.0.0.1:6", "store": "10.0.0.9:7",
     "seeds": ["10.0.0.2:4"], "zones": {"z": "r"}, "stop_grace_s": 6,
     "drain_ms": 3000, "entry_validity_s": 5, "cpu_share": 0.25, "cores": 2,
     "retry_ratio": 0.2, "retry_window_s": 10, "retry_constant": 52})");
--- a/tests/failure/OverloadIsTurnedAway.cpp
+++ b/tests/failure/OverloadIsTurnedAway.cpp
@@ -42,7 +42,7 @@
     Admit.install(*C);
   }
   AdmissionDecision offer(const Route &R) {
-    return Admit.offer(R, ++Last, Now + R.Timeout, Now);
+    return Admit.offer(R, R.Priority, ++Last, Now + R.Timeout, Now);
   }
   /// Offers one query per millisecond; each ends 30 ms after its start with the
   /// sample \p S.
--- a/tests/failure/RegionsBindEverySend.cpp
+++ b/tests/failure/RegionsBindEverySend.cpp
@@ -93,11 +93,17 @@
                                   "tenant are intersected") {
   Route R = inRegions(ServiceName("a"), {Region("here"), Region("abroad")});
   R.Owner = Tenant("firm");
+  Organisation Firm;
+  Firm.Name = Tenant("firm");
+  Firm.Regions = only({Region("abroad")});
+  Organisation Other;
+  Other.Name = Tenant("other");
+  Other.Regions = only({Region("here")});
+  auto Callers = attempt([&] { return Organisations::make({Firm, Other}); });
+  REQUIRE(Callers);
   auto C = attempt([&] {
     return ServingConfig::make(1, {R}, {{ServiceName("a"), 100}},
-                               CallerLimits(),
-                               {{Tenant("firm"), only({Region("abroad")})},
-                                {Tenant("other"), only({Region("here")})}});
+                               CallerLimits(), *Callers);
   });
   REQUIRE(C);
   CHECK(C->routes().front().Regions == only({Region("abroad")}));
--- a/tests/fuzz/DocumentTargets.cpp
+++ b/tests/fuzz/DocumentTargets.cpp
@@ -40,6 +40,7 @@
     R"({"host":"front-1","zone":"z","region":"r","callers":"10.0.0.1:8226",)"
     R"("readiness":"10.0.0.1:8227","directory":"10.0.0.1:8225",)"
     R"("peers":"10.0.0.1:8224","gossip":"10.0.0.1:7740",)"
+    R"("quotas":"10.0.0.1:7741",)"
     R"("metrics":"10.0.0.1:9180","store":"10.200.1.7:8229",)"
     R"("seeds":["10.0.0.2:8224"],"zones":{"z":"r"},"stop_grace_s":6,)"
     R"("drain_ms":3000,"entry_validity_s":5,"cpu_share":0.25,"cores":1,)"
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -22,6 +22,9 @@
           failure/ColdReplicasAreSpared.cpp
           failure/EvacuatedZonesGetNothing.cpp
           failure/RequestsStayInAllowedRegions.cpp)
+shallot_test(organisations_failure PACKAGES platform LIBRARIES standin_core
+  LABELS failure
+  SOURCES FrontFixture.cpp failure/KeysStayWithTheDaemon.cpp)
 add_test(NAME wire_names_stay_in_platform
   COMMAND ${CMAKE_COMMAND} -DROOT=${CMAKE_SOURCE_DIR}
           -P ${CMAKE_SOURCE_DIR}/cmake/CheckWireNames.cmake)
