soak: callers of three organisations, a removed key and a hot organisation

Replicas note the organisation that they are told and whether credentials came along. Four checks: keys are not passed on and names are not forged, removed keys stop serving, known keys are served, and the quota holds in every window over all daemons.

--- a/standins/ArrivalLog.cpp
+++ b/standins/ArrivalLog.cpp
@@ -53,6 +53,8 @@
                      {"method", A.Method},
                      {"target", A.Target},
                      {"body", A.Body},
+                     {"organisation", A.Organisation},
+                     {"credentials", A.Credentials},
                      {"read_at", A.ReadAt},
                      {"began_at", A.BeganAt},
                      {"ended_at", A.EndedAt},
--- a/standins/ArrivalLog.h
+++ b/standins/ArrivalLog.h
@@ -36,6 +36,8 @@
   std::string Method;
   std::string Target; ///< Path and query.
   std::string Body;
+  std::string Organisation;
+  bool Credentials = false; ///< The key of the caller was sent along.
   double ReadAt = 0;
   double BeganAt = 0; ///< 0: it never ran.
   double EndedAt = 0; ///< 0: it has not ended.
--- a/standins/RegisteredReplica.cpp
+++ b/standins/RegisteredReplica.cpp
@@ -119,6 +119,8 @@
   A.Method = R.Method;
   A.Target = R.Query.empty() ? R.Path : R.Path + "?" + R.Query;
   A.Body = R.Body;
+  A.Organisation = R.header("Tenant");
+  A.Credentials = !R.header("Authorization").empty();
   A.ReadAt = monotonicMs();
   A.WaitsMs = numberOr(R.header("Deadline-Ms"), -1);
   auto W = std::make_shared<Work>(Io);
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -17,7 +17,8 @@
 
 ZONES = [("z-south", "r-south"), ("z-mid", "r-mid"), ("z-north", "r-north")]
 CALLERS, READINESS, DIRECTORY, PEERS = 8226, 8227, 8225, 8224
-GOSSIP, METRICS, STORE, CONTROL, REPLICA = 7740, 9180, 8229, 7300, 8080
+GOSSIP, QUOTAS, METRICS, STORE, CONTROL, REPLICA = (
+    7740, 7741, 9180, 8229, 7300, 8080)
 READY_SECONDS = 30
 HOST = "search.example"
 
@@ -86,7 +87,8 @@
         doc = {"host": f"front-{n}", "zone": zone, "region": region,
                "callers": f"{at}:{CALLERS}", "readiness": f"{at}:{READINESS}",
                "directory": f"{at}:{DIRECTORY}", "peers": f"{at}:{PEERS}",
-               "gossip": f"{at}:{GOSSIP}", "metrics": f"{at}:{METRICS}",
+               "gossip": f"{at}:{GOSSIP}", "quotas": f"{at}:{QUOTAS}",
+               "metrics": f"{at}:{METRICS}",
                "store": self.store_for(n),
                "seeds": [f"{self.ip(s)}:{PEERS}"
                          for s in range(1, min(3, self.daemons) + 1)],
@@ -95,11 +97,15 @@
                "cores": 1, "retry_ratio": RETRY_RATIO,
                "retry_window_s": RETRY_WINDOW_S,
                "retry_constant": RETRY_CONSTANT,
-               "evacuation_ms": EVACUATION_MS}
+               "evacuation_ms": EVACUATION_MS, **self.limits()}
         path = self.path(f"front-{n}.json")
         path.write_text(json.dumps(doc))
         return str(path)
 
+    def limits(self):
+        """Further bounds in the settings of the daemons."""
+        return {}
+
     def config(self, version, archive="archive", more=()):
         """Two searches over all shards, a read of one replica, an action."""
         def route(name, kind, timeout, objective, **target):
--- a/tools/soakkit/callers.py
+++ b/tools/soakkit/callers.py
@@ -6,6 +6,7 @@
 import time
 
 from deployment import HOST, ZONES
+from soakkit.organisations import NEVER, keys_of
 from soakkit.records import Ask
 
 # Route: share of the requests, deadline in seconds, method.
@@ -14,6 +15,7 @@
 # A caller that hears nothing waits this much longer than its deadline.
 OVERDUE = 1.5
 LEAVES_EARLY = 0.04  # Part of the callers' requests.
+UNKNOWN_KEY = 0.02
 CONNECT_SECONDS = 1.0
 AVOID_SECONDS = 2.0
 
@@ -95,7 +97,7 @@
             await asyncio.sleep(self.rng.expovariate(self.rate))
             await self.find_addresses()
             ask = await self.attempt()
-            if ask and ask.status == 503 and "retry-after" in ask.headers:
+            if ask and ask.status in (429, 503) and "retry-after" in ask.headers:
                 wait = float(ask.headers["retry-after"])
                 if wait < ask.deadline / 3:
                     await asyncio.sleep(wait)
@@ -159,6 +161,8 @@
         body = f"lane {number}" if method == "POST" else ""
         ask = Ask(f"{self.world.run_name}-{number}", route, method,
                   f"/{route}/{number}?q=%2f", body, self.daemon, deadline)
+        ask.key = (NEVER if self.rng.random() < UNKNOWN_KEY
+                   else self.rng.choice(keys_of(self.number)))
         self.world.history.asks.append(ask)
         return ask
 
@@ -188,6 +192,7 @@
     def send(self, ask):
         text = (f"{ask.method} {ask.target} HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"Request-Id: {ask.id}\r\n"
+                f"Authorization: Token {ask.key}\r\nTenant: forged\r\n"
                 f"Deadline-Ms: {int(ask.deadline * 1000)}\r\n")
         if ask.body:
             text += f"Content-Length: {len(ask.body)}\r\n"
--- a/tools/soakkit/promises.py
+++ b/tools/soakkit/promises.py
@@ -10,6 +10,7 @@
 
 from deployment import (DRAIN_MS, EVACUATION_MS, RETRY_CONSTANT, RETRY_RATIO,
                         RETRY_WINDOW_S, ZONES)
+from soakkit import organisations
 from soakkit.records import links_of, windows
 
 NOT_RUN = (408, 421, 429, 503)
@@ -341,6 +342,17 @@
             yield f"{request} ran at {wrong}"
 
 
+# Organisations ---------------------------------------------------------------
+
+
+def keys_taken_away_end(case):
+    yield from organisations.keys_taken_away_end(case, possible_versions)
+
+
+def known_keys_are_served(case):
+    yield from organisations.known_keys_are_served(case, possible_versions)
+
+
 # The fleet -------------------------------------------------------------------
 
 
@@ -349,7 +361,7 @@
     calm_from = max([d.end for d in case.history.disturbances
                      if d.end != float("inf")], default=0) + CALM_BEFORE
     last = [a for a in case.history.asks if a.sent_at > calm_from
-            and a.how not in ("open", "left")]
+            and a.how not in ("open", "left") and a.status not in (401, 429)]
     served = sum(a.how == "answered" and a.status == 200 for a in last)
     if len(last) >= 20 and served < LEAST_SERVED * len(last):
         yield f"only {served} of {len(last)} served after the last disturbance"
@@ -377,6 +389,8 @@
           configuration_is_in_force, configuration_never_goes_back,
           leaving_replicas_are_left_alone, evacuated_zones_get_nothing,
           regions_are_kept, services_are_those_of_a_route,
+          organisations.keys_are_not_passed_on, keys_taken_away_end,
+          known_keys_are_served, organisations.quotas_hold,
           the_fleet_recovers, logs_can_be_read)
 
 
--- a/tools/soakkit/records.py
+++ b/tools/soakkit/records.py
@@ -23,6 +23,7 @@
     headers: dict = dataclasses.field(default_factory=dict)
     content: bytes = b""
     extra: bytes = b""  # Bytes behind the answer.
+    key: str = ""  # That it was sent with.
 
 
 @dataclasses.dataclass
--- a/tools/soakkit/world.py
+++ b/tools/soakkit/world.py
@@ -7,6 +7,7 @@
 
 from deployment import (CALLERS, DIRECTORY, GRACE_S, HOST, READINESS, ZONES,
                         Deployment)
+from soakkit import organisations
 from soakkit.callers import read_addresses
 from soakkit.proxy import Link
 from soakkit.records import History
@@ -170,9 +171,15 @@
         """order(), without holding up the loop."""
         await asyncio.to_thread(self.order, what, **fields)
 
+    def limits(self):
+        return {"quota_window_s": organisations.QUOTA_WINDOW_S,
+                "quota_overage": organisations.QUOTA_OVERAGE,
+                "quota_slack": organisations.QUOTA_SLACK}
+
     def config(self, version, archive="archive", more=()):
         """One of the searches may be served in two regions only."""
         document = super().config(version, archive, more)
+        document["tenants"] = organisations.documents(version)
         for route in document["routes"]:
             if route["name"] == "check":
                 route["allowed_regions"] = [r for _, r in ZONES[:2]]
