forward: passing time costs nothing for replicas that have not changed

Ten times a second each daemon visited every replica it knew to find ejected ones, vanished ones and incarnations to forget: 1,813 us each time with 10,305 replicas, 1.8% of a core for ever.

Vanished replicas, changed incarnations and ejected replicas are now listed when they become so, and only these are visited.

--- a/packages/forward/IncarnationTable.cpp
+++ b/packages/forward/IncarnationTable.cpp
@@ -13,6 +13,7 @@
     if (!Same)
       K.EarlierSince = Now;
     K.Earlier = Entry;
+    Changing.insert(Entry.Id);
     return IncarnationOrder::Outdated;
   }
   bool Later = !New && HasStart && K.StartedUnixMs != 0 &&
@@ -21,6 +22,7 @@
     K.StartedUnixMs = Entry.StartedUnixMs;
   K.RemovedAt = Instant::max();
   K.Earlier.reset();
+  Changing.erase(Entry.Id);
   return Later ? IncarnationOrder::Restarted : IncarnationOrder::Current;
 }
 
@@ -32,25 +34,31 @@
   K.Earlier.reset();
   if (K.RemovedAt == Instant::max())
     K.RemovedAt = Now;
+  Changing.insert(Id);
 }
 
 std::vector<ReplicaEntry> IncarnationTable::takeConfirmed(Instant Now) {
   std::vector<ReplicaEntry> Confirmed;
-  for (auto &[Id, K] : ById) {
+  std::erase_if(Changing, [&](const UpstreamId &Id) {
+    KnownIncarnation &K = ById.at(Id);
     if (!K.Earlier || Now < K.EarlierSince + EarlierStartConfirmation)
-      continue;
+      return false;
     K.StartedUnixMs = K.Earlier->StartedUnixMs;
     K.RemovedAt = Instant::max();
     Confirmed.push_back(*std::exchange(K.Earlier, std::nullopt));
-  }
+    return true;
+  });
   return Confirmed;
 }
 
 void IncarnationTable::forget(Instant Now) {
-  std::erase_if(ById, [&](const auto &Item) {
-    const KnownIncarnation &K = Item.second;
-    return !K.Earlier && K.RemovedAt != Instant::max() &&
-           Now >= K.RemovedAt + IncarnationRetention;
+  std::erase_if(Changing, [&](const UpstreamId &Id) {
+    const KnownIncarnation &K = ById.at(Id);
+    bool Ended = !K.Earlier && K.RemovedAt != Instant::max() &&
+                 Now >= K.RemovedAt + IncarnationRetention;
+    if (Ended)
+      ById.erase(Id);
+    return Ended;
   });
 }
 
--- a/packages/forward/IncarnationTable.h
+++ b/packages/forward/IncarnationTable.h
@@ -24,6 +24,7 @@
 #include "forward/Replica.h"
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace shallot {
 
@@ -61,6 +62,9 @@
   };
 
   std::unordered_map<UpstreamId, KnownIncarnation> ById;
+  /// Those of ById that were removed or have an earlier start time. The others
+  /// are never visited as time passes.
+  std::unordered_set<UpstreamId> Changing;
 };
 
 } // namespace shallot
--- a/packages/forward/Organisation.cpp
+++ b/packages/forward/Organisation.cpp
@@ -20,8 +20,8 @@
   };
   if (O.Name.empty() || O.Name.str().size() > MaxNameBytes ||
       !isHeaderValue(O.Name.str()))
-    return Bad(fmt::format("the name must be 1 to {} printable ASCII characters",
-                           MaxNameBytes));
+    return Bad(fmt::format(
+        "the name must be 1 to {} printable ASCII characters", MaxNameBytes));
   if (O.Limit.Rate < 0 || O.Limit.Burst < 0)
     return Bad(fmt::format("rate {} and burst {} must not be below 0",
                            O.Limit.Rate, O.Limit.Burst));
--- a/packages/forward/Replica.cpp
+++ b/packages/forward/Replica.cpp
@@ -91,10 +91,12 @@
 
 Replica::Replica(ReplicaEntry E, Distance Dist,
                  std::shared_ptr<RttEstimate> Rtt, Instant Now,
-                 Instant RestartedAt)
+                 Instant RestartedAt,
+                 std::shared_ptr<EjectedReplicas> Ejections)
     : Entry(std::move(E)), Dist(Dist), Rtt(std::move(Rtt)),
       RestartedAt(RestartedAt), WarmAt(Now + Entry.WarmupLeft), LastAnswer(Now),
-      SlownessAt(Now), FailureAt(Now), LoadAt(Now) {}
+      SlownessAt(Now), FailureAt(Now), LoadAt(Now),
+      Ejections(std::move(Ejections)) {}
 
 void Replica::update(ReplicaEntry E, Instant Now) {
   Entry = std::move(E);
@@ -231,6 +233,8 @@
 void Replica::eject(Instant Now) {
   EjectionTime = std::clamp(EjectionTime * 2, MinEjection, MaxEjection);
   Ejected = true;
+  if (Ejections)
+    Ejections->insert(Entry.Id);
   ProbeRunning = false;
   ProbeAt = Now + EjectionTime;
 }
--- a/packages/forward/Replica.h
+++ b/packages/forward/Replica.h
@@ -29,6 +29,7 @@
 
 #include <memory>
 #include <optional>
+#include <unordered_set>
 #include <vector>
 
 namespace shallot {
@@ -72,12 +73,17 @@
   friend bool operator==(const ReportedLoad &, const ReportedLoad &) = default;
 };
 
+/// Ids of replicas that were ejected. One that has recovered since is still
+/// listed until it is looked at.
+using EjectedReplicas = std::unordered_set<UpstreamId>;
+
 class Replica {
 public:
   /// \p RestartedAt is the time at which a restart of this id was detected, if
   /// there was one. \p Rtt is shared by the replicas of an availability zone.
   Replica(ReplicaEntry Entry, Distance Dist, std::shared_ptr<RttEstimate> Rtt,
-          Instant Now, Instant RestartedAt = Instant::min());
+          Instant Now, Instant RestartedAt = Instant::min(),
+          std::shared_ptr<EjectedReplicas> Ejections = nullptr);
 
   const ReplicaEntry &entry() const { return Entry; }
   Distance distance() const { return Dist; }
@@ -157,6 +163,7 @@
   Instant LoadAt;
   unsigned LongestQueue = 0;
   ConnectionAllowance Allowance;
+  std::shared_ptr<EjectedReplicas> Ejections; ///< Lists it when it is ejected.
   bool Ejected = false;
   bool ProbeRunning = false;
   Instant ProbeAt;
--- a/packages/forward/ReplicaRegistry.cpp
+++ b/packages/forward/ReplicaRegistry.cpp
@@ -84,6 +84,7 @@
 
 void ReplicaRegistry::install(ReplicaEntry Entry, bool Restarted, Instant Now) {
   UpstreamId Id = Entry.Id;
+  Vanished.erase(Id);
   auto [At, New] = ById.try_emplace(Id);
   Slot &S = At->second;
   if (!New && !Restarted && S.Ptr->entry().Service == Entry.Service &&
@@ -99,7 +100,7 @@
   S.Registered = true;
   std::shared_ptr<RttEstimate> Rtt = rttTo(Entry);
   S.Ptr = std::make_shared<Replica>(std::move(Entry), Dist, std::move(Rtt), Now,
-                                    Restarted ? Now : Instant::min());
+                                    Restarted ? Now : Instant::min(), Ejected);
 }
 
 std::shared_ptr<RttEstimate> ReplicaRegistry::rttTo(const ReplicaEntry &E) {
@@ -114,6 +115,7 @@
     return;
   S.Registered = false;
   S.VanishedAt = Now;
+  Vanished.insert(S.Ptr->entry().Id);
   Incarnations.removed(S.Ptr->entry().Id, Now);
 }
 
@@ -285,25 +287,33 @@
   for (ReplicaEntry &E : Incarnations.takeConfirmed(Now))
     install(std::move(E), true, Now);
   Incarnations.forget(Now);
-  std::erase_if(ById, [&](const auto &Item) {
-    const Slot &S = Item.second;
+  std::erase_if(Vanished, [&](const UpstreamId &Id) {
+    auto Found = ById.find(Id);
+    const Slot &S = Found->second;
     // While the store is unreachable, no replica is known to be gone.
-    if (S.Registered || StoreIsLost || Now < holdEnd(S))
+    if (StoreIsLost || Now < holdEnd(S))
       return false;
     auto At = ByService.find(S.Ptr->entry().Service);
     std::erase(At->second, &S);
     if (At->second.empty())
       ByService.erase(At);
+    ById.erase(Found);
     return true;
   });
 }
 
 std::vector<ReplicaPtr> ReplicaRegistry::dueProbes(Instant Now) {
   std::vector<ReplicaPtr> Due;
-  for (auto &[Id, S] : ById)
+  std::erase_if(*Ejected, [&](const UpstreamId &Id) {
+    auto At = ById.find(Id);
+    if (At == ById.end() || !At->second.Ptr->ejected())
+      return true;
+    const Slot &S = At->second;
     if (S.Registered && !S.Ptr->entry().Leaving &&
         !evacuated(S.Ptr->entry().Zone) && S.Ptr->takeProbe(Now))
       Due.push_back(S.Ptr);
+    return false;
+  });
   return Due;
 }
 
--- a/packages/forward/ReplicaRegistry.h
+++ b/packages/forward/ReplicaRegistry.h
@@ -39,6 +39,7 @@
 #include <set>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace shallot {
 
@@ -171,6 +172,10 @@
   WarmupSenders Senders;
   std::unordered_map<UpstreamId, Slot> ById;
   std::unordered_map<ServiceName, std::vector<Slot *>> ByService;
+  /// Replicas of ById without a registration; only they expire.
+  std::unordered_set<UpstreamId> Vanished;
+  std::shared_ptr<EjectedReplicas> Ejected =
+      std::make_shared<EjectedReplicas>();
   IncarnationTable Incarnations;
   std::map<AvailabilityZone, std::shared_ptr<RttEstimate>> Rtts;
   bool ZonesKnown;
