front: starting daemons read from peers, and the feed tree is computed once

Two causes held only while the fleet is small. A daemon that has met few others took itself for the watcher of its region after 40 to 250 ms, in which 986 daemons do not know each other. And a daemon whose source had not read everything within 0.3 s went to the store, although a list of 4,230 registrations takes longer.

A daemon that has read nothing now uses the store only as the watcher of a view to which no member was added for 250 ms, or after 5 s; a source may hold a list request for 2 s; a restarted watcher reads from a daemon that serves.

Each change of the view also computed the tree anew for each kind of objects, copying and sorting all members: 923 us for each of three kinds at 986 members. Looking for a peer that is ahead was quadratic in the members and is now a search for each.

The test of a starting fleet asserts more than before: no source before StartPatience, then the store.

--- a/packages/fleet/Membership.cpp
+++ b/packages/fleet/Membership.cpp
@@ -162,6 +162,8 @@
   return I->refusalReason(Now);
 }
 bool Membership::settled(Instant Now) const { return I->settled(Now); }
+Instant Membership::lastJoinAt() const { return I->LastJoinAt; }
+
 Instant Membership::heardAt() const { return I->LastHeardAt; }
 
 std::size_t Membership::peersHeard() const { return I->peersHeard(); }
--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -203,6 +203,8 @@
   /// for SettleTime, or no other member is known SettleTime after every seed
   /// was asked.
   bool settled(Instant Now) const;
+  /// When a member was last found that was new or had been taken for gone.
+  Instant lastJoinAt() const;
   /// When the last message of another member arrived.
   Instant heardAt() const;
   /// Live members that have answered a table comparison since the start or the
--- a/packages/front/FeedSources.h
+++ b/packages/front/FeedSources.h
@@ -20,6 +20,7 @@
 #ifndef SHALLOTSHIFT_FRONT_FEEDSOURCES_H
 #define SHALLOTSHIFT_FRONT_FEEDSOURCES_H
 
+#include "front/FeedTree.h"
 #include "shallotshift/base.h"
 #include "shallotshift/forward.h"
 
@@ -41,9 +42,10 @@
 /// get a reply from the store every one to two seconds.
 inline constexpr Duration MaxFeedAge = Millis(2200);
 
-/// Maximum number of daemons that read from one daemon: 16 changes of 20 KB
-/// take 0.2 s at 14 Mbit/s, and 1,700 daemons in 7 regions need three levels.
-inline constexpr std::size_t FeedFanOut = 16;
+/// A daemon that could not read from a peer for this long after its start reads
+/// from the store: long enough that the daemons of a fleet that starts as a
+/// whole know each other, and the first of each region have read everything.
+inline constexpr Duration StartPatience = Seconds(5);
 
 class FeedSources {
 public:
@@ -51,10 +53,18 @@
       : Self(std::move(Self)), Here(std::move(Here)) {}
 
   void update(const FleetView &View);
-  /// Source for the next call. \p Listed: a list was read before. Until then a
-  /// peer that is still starting is used only if it is the default source, and
-  /// the store is used if no peer is usable.
-  FeedSource next(bool Listed, Instant Now);
+  /// The same, with the place of this daemon in the fleet's view.
+  void update(FeedTree T) { Tree = std::move(T); }
+  /// Whether the view holds (almost) the whole fleet. While a fleet starts, a
+  /// daemon that has met few others takes itself for the first of its region.
+  void setViewComplete(bool Complete) { ViewComplete = Complete; }
+  /// Source for the next call of a daemon that has read a list before.
+  FeedSource next(Instant Now);
+  /// The same for one that has read nothing yet. A peer that is still starting
+  /// is used only if it is the default source, and the store only by the
+  /// watcher of a complete view or after StartPatience; nothing if there is no
+  /// such source yet.
+  std::optional<FeedSource> first(Instant Now);
   /// Uses \p Peer for the next call because it is ahead of this daemon.
   void prefer(const Member &Peer) { Preferred = Peer; }
   void recordSuccess(const FeedSource &S);
@@ -62,9 +72,9 @@
   /// True when \p S may be unavailable: its daemon has left or is suspected.
   bool lost(const FeedSource &S) const;
   /// True when this daemon reads from the store on behalf of its region.
-  bool watchesStore() const { return IsWatcher; }
+  bool watchesStore() const { return Tree.IsWatcher; }
   /// True when other daemons of the region read from this one.
-  bool relays() const { return Relays; }
+  bool relays() const { return Tree.Relays; }
 
 private:
   struct FailureRecord {
@@ -74,16 +84,14 @@
   };
 
   bool usable(const FeedSource &S, Instant Now) const;
-  FeedSource firstSource(Instant Now) const;
-  void findRegionSources(const std::vector<Member> &Own);
+  bool mayListFromStore(Instant Now) const;
 
   HostId Self;
   Region Here;
   std::optional<Member> Preferred;
-  std::vector<Member> Peers;     ///< In order of preference.
-  std::vector<DaemonId> Serving; ///< All members that can be a source.
-  bool IsWatcher = true;         ///< First of its region.
-  bool Relays = false;
+  FeedTree Tree{{}, std::make_shared<const std::vector<DaemonId>>()};
+  bool ViewComplete = false;
+  std::optional<Instant> FirstAskedAt;
   std::map<HostId, FailureRecord> Failures; ///< The empty key is the store.
 };
 
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -187,6 +187,12 @@
   return Most;
 }
 
+bool FleetLink::viewComplete(Instant Now) const {
+  bool Quiet =
+      Members.peersHeard() > 0 && Now - Members.lastJoinAt() >= ViewQuietTime;
+  return Quiet || Members.settled(Now);
+}
+
 std::optional<PeerAhead> FleetLink::findPeerAhead(
     const std::function<bool(const ReadRevisions &)> &IsAhead) const {
   std::vector<PeerAhead> Near;
@@ -195,9 +201,10 @@
     ReadRevisions Its = readRevisionsOf(P);
     if (!IsAhead(Its))
       continue;
-    for (const Member &M : view().Members)
-      if (M.Id == P.Who && M.State == MemberState::Alive)
-        (M.Reg == Set.Here.Reg ? Near : Far).push_back({M, Its});
+    const std::vector<Member> &All = view().Members;
+    auto At = std::ranges::lower_bound(All, P.Who, {}, &Member::Id);
+    if (At != All.end() && At->Id == P.Who && At->State == MemberState::Alive)
+      (At->Reg == Set.Here.Reg ? Near : Far).push_back({*At, Its});
   }
   const std::vector<PeerAhead> &From = Near.empty() ? Far : Near;
   if (From.empty())
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -34,6 +34,10 @@
 /// the probes for this cost some hundred bytes per second.
 MembershipOptions frontMembershipOptions();
 
+/// Shorter than MembershipOptions::SettleTime, since callers wait for a daemon
+/// that has restarted with its whole fleet.
+inline constexpr Duration ViewQuietTime = Millis(250);
+
 /// Share of the host for this process, in thousandths of a core.
 std::uint32_t capacityOf(const FrontSettings &Set);
 
@@ -65,6 +69,9 @@
   bool mayAct(Instant Now) const { return Members.mayAct(Now); }
   bool settled(Instant Now) const { return Members.settled(Now); }
   Instant heardAt() const { return Members.heardAt(); }
+  /// Whether the view holds (almost) all of the fleet: no new member was found
+  /// for ViewQuietTime, or the view is settled.
+  bool viewComplete(Instant Now) const;
   /// This daemon as it announces itself.
   const Member &self() const { return Members.self(); }
   /// Daemons that share the connections to replicas and the retry allowance.
--- a/packages/front/QuotaLink.h
+++ b/packages/front/QuotaLink.h
@@ -21,9 +21,10 @@
   using Callback = std::function<void(const AdmissionDecision &)>;
 
   /// Opens the socket. Fails with AddressInUse.
-  static Result<std::unique_ptr<QuotaLink>>
-  open(EventLoop &Loop, TimerQueue &Timers, const FrontSettings &Set,
-       FleetLink &Fleet);
+  static Result<std::unique_ptr<QuotaLink>> open(EventLoop &Loop,
+                                                 TimerQueue &Timers,
+                                                 const FrontSettings &Set,
+                                                 FleetLink &Fleet);
   ~QuotaLink();
   QuotaLink(const QuotaLink &) = delete;
   QuotaLink &operator=(const QuotaLink &) = delete;
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -29,14 +29,15 @@
 /// briefly: two such daemons waiting for each other would receive nothing.
 inline constexpr Duration WatcherPeerWait = Millis(400);
 inline constexpr Duration PeerTimeoutMargin = Millis(700);
-inline constexpr Duration PeerListTimeout = Millis(800);
 /// A reply that has begun and from which nothing more arrives for this long is
 /// considered lost. TCP retransmits a lost packet after 0.2 and 0.4 s.
 inline constexpr Duration PeerStallTimeout = Millis(1000);
-/// How long a peer that has read nothing yet may hold a list request. The store
-/// answers in milliseconds, and the requester calls the store itself
-/// afterwards.
-inline constexpr Duration PeerListWait = Millis(300);
+/// How long a peer that has read nothing yet may hold a list request: the time
+/// in which it reads a large list itself, through one more peer. If it fails
+/// meanwhile, membership reports it.
+inline constexpr Duration PeerListWait = Seconds(2);
+/// Interval at which a daemon without a source looks for one again.
+inline constexpr Duration NoSourceRetry = Millis(100);
 
 /// A store whose calls can be inspected and cancelled while they run.
 template <typename S>
@@ -66,7 +67,15 @@
   void list(const std::string &Kind, const std::string &After,
             StoreCallback<KindPage> OnDone) {
     cancelCurrentCall(Kind);
-    FeedSource Source = chooseSource(Kind, false);
+    std::optional<FeedSource> Found = chooseSource(Kind, false);
+    if (!Found) {
+      Retry = Loop.after(NoSourceRetry,
+                         [this, Kind, After, OnDone = std::move(OnDone)] {
+                           list(Kind, After, OnDone);
+                         });
+      return;
+    }
+    FeedSource Source = *Found;
     auto Done = [this, Kind, Source,
                  OnDone = std::move(OnDone)](Attempt<KindPage> P) {
       recordResult(Source, P);
@@ -82,14 +91,14 @@
     Q.After = After;
     Q.Wait = PeerListWait;
     callPeer(
-        Source, Q, PeerListTimeout,
+        Source, Q, PeerListWait + PeerTimeoutMargin,
         [Done = std::move(Done)](const HttpReply &R) { Done(readPage(R)); });
   }
 
   void watchKind(const std::string &Kind, StoreRevision Revision, Duration Wait,
                  StoreCallback<KindChanges> OnDone) {
     cancelCurrentCall(Kind);
-    FeedSource Source = chooseSource(Kind, true);
+    FeedSource Source = *chooseSource(Kind, true); // Listed: there is one.
     auto Done = [this, Source,
                  OnDone = std::move(OnDone)](Attempt<KindChanges> C) {
       bool Fresh = recordResult(Source, C);
@@ -127,12 +136,16 @@
   }
 
 private:
-  FeedSource chooseSource(const std::string &Kind, bool WasListed) {
-    FeedSource Source = Sources.next(WasListed || Listed, Loop.now());
-    if (Last != Source)
+  std::optional<FeedSource> chooseSource(const std::string &Kind,
+                                         bool WasListed) {
+    std::optional<FeedSource> Source = WasListed || Listed
+                                           ? Sources.next(Loop.now())
+                                           : Sources.first(Loop.now());
+    if (Source && Last != Source)
       logEvent(LogLevel::Info, "feed_source",
-               {{"kind", Kind}, {"from", sourceName(Source)}});
-    Last = Source;
+               {{"kind", Kind}, {"from", sourceName(*Source)}});
+    if (Source)
+      Last = Source;
     return Source;
   }
 
@@ -181,6 +194,7 @@
 
   /// Cancels the call in progress, if any.
   void cancelCurrentCall(const std::string &Kind) {
+    Retry.cancel();
     std::optional<TransferProgress> P = progress();
     if (!P)
       return;
@@ -205,6 +219,7 @@
   std::uint64_t Epoch = 0;        ///< Of the last reply.
   std::optional<FeedSource> Last; ///< Source of the latest call.
   HttpClient::TransferId Call = 0;
+  TimerHandle Retry; ///< Looks for a source again.
 };
 
 } // namespace shallot
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -99,6 +99,8 @@
 
   void tick() {
     Server.tick();
+    if (!AllListed)
+      updateViewComplete();
     D.fleet().announce(readRevisions());
     if (++Ticks % CompareEvery == 0)
       compareWithPeers();
@@ -107,6 +109,15 @@
     Loop.after(FeedTick, [this] { tick(); });
   }
 
+  void updateViewComplete() {
+    AllListed = true;
+    bool Complete = D.fleet().viewComplete(Loop.now());
+    for (const NamedKind &K : Kinds) {
+      K.Objects->sources().setViewComplete(Complete);
+      AllListed = AllListed && K.Objects->watch().listed();
+    }
+  }
+
   ReadRevisions readRevisions() const {
     return {D.configVersion(), Replicas.watch().cache().lastChange(),
             Records.watch().cache().lastChange(),
@@ -151,8 +162,10 @@
   void fleetChanged() {
     if (!Started && D.view().Members.size() > 1)
       Loop.after(PeerSettleTime, [this] { startOnce(); });
+    FeedTree Tree =
+        FeedTree::of(D.view(), D.settings().Host, D.settings().Here.Reg);
     for (const NamedKind &K : Kinds)
-      K.Objects->fleetChanged();
+      K.Objects->fleetChanged(Tree);
     Sync.setMembers(D.view().Members.size());
   }
 
@@ -321,7 +334,8 @@
   std::vector<NamedKind> Kinds;
   QuarantineSync<Store, EventLoop> Sync;
   FeedServer Server;
-  bool Started = false; ///< The watches have been started.
+  bool Started = false;   ///< The watches have been started.
+  bool AllListed = false; ///< Every kind has been read once.
   unsigned Ticks = 0;
 };
 
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -49,8 +49,8 @@
   /// Called when the membership view has changed. A host whose link is
   /// saturated does not answer probes and becomes suspected, even by daemons
   /// that are receiving a reply from it; such a reply is not abandoned.
-  void fleetChanged() {
-    sources().update(D.view());
+  void fleetChanged(const FeedTree &Tree) {
+    sources().update(Tree);
     if (Source.lost() && !Source.receivedWithin(CatchUpTimeout))
       Objects.renew();
   }
--- a/tests/failure/FeedSourcesFailOver.cpp
+++ b/tests/failure/FeedSourcesFailOver.cpp
@@ -56,7 +56,7 @@
   auto Found = watchers();
   REQUIRE(Found.size() == 2);
   FeedSources F = of(follower(), "east");
-  FeedSource S = F.next(true, Now);
+  FeedSource S = F.next(Now);
   REQUIRE(S.Peer);
   CHECK(S.Peer->Reg == Region("east"));
   CHECK(S.Peer->Id.Host.str() == Found[0]);
@@ -67,7 +67,7 @@
   std::string First = watchers()[0];
   std::string Other = follower();
   FeedSources F = of(Other, "east");
-  FeedSource S = F.next(true, Now);
+  FeedSource S = F.next(Now);
   for (Member &M : View.Members)
     if (M.Id.Host.str() == First)
       M.State = MemberState::Suspect;
@@ -79,33 +79,33 @@
 TEST_CASE_FIXTURE(FleetFixture,
                   "a failed source is replaced and used again later") {
   FeedSources F = of(follower(), "east");
-  FeedSource First = F.next(true, Now);
+  FeedSource First = F.next(Now);
   F.recordFailure(First, Rng, Now);
-  FeedSource Second = F.next(true, Now);
+  FeedSource Second = F.next(Now);
   CHECK(Second != First);
   F.recordFailure(Second, Rng, Now);
-  FeedSource Third = F.next(true, Now);
+  FeedSource Third = F.next(Now);
   REQUIRE(Third.Peer);
   CHECK(Third.Peer->Reg == Region("west"));
   F.recordFailure(Third, Rng, Now);
-  CHECK(F.next(true, Now).direct());
-  CHECK(F.next(true, Now + Seconds(3)) == First);
+  CHECK(F.next(Now).direct());
+  CHECK(F.next(Now + Seconds(3)) == First);
 }
 
 TEST_CASE_FIXTURE(FleetFixture,
                   "the watcher tries the store twice before it uses peers") {
   std::string First = watchers()[0];
   FeedSources F = of(First, "east");
-  CHECK(F.next(true, Now).direct());
+  CHECK(F.next(Now).direct());
   F.recordFailure({}, Rng, Now);
-  CHECK(F.next(true, Now).direct());
+  CHECK(F.next(Now).direct());
   F.recordFailure({}, Rng, Now);
   // Watchers of other regions come first: its own region only has its data.
-  FeedSource Other = F.next(true, Now);
+  FeedSource Other = F.next(Now);
   REQUIRE(Other.Peer);
   CHECK(Other.Peer->Id.Host.str() == watchers()[1]);
   F.recordSuccess({});
-  CHECK(F.next(true, Now).direct());
+  CHECK(F.next(Now).direct());
 }
 
 TEST_CASE_FIXTURE(FleetFixture,
@@ -113,7 +113,7 @@
   FeedSources F = of(follower(), "east");
   unsigned Calls = 0;
   for (Instant End = Now + Seconds(9); Now < End; Now += Millis(300)) {
-    FeedSource S = F.next(true, Now);
+    FeedSource S = F.next(Now);
     Calls += S.direct();
     F.recordFailure(S, Rng, Now);
   }
@@ -123,10 +123,10 @@
 
 TEST_CASE_FIXTURE(FleetFixture, "a preferred peer is used for one call") {
   FeedSources F = of(follower(), "east");
-  FeedSource Usual = F.next(true, Now);
+  FeedSource Usual = F.next(Now);
   F.prefer(View.Members.back());
-  CHECK(F.next(true, Now).Peer->Id == View.Members.back().Id);
-  CHECK(F.next(true, Now) == Usual);
+  CHECK(F.next(Now).Peer->Id == View.Members.back().Id);
+  CHECK(F.next(Now) == Usual);
 }
 
 TEST_CASE_FIXTURE(FleetFixture,
@@ -135,14 +135,41 @@
     M.State = MemberState::Starting;
   std::string First = watchers()[0];
   FeedSources F = of(follower(), "east");
-  FeedSource Usual = F.next(false, Now);
-  REQUIRE(Usual.Peer);
-  CHECK(Usual.Peer->Id.Host.str() == First);
+  auto Usual = F.first(Now);
+  REQUIRE(Usual);
+  REQUIRE(Usual->Peer);
+  CHECK(Usual->Peer->Id.Host.str() == First);
   // The peer did not reply in time. Other starting daemons are not used:
   // daemons waiting for each other in a cycle would answer nobody.
-  F.recordFailure(Usual, Rng, Now);
-  CHECK(F.next(false, Now).direct());
-  CHECK(of(First, "east").next(false, Now).direct());
+  F.recordFailure(*Usual, Rng, Now);
+  CHECK_FALSE(F.first(Now));
+  Now += StartPatience;
+  F.recordFailure(*Usual, Rng, Now);
+  REQUIRE(F.first(Now));
+  CHECK(F.first(Now)->direct());
+}
+
+TEST_CASE_FIXTURE(FleetFixture,
+                  "a daemon that has met few others does not read the store") {
+  for (Member &M : View.Members)
+    M.State = MemberState::Starting;
+  FeedSources F = of(watchers()[0], "east");
+  REQUIRE(F.watchesStore());
+  CHECK_FALSE(F.first(Now));
+  F.setViewComplete(true);
+  REQUIRE(F.first(Now));
+  CHECK(F.first(Now)->direct());
+}
+
+TEST_CASE_FIXTURE(FleetFixture,
+                  "a restarted watcher reads from a daemon that serves") {
+  FeedSources F = of(watchers()[0], "east");
+  auto S = F.first(Now);
+  REQUIRE(S);
+  REQUIRE(S->Peer);
+  CHECK(S->Peer->State == MemberState::Alive);
+  F.setViewComplete(true);
+  CHECK(F.next(Now).direct());
 }
 
 TEST_CASE_FIXTURE(FleetFixture, "changes reach a large region in three hops") {
@@ -154,7 +181,7 @@
   std::map<std::string, std::string> SourceOf;
   std::map<std::string, std::size_t> Readers;
   for (const Member &M : View.Members) {
-    FeedSource S = of(M.Id.Host.str(), "east").next(true, Now);
+    FeedSource S = of(M.Id.Host.str(), "east").next(Now);
     if (S.direct())
       continue;
     SourceOf[M.Id.Host.str()] = S.Peer->Id.Host.str();
@@ -183,7 +210,7 @@
   std::string Leaf;
   std::string Middle;
   for (const Member &M : View.Members) {
-    FeedSource S = of(M.Id.Host.str(), "east").next(true, Now);
+    FeedSource S = of(M.Id.Host.str(), "east").next(Now);
     if (S.direct() || S.Peer->Id.Host.str() == watchers()[0])
       continue;
     Leaf = M.Id.Host.str();
@@ -191,15 +218,15 @@
   }
   REQUIRE_FALSE(Leaf.empty());
   FeedSources F = of(Leaf, "east");
-  FeedSource S = F.next(true, Now);
+  FeedSource S = F.next(Now);
   // The source is silent but not yet suspected: the watcher itself is used.
   F.recordFailure(S, Rng, Now);
-  CHECK(F.next(true, Now).Peer->Id.Host.str() == watchers()[0]);
+  CHECK(F.next(Now).Peer->Id.Host.str() == watchers()[0]);
   // The source is suspected: the ranking closes the gap.
   for (Member &M : View.Members)
     if (M.Id.Host.str() == Middle)
       M.State = MemberState::Suspect;
   F.update(View);
   CHECK(F.lost(S));
-  CHECK(F.next(true, Now).Peer->Id.Host.str() != Middle);
+  CHECK(F.next(Now).Peer->Id.Host.str() != Middle);
 }
