front: changes of the fleet within 100 ms are applied together

When 986 daemons start, each sees some thousand changes of its view and computed its sources, shares and entry hosts for each: the work grew with the square of the fleet. A change is still applied at once if none was applied in the last 100 ms.

FleetChangesAreGathered sends 200 joins: applied 201 times before, at most once in 100 ms now.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -41,6 +41,10 @@
 /// to check its configuration.
 constexpr std::uint64_t MinHandled = 20;
 
+/// Changes of the fleet within this time are applied together. When a fleet of
+/// N daemons starts, each sees N changes, and the cost of each grows with N.
+constexpr Duration FleetChangePeriod = Millis(100);
+
 /// Time after start until a daemon knows its fleet: 295 hosts that start
 /// together know each other after this time.
 constexpr Duration FleetKnownAfter = Seconds(3);
@@ -87,6 +91,7 @@
   void updateSharing(Instant Now);
   void updateWarmupSenders(Instant Now);
   void fleetChanged();
+  void applyFleetChange();
   void announceIfReady();
   bool ready() const;
   bool behindPeers() const;
@@ -113,6 +118,8 @@
   std::unique_ptr<HttpServer> Peers;
   HttpServer::Handler PeerHandler;
   std::function<void()> FleetChangedFn;
+  Instant FleetAppliedAt;
+  TimerQueue::Key FleetTimer = 0;
   bool Listed = false;
   bool Announced = false; ///< As ready for callers.
   bool Leaving = false;
@@ -200,8 +207,19 @@
 }
 
 void FrontDaemon::Impl::fleetChanged() {
-  if (!Fleet)
+  if (!Fleet || FleetTimer != 0)
     return;
+  Duration Since = Loop.now() - FleetAppliedAt;
+  if (Since >= FleetChangePeriod)
+    return applyFleetChange();
+  FleetTimer = Timers.after(FleetChangePeriod - Since, [this] {
+    FleetTimer = 0;
+    applyFleetChange();
+  });
+}
+
+void FrontDaemon::Impl::applyFleetChange() {
+  FleetAppliedAt = Loop.now();
   Shared = Fleet->sharing();
   RetryShare.grant(Shared.RetryShare, Loop.now());
   updateSharing(Loop.now());
--- a/tests/QuotaFleet.cpp
+++ b/tests/QuotaFleet.cpp
@@ -54,8 +54,8 @@
 void QuotaFleet::announce(std::size_t Changed, Duration Least) {
   for (std::size_t N = 0; N < Daemons.size(); ++N) {
     Duration More = fromMillisF(toMillisF(O.ViewDelay) * uniform01(Rng));
-    Daemons[N].Pending.emplace(Now + Least + (N == Changed ? Duration(0) : More),
-                               Changed);
+    Daemons[N].Pending.emplace(
+        Now + Least + (N == Changed ? Duration(0) : More), Changed);
   }
 }
 
@@ -91,8 +91,8 @@
   D.Pending.clear();
   announce(N, Duration(0));
   for (std::size_t Other = 0; Other < Daemons.size(); ++Other)
-    D.Pending.emplace(
-        Now + fromMillisF(toMillisF(JoinTime) * uniform01(Rng)), Other);
+    D.Pending.emplace(Now + fromMillisF(toMillisF(JoinTime) * uniform01(Rng)),
+                      Other);
 }
 
 void QuotaFleet::kill(std::size_t N) {
@@ -137,11 +137,11 @@
     ++Sent;
     SentBytes += encodeQuota(S.Message).size();
     std::size_t To = std::stoul(S.To.Id.Host.str().substr(1));
-    Duration Delay = From % O.Regions == To % O.Regions ? InRegion
-                                                        : BetweenRegions;
+    Duration Delay =
+        From % O.Regions == To % O.Regions ? InRegion : BetweenRegions;
     Delay += fromMillisF(2 * uniform01(Rng));
-    unsigned Copies = 1 + (uniform01(Rng) < O.DuplicateRate) -
-                      (uniform01(Rng) < O.LossRate);
+    unsigned Copies =
+        1 + (uniform01(Rng) < O.DuplicateRate) - (uniform01(Rng) < O.LossRate);
     for (unsigned I = 0; I < Copies; ++I)
       Flights.emplace(Now + Delay * (1 + I),
                       Flight{From, To, S.To.Id.Incarnation, S.Message});
--- a/tests/QuotaFleet.h
+++ b/tests/QuotaFleet.h
@@ -2,8 +2,8 @@
 //
 // A fleet of QuotaAgents without I/O: messages take time, are lost and come
 // twice, daemons learn of a change at different times, are killed, start again
-// and are cut off. Records when requests start and checks the bound of the quota
-// in every window.
+// and are cut off. Records when requests start and checks the bound of the
+// quota in every window.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_TESTS_QUOTAFLEET_H
--- a/tests/error/HostileQuotaMessages.cpp
+++ b/tests/error/HostileQuotaMessages.cpp
@@ -42,7 +42,8 @@
 TEST_CASE("damaged messages on quotas are refused") {
   std::vector<std::byte> Bytes = encodeQuota(fullMessage(9));
   for (std::size_t Size = 0; Size < Bytes.size(); Size += 8)
-    CHECK_FALSE(attempt([&] { return decodeQuota(std::span(Bytes).first(Size)); }));
+    CHECK_FALSE(
+        attempt([&] { return decodeQuota(std::span(Bytes).first(Size)); }));
   QuotaMessage Many = fullMessage(9);
   Many.Claims.push_back(Many.Claims.front());
   CHECK(refused(Many));
--- a/tests/failure/KeysStayWithTheDaemon.cpp
+++ b/tests/failure/KeysStayWithTheDaemon.cpp
@@ -43,8 +43,8 @@
 TEST_CASE_FIXTURE(TwoOrganisations,
                   "a replica sees the organisation and not the key") {
   start();
-  HttpReply R = getAs({{"authorization", "token key-a2"}, {"Tenant", "blue"}},
-                      "q-1");
+  HttpReply R =
+      getAs({{"authorization", "token key-a2"}, {"Tenant", "blue"}}, "q-1");
   CHECK(R.Status == 200);
   REQUIRE(One.Seen.size() == 1);
   CHECK(headerValue(One.Seen[0].Headers, "Authorization").empty());
@@ -56,7 +56,8 @@
   CHECK(ask(Set.Metrics, "/metrics").Body.find("key-a2") == std::string::npos);
 }
 
-TEST_CASE_FIXTURE(TwoOrganisations, "a request without a known key is refused") {
+TEST_CASE_FIXTURE(TwoOrganisations,
+                  "a request without a known key is refused") {
   start();
   const std::vector<HttpHeaders> Bad = {
       {},
--- a/tests/front.cmake
+++ b/tests/front.cmake
@@ -9,5 +9,7 @@
           failure/FarMembersAreProbedSeldom.cpp
           failure/RelayedRepliesDoNotLoop.cpp
           failure/RestoredStoreReachesPeers.cpp)
+shallot_bench(bench_fleet_scale PACKAGES front forward TEST bench_fleet_scale
+  SOURCES performance/BenchFleetScale.cpp)
 shallot_test(front_error PACKAGES front LABELS error
   SOURCES error/FrontSettingsAreChecked.cpp)
--- a/tests/performance/BenchQuotas.cpp
+++ b/tests/performance/BenchQuotas.cpp
@@ -1,5 +1,5 @@
-// Cost of organisations with keys and quotas: memory of a configuration, time to
-// find a key and an owner, and the messages of a fleet in virtual time.
+// Cost of organisations with keys and quotas: memory of a configuration, time
+// to find a key and an owner, and the messages of a fleet in virtual time.
 #include "BenchReport.h"
 #include "QuotaFleet.h"
 #include "shallotshift/forward.h"
@@ -85,11 +85,11 @@
   QuotaOwners Owners(View.Members.front().Id.Host);
   R.print("apply_view",
           microsOf(200, [&](std::size_t) { Owners.update(View, Now); }), "us");
-  R.atMost("find_owner", microsOf(10'000,
-                                  [&](std::size_t I) {
-                                    Owners.owner(
-                                        Tenant(fmt::format("org-{:05}", I)));
-                                  }),
+  R.atMost("find_owner",
+           microsOf(10'000,
+                    [&](std::size_t I) {
+                      Owners.owner(Tenant(fmt::format("org-{:05}", I)));
+                    }),
            "us", MaxLookupMicros);
 }
 
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -22,6 +22,9 @@
           failure/ColdReplicasAreSpared.cpp
           failure/EvacuatedZonesGetNothing.cpp
           failure/RequestsStayInAllowedRegions.cpp)
+shallot_test(fleet_change_failure PACKAGES platform LIBRARIES standin_core
+  LABELS failure
+  SOURCES FrontFixture.cpp failure/FleetChangesAreGathered.cpp)
 shallot_test(organisations_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp failure/KeysStayWithTheDaemon.cpp)
