--- a/packages/limits/QuotaAgent.cpp
+++ b/packages/limits/QuotaAgent.cpp
@@ -111,8 +111,8 @@
   Instant Begin = std::max(*Since, MayGrantSince);
   std::optional<Instant> Accepted = Ledger.acceptedAt(Name);
   R.Released = Accepted && *Accepted >= Begin - ViewPropagationTime;
-  Instant From = R.Released ? std::max(*Accepted, Begin)
-                            : Begin + ViewPropagationTime;
+  Instant From =
+      R.Released ? std::max(*Accepted, Begin) : Begin + ViewPropagationTime;
   From = std::max(From, Ledger.yieldedUntil(Name));
   if (From <= Now)
     R.OwnerSince = From;
@@ -264,7 +264,8 @@
   }
   if (Now >= NextCleanup) {
     NextCleanup = Now + CleanupPeriod;
-    std::erase_if(Held, [&](const auto &Item) { return Item.second.idle(Now); });
+    std::erase_if(Held,
+                  [&](const auto &Item) { return Item.second.idle(Now); });
     Ledger.removeIdle(Now);
   }
   append(To, Out.Sends);
--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -50,9 +50,9 @@
   /// may be partitioned from the rest of the fleet.
   void setMayGrant(bool May, Instant Now);
 
-  /// Start, Wait, or Refuse with QuotaExceeded and the time to return. A request
-  /// that waits can start until \p Expires. Adds what there is to send to
-  /// \p Out.
+  /// Start, Wait, or Refuse with QuotaExceeded and the time to return. A
+  /// request that waits can start until \p Expires. Adds what there is to send
+  /// to \p Out.
   AdmissionDecision offer(const Tenant &Name, TicketId Id, Instant Expires,
                           QuotaOutput &Out, Instant Now);
   /// The caller of a waiting request is gone.
--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-/// Applies the totals that \p From reports. Totals above those of the lease come
-/// from tokens of an earlier lease, which count as spent.
+/// Applies the totals that \p From reports. Totals above those of the lease
+/// come from tokens of an earlier lease, which count as spent.
 QuotaLedger::Lease &QuotaLedger::report(Account &A, const DaemonId &From,
                                         const QuotaAsk &Ask, Instant Now) {
   auto [At, IsNew] = A.Leases.try_emplace(From);
@@ -52,9 +52,8 @@
 void QuotaLedger::activate(Account &A, const Quota &Q, const QuotaRole &Role,
                            Instant Now) const {
   A.Rate = Q.Rate * Role.Fraction;
-  A.Capacity = std::max(1.0, Role.Fraction *
-                                 (Q.Burst + OwnerExcessShare *
-                                                Tolerated.excess(Q)));
+  A.Capacity = std::max(
+      1.0, Role.Fraction * (Q.Burst + OwnerExcessShare * Tolerated.excess(Q)));
   if (!Role.OwnerSince) {
     A.Active = false;
     return;
@@ -77,12 +76,11 @@
   A.FilledAt = std::max(A.FilledAt, Now);
 }
 
-void QuotaLedger::fillStandby(Account &A, const Quota &Q,
-                              const QuotaRole &Role, Instant Now) const {
+void QuotaLedger::fillStandby(Account &A, const Quota &Q, const QuotaRole &Role,
+                              Instant Now) const {
   // A bucket that holds half of the share and fills with the other half in one
   // window grants at most the share in any window.
-  double Half =
-      Role.Fraction * StandbyExcessShare * Tolerated.excess(Q) / 2;
+  double Half = Role.Fraction * StandbyExcessShare * Tolerated.excess(Q) / 2;
   double Passed = std::max(0.0, secondsOf(Now - A.StandbyAt));
   if (A.StandbyAt == Instant())
     A.StandbyLevel = Half;
@@ -103,8 +101,8 @@
     Given += std::min(Advance, std::uint64_t(Spare));
   L.Granted += Given;
   A.Level -= double(Given);
-  G.Interval = timeFor(double(std::max<std::size_t>(1, A.Leases.size())),
-                       A.Rate);
+  G.Interval =
+      timeFor(double(std::max<std::size_t>(1, A.Leases.size())), A.Rate);
   if (Given < Missing)
     G.Wait = std::max(Duration(1), timeFor(1 - std::fmod(A.Level, 1), A.Rate));
 }
--- a/packages/limits/QuotaLedger.h
+++ b/packages/limits/QuotaLedger.h
@@ -13,8 +13,8 @@
 //   - A daemon that says nothing for LeaseTime loses its tokens; they count as
 //     spent. It has stopped to use them before that (TokenLifetime).
 //   - A new owner starts with an empty bucket, and only when no other daemon
-//     acts as the owner: after ViewPropagationTime, or when the former owner has
-//     released the account.
+//     acts as the owner: after ViewPropagationTime, or when the former owner
+//     has released the account.
 //   - Until then, and as the standby of an owner that does not answer, a daemon
 //     grants at most StandbyExcessShare in a window. Two of them, in different
 //     views, stay within the bound.
--- a/packages/limits/QuotaOwners.cpp
+++ b/packages/limits/QuotaOwners.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-/// The largest hosts, since they are the least busy. Among hosts of one size the
-/// hash decides, so that a loss brings in one other host and moves no more.
+/// The largest hosts, since they are the least busy. Among hosts of one size
+/// the hash decides, so that a loss brings in one other host and moves no more.
 QuotaOwners::Hosts QuotaOwners::candidates(const FleetView &View) {
   std::vector<const Member *> Found;
   for (const Member &M : View.Members)
--- a/packages/limits/QuotaOwners.h
+++ b/packages/limits/QuotaOwners.h
@@ -1,14 +1,15 @@
-//===- QuotaOwners.h - Which daemon accounts for an organisation -*- C++ -*-===//
+//===- QuotaOwners.h - Which daemon accounts for an organisation -*- C++
+//-*-===//
 //
-// Each organisation has one owner, which grants the tokens of its quota, and one
-// standby, which grants a few while the owner does not answer. Both are selected
-// by rendezvous hashing among the largest hosts of the fleet view, so daemons
-// with equal views agree, and a change of the view moves only the organisations
-// of the hosts that come or go.
+// Each organisation has one owner, which grants the tokens of its quota, and
+// one standby, which grants a few while the owner does not answer. Both are
+// selected by rendezvous hashing among the largest hosts of the fleet view, so
+// daemons with equal views agree, and a change of the view moves only the
+// organisations of the hosts that come or go.
 //
-// Daemons see a change at different times. A new owner is therefore settled only
-// after ViewPropagationTime, when every other daemon has stopped to act as the
-// owner, or when the one that was before it has released the account.
+// Daemons see a change at different times. A new owner is therefore settled
+// only after ViewPropagationTime, when every other daemon has stopped to act as
+// the owner, or when the one that was before it has released the account.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_QUOTAOWNERS_H
--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -73,8 +73,8 @@
 }
 
 bool QuotaTokens::cancel(TicketId Id) {
-  return std::erase_if(Waiting,
-                       [&](const Waiter &W) { return W.Id == Id; }) > 0;
+  return std::erase_if(Waiting, [&](const Waiter &W) { return W.Id == Id; }) >
+         0;
 }
 
 void QuotaTokens::putBack() {
@@ -146,10 +146,10 @@
     if (W.Expires > Now)
       return false;
     bool Denied = DeniedAt >= W.Since;
-    Out.push_back({W.Id, Denied ? refusal(Now)
-                                : AdmissionDecision::refuse(
-                                      ResultCode::QuotaUnknown,
-                                      MinRetryAfter)});
+    Out.push_back(
+        {W.Id, Denied ? refusal(Now)
+                      : AdmissionDecision::refuse(ResultCode::QuotaUnknown,
+                                                  MinRetryAfter)});
     return true;
   });
   return Out;
@@ -175,8 +175,8 @@
   std::vector<DaemonId> Found;
   for (const auto &[Who, L] : Lines) {
     bool Unreported = L.Spent != L.Reported;
-    bool Ends = L.held() > 0 && (Now - L.AskedAt >= RenewPeriod ||
-                                 Now - UsedAt > IdleTime);
+    bool Ends = L.held() > 0 &&
+                (Now - L.AskedAt >= RenewPeriod || Now - UsedAt > IdleTime);
     if (Unreported || Ends)
       Found.push_back(Who);
   }
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -1,10 +1,11 @@
 //===- QuotaTokens.h - The tokens of one organisation -----------*- C++ -*-===//
 //
-// The tokens that a daemon holds of one organisation, and the requests that wait
-// for one. A request starts at once while there are tokens; asking for a few in
-// advance saves it the round trip to the owner. When the owner has none left,
-// requests that cannot get one in time are refused, and each is told the time at
-// which a token is expected for it, so that callers do not return together.
+// The tokens that a daemon holds of one organisation, and the requests that
+// wait for one. A request starts at once while there are tokens; asking for a
+// few in advance saves it the round trip to the owner. When the owner has none
+// left, requests that cannot get one in time are refused, and each is told the
+// time at which a token is expected for it, so that callers do not return
+// together.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_QUOTATOKENS_H
@@ -48,8 +49,8 @@
   bool waiting() const { return !Waiting.empty(); }
   /// How long \p Granter has not answered the asks of this daemon.
   Duration silence(const DaemonId &Granter, Instant Now) const;
-  /// True if waiting requests need an ask now: none is on its way, and the owner
-  /// may have a token.
+  /// True if waiting requests need an ask now: none is on its way, and the
+  /// owner may have a token.
   bool mustAsk(Instant Now) const;
   /// Granters whose tokens need a report or a renewal.
   std::vector<DaemonId> outdated(Instant Now) const;
--- a/packages/peer/DatagramReading.h
+++ b/packages/peer/DatagramReading.h
@@ -60,8 +60,7 @@
 }
 
 /// \p Message as bytes.
-inline std::vector<std::byte>
-datagramOf(capnp::MallocMessageBuilder &Message) {
+inline std::vector<std::byte> datagramOf(capnp::MallocMessageBuilder &Message) {
   kj::Array<capnp::word> Buffer = capnp::messageToFlatArray(Message);
   const auto *Bytes = reinterpret_cast<const std::byte *>(Buffer.begin());
   return {Bytes, Bytes + Buffer.asBytes().size()};
--- a/packages/peer/DatagramSocket.cpp
+++ b/packages/peer/DatagramSocket.cpp
@@ -115,8 +115,8 @@
                      Handler OnDatagram) {
   auto I = std::make_shared<Impl>(Loop, std::move(OnDatagram));
   if (asio::error_code E = I->bind(At))
-    return fail(ResultCode::AddressInUse, fmt::format("{} address {}: {}", What,
-                                                      At.str(), E.message()));
+    return fail(ResultCode::AddressInUse,
+                fmt::format("{} address {}: {}", What, At.str(), E.message()));
   I->wait();
   return std::unique_ptr<DatagramSocket>(new DatagramSocket(std::move(I)));
 }
--- a/packages/peer/DatagramSocket.h
+++ b/packages/peer/DatagramSocket.h
@@ -42,9 +42,10 @@
 
   /// Listens on \p At. \p What names the address in errors. Fails with
   /// AddressInUse.
-  static Result<std::unique_ptr<DatagramSocket>>
-  open(EventLoop &Loop, const Endpoint &At, std::string_view What,
-       Handler OnDatagram);
+  static Result<std::unique_ptr<DatagramSocket>> open(EventLoop &Loop,
+                                                      const Endpoint &At,
+                                                      std::string_view What,
+                                                      Handler OnDatagram);
   ~DatagramSocket();
   DatagramSocket(const DatagramSocket &) = delete;
   DatagramSocket &operator=(const DatagramSocket &) = delete;
--- a/packages/peer/QuotaCodec.cpp
+++ b/packages/peer/QuotaCodec.cpp
@@ -61,8 +61,8 @@
 }
 
 QuotaAsk take(wire::QuotaAsk::Reader From) {
-  return {readOrganisation(From.getName()), From.getSpent(),
-          From.getReturned(), From.getNeeded(), From.getWanted()};
+  return {readOrganisation(From.getName()), From.getSpent(), From.getReturned(),
+          From.getNeeded(), From.getWanted()};
 }
 
 QuotaGrant take(wire::QuotaGrant::Reader From) {
@@ -76,9 +76,9 @@
 }
 
 QuotaMessage takeMessage(wire::Quotas::Reader From) {
-  std::size_t Entries =
-      std::size_t(From.getAsks().size()) + From.getGrants().size() +
-      From.getClaims().size() + From.getReleases().size();
+  std::size_t Entries = std::size_t(From.getAsks().size()) +
+                        From.getGrants().size() + From.getClaims().size() +
+                        From.getReleases().size();
   KJ_REQUIRE(Entries <= MaxQuotaEntries, "too many entries");
   QuotaMessage M;
   M.From = {HostId(readName(From.getHost())), From.getIncarnation()};
