--- a/packages/front/FeedTree.cpp
+++ b/packages/front/FeedTree.cpp
@@ -72,8 +72,7 @@
   }
   std::ranges::sort(Own, std::greater<>(), &Ranked::Rank);
   FeedTree T;
-  T.Serving =
-      std::make_shared<const std::vector<DaemonId>>(std::move(Serving));
+  T.Serving = std::make_shared<const std::vector<DaemonId>>(std::move(Serving));
   findRegionSources(Own, Self, T);
   // A daemon that watches the store for its region and cannot reach it reads
   // from the watchers of other regions. The other daemons of its region only
--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -89,7 +89,7 @@
   Timer = Timers.at(Next, [this] { tick(); });
 }
 
-void QuotaLink::apply(QuotaOutput Out) {
+void QuotaLink::apply(const QuotaOutput &Out) {
   for (const QuotaSend &S : Out.Sends)
     Socket->send({S.To.Gossip.Ip, Port}, encodeQuota(S.Message));
   for (const AdmissionEvent &E : Out.Events)
@@ -106,7 +106,7 @@
     Waiting.emplace(Id, std::move(Fn));
     schedule();
   }
-  apply(std::move(Out));
+  apply(Out);
   return Decision;
 }
 
--- a/packages/front/QuotaLink.h
+++ b/packages/front/QuotaLink.h
@@ -53,7 +53,7 @@
   void tick();
   void schedule();
   bool mayGrant() const;
-  void apply(QuotaOutput Out);
+  void apply(const QuotaOutput &Out);
 
   EventLoop &Loop;
   TimerQueue &Timers;
--- a/packages/limits/QuotaAgent.cpp
+++ b/packages/limits/QuotaAgent.cpp
@@ -56,7 +56,7 @@
 
 } // namespace
 
-QuotaAgent::QuotaAgent(DaemonId Self, QuotaTolerance Tolerated)
+QuotaAgent::QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated)
     : Self(Self), Owners(Self.Host), Ledger(Tolerated) {}
 
 void QuotaAgent::setQuotas(std::unordered_map<Tenant, Quota> All) {
--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -40,7 +40,7 @@
 
 class QuotaAgent {
 public:
-  QuotaAgent(DaemonId Self, QuotaTolerance Tolerated);
+  QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated);
 
   /// Replaces the quotas; organisations without one are not limited.
   void setQuotas(std::unordered_map<Tenant, Quota> All);
--- a/tests/QuotaFleet.cpp
+++ b/tests/QuotaFleet.cpp
@@ -132,8 +132,8 @@
   return D.Side == 0 || !Alone || Now - D.SideSince < MaxSilence;
 }
 
-void QuotaFleet::perform(std::size_t From, QuotaOutput Out) {
-  for (QuotaSend &S : Out.Sends) {
+void QuotaFleet::perform(std::size_t From, const QuotaOutput &Out) {
+  for (const QuotaSend &S : Out.Sends) {
     ++Sent;
     SentBytes += encodeQuota(S.Message).size();
     std::size_t To = std::stoul(S.To.Id.Host.str().substr(1));
@@ -166,7 +166,7 @@
   ++Offered;
   QuotaOutput Out;
   decided(D.Agent->offer(name(), ++LastTicket, Now + O.MaxWait, Out, Now));
-  perform(At, std::move(Out));
+  perform(At, Out);
 }
 
 void QuotaFleet::run(Duration For, double Rate,
--- a/tests/QuotaFleet.h
+++ b/tests/QuotaFleet.h
@@ -85,7 +85,7 @@
   Member seen(std::size_t Observer, std::size_t N) const;
   void announce(std::size_t Changed, Duration Least);
   void updateViews();
-  void perform(std::size_t From, QuotaOutput Out);
+  void perform(std::size_t From, const QuotaOutput &Out);
   void request(std::size_t At);
   void decided(const AdmissionDecision &Decision);
   bool mayGrant(const Daemon &D) const;
--- a/tests/failure/FleetChangesAreGathered.cpp
+++ b/tests/failure/FleetChangesAreGathered.cpp
@@ -8,7 +8,8 @@
 using namespace shallot;
 using namespace shallot::test;
 
-TEST_CASE_FIXTURE(FrontFixture, "many changes of the fleet are applied at once") {
+TEST_CASE_FIXTURE(FrontFixture,
+                  "many changes of the fleet are applied at once") {
   start();
   constexpr int Joining = 200;
   int Applied = 0;
--- a/tests/performance/BenchQuotas.cpp
+++ b/tests/performance/BenchQuotas.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::size_t Organised = 10'000;
 constexpr std::size_t KeysEach = 3;
-/// A 64th of the memory that a daemon has for control.
-constexpr double MaxHeapBytes = (128 << 20) / 16;
+/// A 16th of the memory that a daemon has for control.
+constexpr std::size_t MaxHeapBytes = (128 << 20) / 16;
 /// Bounds hold on a busy machine; an index that degenerated into a search of
 /// all keys takes a hundred times as long.
 constexpr double MaxLookupMicros = 20;
@@ -52,7 +52,8 @@
   double Before = heapBytes();
   auto All = attempt([] { return Organisations::make(organisations()); });
   R.require(bool(All));
-  R.atMost("config_heap_bytes", heapBytes() - Before, "bytes", MaxHeapBytes);
+  R.atMost("config_heap_bytes", heapBytes() - Before, "bytes",
+           double(MaxHeapBytes));
   std::size_t Found = 0;
   double Known = microsOf(100'000, [&](std::size_t I) {
     Found += All->findByKey(keyOf(I % Organised, I % KeysEach)) != nullptr;
