--- a/packages/forward/IncarnationTable.h
+++ b/packages/forward/IncarnationTable.h
@@ -62,8 +62,8 @@
   };
 
   std::unordered_map<UpstreamId, KnownIncarnation> ById;
-  /// Those of ById that were removed or have an earlier start time. The others
-  /// are never visited as time passes.
+  /// Replicas of ById that were removed or have an earlier start time; only
+  /// they change as time passes.
   std::unordered_set<UpstreamId> Changing;
 };
 
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -19,7 +19,7 @@
 
 namespace shallot {
 
-/// What a daemon needs tokens for.
+/// The requests that a daemon needs tokens for.
 enum class QuotaNeed : std::uint8_t {
   None,     ///< Only reports what became of earlier tokens.
   Waiting,  ///< Requests that are waiting.
@@ -35,7 +35,7 @@
   /// Returns the token of a request that was not sent.
   void putBack();
 
-  /// What to send to \p Granter: a report, and what this daemon needs.
+  /// The ask to send to \p Granter: a report, and what this daemon needs.
   QuotaAsk ask(const DaemonId &Granter, const Tenant &Name, QuotaNeed Need,
                Instant Now);
   /// Applies the reply to an ask that was sent at \p SentAt.
@@ -54,7 +54,7 @@
   bool mustAsk(Instant Now) const;
   /// Granters whose tokens need a report or a renewal.
   std::vector<DaemonId> outdated(Instant Now) const;
-  /// Nothing is held and nobody waits.
+  /// True if no token is held and no request waits.
   bool idle(Instant Now) const;
   std::uint64_t held(Instant Now) const;
 
--- a/tests/failure/FleetChangesAreGathered.cpp
+++ b/tests/failure/FleetChangesAreGathered.cpp
@@ -1,5 +1,4 @@
-// Guards against a daemon that computes its shares and sources anew for each of
-// the members that it meets while a large fleet starts.
+// Guards against shares and sources that are computed anew for each new member.
 #include "FrontFixture.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/KeysStayWithTheDaemon.cpp
+++ b/tests/failure/KeysStayWithTheDaemon.cpp
@@ -1,5 +1,4 @@
-// Guards against keys of callers that reach replicas, and against requests that
-// run without a key that the configuration holds.
+// Guards against keys that reach replicas and requests without a known key.
 #include "FrontFixture.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/QuotasHoldInEveryWindow.cpp
+++ b/tests/failure/QuotasHoldInEveryWindow.cpp
@@ -1,5 +1,4 @@
-// Guards against a fleet that exceeds the quota of an organisation, and against
-// one that refuses what lies within it.
+// Guards against a fleet that exceeds a quota or refuses what lies within it.
 #include "QuotaFleet.h"
 
 #include <doctest/doctest.h>
