--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -32,10 +32,13 @@
 /// A reply that has begun and from which nothing more arrives for this long is
 /// considered lost. TCP retransmits a lost packet after 0.2 and 0.4 s.
 inline constexpr Duration PeerStallTimeout = Millis(1000);
-/// How long a peer that has read nothing yet may hold a list request: the time
-/// in which it reads a large list itself, through one more peer. If it fails
-/// meanwhile, membership reports it.
-inline constexpr Duration PeerListWait = Seconds(2);
+/// How long a peer that is starting may hold a list request: the time in which
+/// it reads a large list itself, through one more peer. If it fails meanwhile,
+/// membership reports it.
+inline constexpr Duration StartingPeerListWait = Seconds(2);
+/// The same for a peer that serves callers and can reply at once; one that does
+/// not may be paused.
+inline constexpr Duration PeerListWait = Millis(300);
 /// Interval at which a daemon without a source looks for one again.
 inline constexpr Duration NoSourceRetry = Millis(100);
 
@@ -89,9 +92,10 @@
     FeedRequest Q;
     Q.Kind = Kind;
     Q.After = After;
-    Q.Wait = PeerListWait;
+    bool Starting = Source.Peer->State == MemberState::Starting;
+    Q.Wait = Starting ? StartingPeerListWait : PeerListWait;
     callPeer(
-        Source, Q, PeerListWait + PeerTimeoutMargin,
+        Source, Q, Q.Wait + PeerTimeoutMargin,
         [Done = std::move(Done)](const HttpReply &R) { Done(readPage(R)); });
   }
 
