front, limits: a daemon that rejoined is granted tokens

A daemon whose clock was set back between two runs rejoins the fleet as a later incarnation. Found by reading.

The agent takes the incarnation from the membership at each tick.

--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -73,6 +73,7 @@
 
 void QuotaLink::tick() {
   Timer = 0;
+  Agent.setSelf(Fleet.self().Id);
   Agent.setMayGrant(mayGrant(), now());
   if (std::exchange(ViewIsNew, false))
     apply(Agent.update(Fleet.view(), now()));
--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -42,6 +42,9 @@
 public:
   QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated);
 
+  /// Sets the incarnation of this daemon, which changes if the fleet knows a
+  /// later one. Owners answer only the incarnation that they see.
+  void setSelf(const DaemonId &Id) { Self = Id; }
   /// Replaces the quotas; organisations without one are not limited.
   void setQuotas(std::unordered_map<Tenant, Quota> All);
   /// Applies a change of the fleet.
--- a/tests/QuotaFleet.cpp
+++ b/tests/QuotaFleet.cpp
@@ -95,6 +95,12 @@
                       Other);
 }
 
+void QuotaFleet::rejoin(std::size_t N) {
+  ++Daemons[N].Incarnation;
+  Daemons[N].Agent->setSelf(idOf(N));
+  announce(N, Duration(0));
+}
+
 void QuotaFleet::kill(std::size_t N) {
   Daemons[N].Agent.reset();
   announce(N, FailureDetection);
--- a/tests/QuotaFleet.h
+++ b/tests/QuotaFleet.h
@@ -42,6 +42,8 @@
   void run(Duration For, double Rate, const std::vector<std::size_t> &At);
   void kill(std::size_t Daemon);
   void start(std::size_t Daemon);
+  /// The daemon gets a later incarnation without a restart.
+  void rejoin(std::size_t Daemon);
   /// Cuts \p Daemons off from the others.
   void cutOff(const std::vector<std::size_t> &Daemons);
   void heal();
--- a/tests/failure/QuotasHoldInEveryWindow.cpp
+++ b/tests/failure/QuotasHoldInEveryWindow.cpp
@@ -100,6 +100,16 @@
   }
 }
 
+TEST_CASE("a daemon that rejoined as a later incarnation gets tokens") {
+  QuotaFleet F(withSeed(1));
+  std::size_t Other = (F.ownerSeenBy(0) + 1) % 12;
+  F.rejoin(Other);
+  F.run(Seconds(3), 0, {});
+  F.run(Seconds(3), 10, {Other});
+  CHECK(F.refused() == 0);
+  CHECK(F.started() > 20);
+}
+
 TEST_CASE("a small organisation is served while its owner is lost") {
   std::size_t Refused = 0;
   std::size_t Offered = 0;
