base, limits, forward: values that daemons exchange about the store, organisations and replicas

Interfaces for the parts that are built side by side: StoreAccess (who can read the store), OrganisationUse (demand and service of organisations, weights) and ReplicaObservation (replicas that deviate from their service). No behaviour changes; nothing uses them yet.

--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -20,6 +20,7 @@
 #include "base/Random.h"
 #include "base/Result.h"
 #include "base/ResultCode.h"
+#include "base/StoreAccess.h"
 #include "base/StoreRevision.h"
 #include "base/Time.h"
 #include "base/TokenBucket.h"
--- a/packages/forward/include/shallotshift/forward.h
+++ b/packages/forward/include/shallotshift/forward.h
@@ -21,6 +21,7 @@
 #include "forward/Organisation.h"
 #include "forward/RecordMerge.h"
 #include "forward/Replica.h"
+#include "forward/ReplicaObservation.h"
 #include "forward/ReplicaRegistry.h"
 #include "forward/RetryBudget.h"
 #include "forward/Route.h"
--- a/packages/limits/include/shallotshift/limits.h
+++ b/packages/limits/include/shallotshift/limits.h
@@ -26,6 +26,7 @@
 #include "limits/ConcurrencyLimit.h"
 #include "limits/GrantedShare.h"
 #include "limits/HandoverGuard.h"
+#include "limits/OrganisationUse.h"
 #include "limits/Quota.h"
 #include "limits/QuotaAgent.h"
 #include "limits/SlotAllocation.h"
