forward: a later loss of the feed does not prolong the hold of a vanished replica

Cause: the hold of a vanished entry was computed from the latest recovery of the feed. An entry that vanished at 14.6 s, right after a loss, was held until 17.1 s; a second loss that began before that and ended at 19.5 s held it again until 22 s, and each further loss would have again.

Change: the end of the hold is decided once, when the entry vanishes. Only an entry that vanished while the store was unreachable waits for the recovery. An entry that is missing while the store answers is missing whatever becomes of the feed later, so nothing is lost by it.

--- a/packages/forward/ReplicaRegistry.cpp
+++ b/packages/forward/ReplicaRegistry.cpp
@@ -114,7 +114,9 @@
   if (!S.Registered)
     return;
   S.Registered = false;
-  S.VanishedAt = Now;
+  S.VanishedInOutage = StoreIsLost;
+  S.HeldUntil = std::max(Now + Options.LapseHold,
+                         StoreRecoveredAt + Options.RecoveryGrace);
   Vanished.insert(S.Ptr->entry().Id);
   Incarnations.removed(S.Ptr->entry().Id, Now);
 }
@@ -179,17 +181,15 @@
     return;
   StoreIsLost = false;
   StoreRecoveredAt = Now;
-}
-
-Instant ReplicaRegistry::holdEnd(const Slot &S) const {
-  Instant Usual = S.VanishedAt + Options.LapseHold;
-  // An entry that is missing right after an outage may still come back.
-  Instant Back = StoreRecoveredAt + Options.RecoveryGrace;
-  return S.VanishedAt < Back ? std::max(Usual, Back) : Usual;
+  for (const UpstreamId &Id : Vanished) {
+    Slot &S = ById.at(Id);
+    if (std::exchange(S.VanishedInOutage, false))
+      S.HeldUntil = std::max(S.HeldUntil, Now + Options.RecoveryGrace);
+  }
 }
 
 bool ReplicaRegistry::heldAfterLapse(const Slot &S, Instant Now) const {
-  return !S.Registered && !S.Ptr->entry().Leaving && Now < holdEnd(S);
+  return !S.Registered && !S.Ptr->entry().Leaving && Now < S.HeldUntil;
 }
 
 bool ReplicaRegistry::mayServe(const Slot &S, Instant Now) const {
@@ -290,8 +290,8 @@
   std::erase_if(Vanished, [&](const UpstreamId &Id) {
     auto Found = ById.find(Id);
     const Slot &S = Found->second;
-    // While the store is unreachable, no replica is known to be gone.
-    if (StoreIsLost || Now < holdEnd(S))
+    // It may register again once the store is reachable.
+    if (S.VanishedInOutage || Now < S.HeldUntil)
       return false;
     auto At = ByService.find(S.Ptr->entry().Service);
     std::erase(At->second, &S);
--- a/packages/forward/ReplicaRegistry.h
+++ b/packages/forward/ReplicaRegistry.h
@@ -9,9 +9,12 @@
 //   entry vanished        the replica left without notice, or its entry lapsed
 //                         because the store could not be reached. It is used
 //                         only while its service has no usable registered
-//                         replica, and only for LapseHold; after an outage of
-//                         the store, until RecoveryGrace after the end of the
-//                         outage, by when live replicas have registered again.
+//                         replica, and only for LapseHold; if it vanished in
+//                         or right after an outage of the store, until
+//                         RecoveryGrace after the end of that outage, by when
+//                         live replicas have registered again. A later outage
+//                         does not prolong this: the entry was missing while
+//                         the store answered.
 //   earlier start time    ignored: that incarnation has ended
 //                         (IncarnationTable).
 //   later start time      a new replica. Observations of the previous
@@ -151,7 +154,11 @@
   struct Slot {
     ReplicaPtr Ptr;
     bool Registered = true;
-    Instant VanishedAt{};
+    /// End of its use after it vanished, unless VanishedInOutage.
+    Instant HeldUntil{};
+    /// It vanished while the store was unreachable, and RecoveryGrace has not
+    /// begun.
+    bool VanishedInOutage = false;
   };
 
   std::shared_ptr<RttEstimate> rttTo(const ReplicaEntry &E);
@@ -163,7 +170,6 @@
   bool inWarmup(const Replica &R, const ServiceInfo &Info, Instant Now) const;
   bool ownsWarmupOf(const Replica &R) const;
   bool warmupAdmits(Replica &R, const ServiceInfo &Info, Instant Now) const;
-  Instant holdEnd(const Slot &S) const;
   void markVanished(Slot &S, Instant Now);
 
   Location Here;
--- a/tests/failure/VanishedReplicasStandIn.cpp
+++ b/tests/failure/VanishedReplicasStandIn.cpp
@@ -69,6 +69,32 @@
   CHECK(Replicas.size() == 1);
 }
 
+// Guards against sends to a replica that left, held again after each further
+// loss of the feed.
+TEST_CASE_FIXTURE(ReplicaFixture,
+                  "losses of the feed after a replica vanished do not prolong "
+                  "its hold") {
+  const ReplicaRegistryOptions Usual;
+  Replicas.storeLost();
+  Now += Millis(300);
+  Replicas.storeRecovered(Now);
+  vanish("near");
+  vanish("far");
+  Instant HeldUntil = Now + std::max(Usual.LapseHold, Usual.RecoveryGrace);
+  CHECK(chosen() == "near");
+  Now += Millis(2100);
+  Replicas.storeLost();
+  Replicas.expire(Now);
+  CHECK(chosen() == "near");
+  Now = HeldUntil;
+  CHECK(chosen() == "none");
+  Now += Seconds(1);
+  Replicas.storeRecovered(Now);
+  CHECK(chosen() == "none");
+  Replicas.expire(Now);
+  CHECK(Replicas.size() == 0);
+}
+
 TEST_CASE_FIXTURE(ReplicaFixture,
                   "a leaving replica gets nothing, not even alone") {
   add("near", "a", "here", true);
