front: a replica whose last state was leaving is not held when its entry goes

What callers saw: a request could reach a replica seconds after it left, if it was the last of its service in the daemon's view.

Cause: a peer's reply shows each object once, in its newest state. A daemon that caught up by such a reply read the removal of an entry without the change to leaving before it, and held the replica as one whose entry had lapsed.

Change: the removed object is in the reply with its last content. If that says leaving, the replica has left and is not held. Logged as was_leaving.

MissedLeaving, first case, fails without the change (200 instead of 503); both pass with it.

--- a/packages/front/StoreObjectApplier.cpp
+++ b/packages/front/StoreObjectApplier.cpp
@@ -56,10 +56,7 @@
 
 void StoreObjectApplier::applyReplica(const KindChange &C) {
   if (C.Removed) {
-    logEvent(
-        LogLevel::Info, "replica_vanished",
-        {{"replica", C.Object.Name}, {"revision", C.Object.Revision.str()}});
-    D.replicas().remove(UpstreamId(C.Object.Name), Loop.now());
+    removeReplica(C.Object);
     return;
   }
   auto E = read(C.Object);
@@ -78,6 +75,21 @@
   D.replicas().put(std::move(*E), Loop.now());
 }
 
+/// A peer's reply shows only the last change of an object, so the change to
+/// leaving may have been missed. The removed object tells: a replica that was
+/// leaving has left, and its entry did not lapse.
+void StoreObjectApplier::removeReplica(const KindObject &Last) {
+  auto E = attempt([&] { return Schema.ReadReplica(Last); });
+  bool WasLeaving = E && E->Leaving;
+  logEvent(LogLevel::Info, "replica_vanished",
+           {{"replica", Last.Name},
+            {"revision", Last.Revision.str()},
+            {"was_leaving", WasLeaving ? "yes" : "no"}});
+  if (WasLeaving)
+    D.replicas().put(std::move(*E), Loop.now());
+  D.replicas().remove(UpstreamId(Last.Name), Loop.now());
+}
+
 bool StoreObjectApplier::configOutlives(const KindObject &Held,
                                         const KindObject *Stored) const {
   if (Held.Name != Schema.ConfigName)
--- a/packages/front/StoreObjectApplier.h
+++ b/packages/front/StoreObjectApplier.h
@@ -58,6 +58,8 @@
 
 private:
   std::optional<ReplicaEntry> read(const KindObject &O) const;
+  /// \p Last is the removed object in its last state.
+  void removeReplica(const KindObject &Last);
 
   EventLoop &Loop;
   FrontDaemon &D;
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -21,6 +21,7 @@
   SOURCES FrontFixture.cpp
           failure/ColdReplicasAreSpared.cpp
           failure/EvacuatedZonesGetNothing.cpp
+          failure/MissedLeaving.cpp
           failure/RequestsStayInAllowedRegions.cpp)
 shallot_test(fleet_change_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
