--- a/tests/failure/MissedLeaving.cpp
+++ b/tests/failure/MissedLeaving.cpp
@@ -1,5 +1,4 @@
-// Guards against requests to a replica that has left, where a peer's reply
-// shows its removal but not the change before, in which it said that it leaves.
+// Guards against sends to a replica that left, where only its removal was read.
 #include "FrontFixture.h"
 
 #include <doctest/doctest.h>
