base, fleet, peer: members tell whether they can read the store

Each daemon judged the store by its own calls only, so that daemons which the store turned away were still taken for the source of their region.

Member has the daemon's own last result (StoreAccess). It travels in the member updates, in bytes that were padding, and a change is a fresh update that goes to chosen members at once. A version without the field, and a value of a later version, read as Untried.

fleet_gossip_size: every value round trip, an unknown value, and datagrams are not larger than their estimate.

--- a/packages/base/Member.h
+++ b/packages/base/Member.h
@@ -10,6 +10,7 @@
 #define SHALLOTSHIFT_BASE_MEMBER_H
 
 #include "base/Ids.h"
+#include "base/StoreAccess.h"
 
 #include <cstdint>
 #include <vector>
@@ -39,6 +40,7 @@
   /// What serving callers takes of that, in thousandths of a core, at least 1;
   /// 0: it has served none yet.
   std::uint32_t Load = 0;
+  StoreAccess Store = StoreAccess::Untried;
 
   friend auto operator<=>(const Member &, const Member &) = default;
 };
--- a/packages/fleet/GossipMessage.cpp
+++ b/packages/fleet/GossipMessage.cpp
@@ -14,7 +14,7 @@
 }
 
 /// Numeric fields of an update: incarnation, version, three addresses and
-/// ports, state, health, capacity and load.
+/// ports, state, health, capacity, load and access to the store.
 constexpr std::size_t UpdateNumberBytes = 6 * WordBytes;
 
 /// Numeric fields of a message: kind, sequence, the target's incarnation and
--- a/packages/fleet/Membership.cpp
+++ b/packages/fleet/Membership.cpp
@@ -134,13 +134,23 @@
   return I->take(Before);
 }
 
+MembershipOutput Membership::setSelfStoreAccess(
+    StoreAccess Access, const std::vector<DaemonId> &First, Instant Now) {
+  std::uint64_t Before = I->Table.view().Number;
+  I->detectPause(Now);
+  if (I->Self.Who.Store != Access && I->Self.Who.State != MemberState::Left) {
+    I->Self.Who.Store = Access;
+    I->updateSelf(I->Self.Who.State, I->Self.Version + 1, Now);
+    I->notify(First);
+  }
+  return I->take(Before);
+}
+
 MembershipOutput Membership::announce(const std::vector<DaemonId> &Peers,
                                       Instant Now) {
   std::uint64_t Before = I->Table.view().Number;
   I->detectPause(Now);
-  for (const DaemonId &Peer : Peers)
-    if (const internal::MemberRecord *R = I->Table.find(Peer.Host))
-      I->send(R->Update.Who.Gossip, Peer, I->message(GossipKind::Notice, 0));
+  I->notify(Peers);
   return I->take(Before);
 }
 
--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -179,6 +179,11 @@
   /// members within a second or two: like other updates, it is piggybacked on
   /// probes and sent in Notices while it is fresh.
   MembershipOutput setSelfLoad(std::uint32_t Load, Instant Now);
+  /// Sets whether this daemon can read the store (Member::Store), and tells
+  /// \p First at once; the others as for setSelfLoad().
+  MembershipOutput setSelfStoreAccess(StoreAccess Access,
+                                      const std::vector<DaemonId> &First,
+                                      Instant Now);
   /// Sends the state and configuration of this daemon and recent updates to
   /// \p Peers at once. Unknown peers are skipped.
   MembershipOutput announce(const std::vector<DaemonId> &Peers, Instant Now);
--- a/packages/fleet/MembershipState.h
+++ b/packages/fleet/MembershipState.h
@@ -77,6 +77,7 @@
                  const HostId &By, std::string Evidence);
   void updateSelf(MemberState State, std::uint64_t Version, Instant Now);
   void notify(std::size_t Peers);
+  void notify(const std::vector<DaemonId> &Peers);
   void tickBroadcasts(Instant Now);
   void ageBroadcasts();
   void requestProbe(const HostId &Host);
--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -306,10 +306,12 @@
   notify(1);
 }
 
-void Membership::Impl::notify(std::size_t Peers) {
-  for (const DaemonId &Peer : randomPeers(Peers))
-    send(Table.find(Peer.Host)->Update.Who.Gossip, Peer,
-         message(GossipKind::Notice, 0));
+void Membership::Impl::notify(std::size_t Peers) { notify(randomPeers(Peers)); }
+
+void Membership::Impl::notify(const std::vector<DaemonId> &Peers) {
+  for (const DaemonId &Peer : Peers)
+    if (const MemberRecord *R = Table.find(Peer.Host))
+      send(R->Update.Who.Gossip, Peer, message(GossipKind::Notice, 0));
 }
 
 GossipMessage Membership::Impl::message(GossipKind Kind,
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -113,6 +113,12 @@
     apply(Members.setSelfLoad(Load, Loop.now()));
 }
 
+void FleetLink::setStoreAccess(StoreAccess Access,
+                               const std::vector<DaemonId> &First) {
+  if (Access != Members.self().Store)
+    apply(Members.setSelfStoreAccess(Access, First, Loop.now()));
+}
+
 void FleetLink::apply(const MembershipOutput &Out) {
   for (const MembershipEvent &E : Out.Events) {
     logEvent(isWarning(E.Kind) ? LogLevel::Warn : LogLevel::Info,
@@ -137,6 +143,7 @@
 void FleetLink::rejoinAbove(std::uint64_t Incarnation) {
   MemberState State = Members.self().State;
   std::uint32_t Load = Members.self().Load;
+  StoreAccess Access = Members.self().Store;
   auto M = attempt(
       [&] { return makeMembership(Loop, Set, Rng, Incarnation + 1, State); });
   if (!M) {
@@ -148,6 +155,7 @@
   Members = std::move(*M);
   publishRevisions();
   apply(Members.setSelfLoad(Load, Loop.now()));
+  apply(Members.setSelfStoreAccess(Access, {}, Loop.now()));
   OnChanged();
 }
 
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -63,6 +63,8 @@
   void setState(MemberState State);
   /// Announces this daemon's load (Member::Load).
   void setLoad(std::uint32_t Load);
+  /// Announces whether this daemon can read the store, to \p First at once.
+  void setStoreAccess(StoreAccess Access, const std::vector<DaemonId> &First);
 
   const FleetView &view() const { return Members.view(); }
   /// Membership::mayAct(), settled() and heardAt().
--- a/packages/peer/GossipCodec.cpp
+++ b/packages/peer/GossipCodec.cpp
@@ -34,6 +34,13 @@
   return static_cast<Enum>(Number);
 }
 
+/// A value of a later version says nothing that this one can use.
+StoreAccess storeAccess(std::uint8_t Number) {
+  return Number <= static_cast<std::uint8_t>(StoreAccess::Refused)
+             ? static_cast<StoreAccess>(Number)
+             : StoreAccess::Untried;
+}
+
 void put(const MemberUpdate &U, wire::GossipMember::Builder To) {
   To.setHost(textOf(U.Who.Id.Host.str()));
   To.setIncarnation(U.Who.Id.Incarnation);
@@ -50,6 +57,7 @@
   To.setVersion(U.Version);
   To.setCapacity(U.Who.Capacity);
   To.setLoad(U.Who.Load);
+  To.setStoreAccess(static_cast<std::uint8_t>(U.Who.Store));
   if (!U.Accuser.empty())
     To.setAccuser(textOf(U.Accuser.str()));
 }
@@ -66,6 +74,7 @@
   U.Version = From.getVersion();
   U.Who.Capacity = From.getCapacity();
   U.Who.Load = From.getLoad();
+  U.Who.Store = storeAccess(From.getStoreAccess());
   U.ObservedHealth = checked(From.getThought(), Health::Failed);
   U.Accuser = HostId(readName(From.getAccuser()));
   return U;
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -125,6 +125,7 @@
   accuser @13 :Text;
   capacity @14 :UInt32;
   load @15 :UInt32;
+  storeAccess @16 :UInt8;  # Untried from versions without it.
 }
 
 # Quotas of organisations; a datagram holds one Quotas.
--- a/tests/correctness/GossipFitsItsEstimate.cpp
+++ b/tests/correctness/GossipFitsItsEstimate.cpp
@@ -2,6 +2,8 @@
 // low, datagrams would be fragmented or not sent at all, but only while many
 // updates are queued.
 #include "FleetBag.h"
+#include "peer/DatagramReading.h"
+#include "peer/generated/Peer.capnp.h"
 #include "shallotshift/peer.h"
 
 #include <doctest/doctest.h>
@@ -51,3 +53,28 @@
     CHECK(encodeGossip(M).size() <= wireBytes(M));
   }
 }
+
+TEST_CASE("access to the store is told, and unknown from other versions") {
+  GossipMessage M;
+  M.Sender.Who.Id = {HostId("entry-a"), 1};
+  M.Sender.Who.Zone = AvailabilityZone("a");
+  M.Sender.Who.Reg = Region("r");
+  M.Sender.Who.Gossip = {"10.0.0.1", 1};
+  for (StoreAccess A :
+       {StoreAccess::Untried, StoreAccess::Reads, StoreAccess::Refused}) {
+    M.Sender.Who.Store = A;
+    auto Back = attempt([&] { return decodeGossip(encodeGossip(M)); });
+    REQUIRE(Back);
+    CHECK(Back->Sender.Who.Store == A);
+  }
+  // A later version may know more values.
+  capnp::MallocMessageBuilder Later;
+  auto Sender = Later.initRoot<wire::Gossip>().initSender();
+  Sender.setHost("entry-a");
+  Sender.setGossipPort(1);
+  Sender.setStoreAccess(77);
+  auto Back =
+      attempt([&] { return decodeGossip(internal::datagramOf(Later)); });
+  REQUIRE(Back);
+  CHECK(Back->Sender.Who.Store == StoreAccess::Untried);
+}
