front: evidence decides who watches the store for a region

Seen by callers: while the store turned away a third of the hosts, among them the largest of each region, a change was installed nowhere for 2.5 s and on the last daemon after 6.3 s.

Cause: all daemons ranked the same few hosts first. These could not read, failed, rested and were asked again; nobody else tried the store.

Change: daemons announce whether the store answers them (StoreTrials). The largest one that reads is first in its region (FeedTree). While the first is refused and none is known to read, untried daemons make one short call each, in groups that double: those of the region while another region reads, else those of the fleet, so that a store that is down for all is called by few. A watch call that is overdue, or a peer that has read more, makes a watcher test its access instead of waiting for the end of the call. A daemon that has taken over asks the store at once and lets its readers wait for it; they were sent away with stale data before and rested for up to a second.

--- a/packages/front/CatchUp.cpp
+++ b/packages/front/CatchUp.cpp
@@ -12,7 +12,7 @@
     WaitingSince = Now;
     return false;
   }
-  if (Now - *WaitingSince < CatchUpTimeout)
+  if (Now - *WaitingSince < Timeout)
     return false;
   WaitingSince = Now;
   return true;
--- a/packages/front/CatchUp.h
+++ b/packages/front/CatchUp.h
@@ -33,12 +33,15 @@
 
 class CatchUp {
 public:
+  explicit CatchUp(Duration Timeout = CatchUpTimeout) : Timeout(Timeout) {}
+
   /// Call a few times per second. \p Behind: a peer has read more.
   /// \p Progressing: since the last call this daemon has read a revision or
   /// received part of a reply. Returns true when the daemon should switch now.
   bool shouldSwitch(bool Behind, bool Progressing, Instant Now);
 
 private:
+  Duration Timeout;
   std::optional<Instant> WaitingSince;
 };
 
--- a/packages/front/FeedReport.cpp
+++ b/packages/front/FeedReport.cpp
@@ -10,6 +10,29 @@
 /// only at start.
 constexpr std::size_t LargeAnswer = 64 << 10;
 
+const char *accessName(StoreAccess A) {
+  switch (A) {
+  case StoreAccess::Untried:
+    return "untried";
+  case StoreAccess::Reads:
+    return "reads";
+  case StoreAccess::Refused:
+    return "refused";
+  }
+  return "unknown";
+}
+
+/// Why this daemon takes over the feed of its region, or hands it over.
+const char *handoverReason(const FeedTree &T) {
+  if (T.IsWatcher)
+    return T.Own == StoreAccess::Reads && T.Access.Refused != 0
+               ? "reads_in_place_of_refused"
+               : "first_by_rank";
+  if (T.Own == StoreAccess::Refused)
+    return "refused";
+  return T.Access.Refused != 0 ? "another_reads" : "larger_host";
+}
+
 } // namespace
 
 void reportReply(Metrics &Meter, const FeedCallName &Call, const HttpReply &R) {
@@ -58,4 +81,31 @@
            {{"watch", Watch}, {"listed", Listed.str()}, {"read", Read.str()}});
 }
 
+void reportTrial(Metrics &Meter, bool Answered) {
+  Meter.count("shallot_store_trials_total",
+              {{"how", Answered ? "answered" : "failed"}});
+}
+
+void reportAccess(Metrics &Meter, StoreAccess Now, const FeedTree &T) {
+  Meter.count("shallot_store_access_changes_total", {{"to", accessName(Now)}});
+  logEvent(Now == StoreAccess::Refused ? LogLevel::Warn : LogLevel::Info,
+           "store_access",
+           {{"to", accessName(Now)},
+            {"watcher", T.IsWatcher ? "yes" : "no"},
+            {"region_readers", std::to_string(T.Access.Readers)},
+            {"region_refused", std::to_string(T.Access.Refused)}});
+}
+
+void reportHandover(Metrics &Meter, const FeedTree &T) {
+  const char *Why = handoverReason(T);
+  Meter.count("shallot_feed_handovers_total",
+              {{"what", T.IsWatcher ? "taken" : "handed"}, {"why", Why}});
+  logEvent(LogLevel::Info, T.IsWatcher ? "feed_taken_over" : "feed_handed_over",
+           {{"why", Why},
+            {"to", T.IsWatcher || T.Peers.empty() ? std::string()
+                                                  : T.Peers.front().Id.str()},
+            {"region_readers", std::to_string(T.Access.Readers)},
+            {"region_refused", std::to_string(T.Access.Refused)}});
+}
+
 } // namespace shallot
--- a/packages/front/FeedReport.h
+++ b/packages/front/FeedReport.h
@@ -10,6 +10,7 @@
 #ifndef SHALLOTSHIFT_FRONT_FEEDREPORT_H
 #define SHALLOTSHIFT_FRONT_FEEDREPORT_H
 
+#include "front/FeedTree.h"
 #include "shallotshift/net.h"
 #include "shallotshift/store.h"
 #include "shallotshift/telemetry.h"
@@ -39,6 +40,16 @@
 void reportOutdatedList(const char *Watch, StoreRevision Listed,
                         StoreRevision Read);
 
+/// Records a trial of the access to the store (StoreTrials.h).
+void reportTrial(Metrics &Meter, bool Answered);
+
+/// Records that this daemon announces \p Now. \p T is its place in the fleet.
+void reportAccess(Metrics &Meter, StoreAccess Now, const FeedTree &T);
+
+/// Records that this daemon becomes the watcher of its region, or another one
+/// does, according to \p T.
+void reportHandover(Metrics &Meter, const FeedTree &T);
+
 } // namespace shallot
 
 #endif // SHALLOTSHIFT_FRONT_FEEDREPORT_H
--- a/packages/front/FeedServer.cpp
+++ b/packages/front/FeedServer.cpp
@@ -89,13 +89,17 @@
   return true;
 }
 
+bool FeedServer::isStale(const FeedRequest &Q) const {
+  return Q.Since && Age(Q.Kind) > MaxFeedAge && !(Renewing && Renewing(Q.Kind));
+}
+
 void FeedServer::handle(const ServerRequest &R, const Responder &A) {
   auto Q = parseFeedRequest(R.Path, R.Query);
   if (!Q || !View(Q->Kind).Cache) {
     A.reply(problemReply(ResultCode::UnknownPath, R.Path));
     return;
   }
-  bool Stale = Q->Since && Age(Q->Kind) > MaxFeedAge;
+  bool Stale = isStale(*Q);
   bool Full = Pending.size() >= MaxPending;
   PendingRequest W{*Q, A, Timers.now() + Q->Wait, acceptsDeflated(R)};
   if (!tryReply(W, Stale || Full || Q->Wait <= Duration(0)))
@@ -117,8 +121,7 @@
   Instant Now = Timers.now();
   Replies.expire(Now);
   std::erase_if(Pending, [&](const PendingRequest &W) {
-    bool Stale = W.Request.Since && Age(W.Request.Kind) > MaxFeedAge;
-    return tryReply(W, Stale || Now >= W.Until);
+    return tryReply(W, isStale(W.Request) || Now >= W.Until);
   });
 }
 
--- a/packages/front/FeedServer.h
+++ b/packages/front/FeedServer.h
@@ -36,8 +36,14 @@
   /// replies for another arrive, and peers would keep waiting for it.
   using AgeFn = std::function<Duration(const std::string &Kind)>;
 
-  FeedServer(TimerQueue &Timers, ViewFn View, AgeFn Age)
-      : Timers(Timers), View(std::move(View)), Age(std::move(Age)) {}
+  /// True while the first answer of the store to a daemon that took over its
+  /// region is due any moment. Requests then wait although the data is stale.
+  using RenewingFn = std::function<bool(const std::string &Kind)>;
+
+  FeedServer(TimerQueue &Timers, ViewFn View, AgeFn Age,
+             RenewingFn Renewing = {})
+      : Timers(Timers), View(std::move(View)), Age(std::move(Age)),
+        Renewing(std::move(Renewing)) {}
 
   void handle(const ServerRequest &R, const Responder &A);
   /// \p Kind has changed or the store has answered: replies to pending requests
@@ -58,6 +64,7 @@
 
   /// Replies if there is a change or \p Force is set. Returns whether it did.
   bool tryReply(const PendingRequest &W, bool Force);
+  bool isStale(const FeedRequest &Q) const;
   void replyPage(const PendingRequest &W, const KindCache &Cache);
   bool tryReplyChanges(const PendingRequest &W, const KindCache &Cache,
                        bool Force);
@@ -67,6 +74,7 @@
   TimerQueue &Timers;
   ViewFn View;
   AgeFn Age;
+  RenewingFn Renewing;
   FeedReplyCache Replies;
   std::list<PendingRequest> Pending;
   /// By kind: time of the latest store answer that was reported to relaying
--- a/packages/front/FeedSources.cpp
+++ b/packages/front/FeedSources.cpp
@@ -26,6 +26,26 @@
   update(FeedTree::of(View, Self, Here));
 }
 
+void FeedSources::update(FeedTree T) {
+  if (T.Own == StoreAccess::Reads && Tree.Own != StoreAccess::Reads)
+    Failures.erase(HostId());
+  // A peer that failed because the store refused it is worth a call at once
+  // when it reads.
+  for (const Member &M : T.Peers)
+    if (M.Store == StoreAccess::Reads && refused(M))
+      Failures.erase(M.Id.Host);
+  Tree = std::move(T);
+}
+
+bool FeedSources::watchesItself() const {
+  return Tree.IsWatcher && Tree.Own != StoreAccess::Refused;
+}
+
+/// While nobody in the region reads, only trials look for one that can.
+bool FeedSources::mayFallBackOnStore() const {
+  return Tree.Own != StoreAccess::Refused && !Tree.Access.Searching;
+}
+
 bool FeedSources::usable(const FeedSource &S, Instant Now) const {
   auto Found = Failures.find(sourceHost(S));
   return Found == Failures.end() || Found->second.Until <= Now;
@@ -35,7 +55,7 @@
   FeedSource Store;
   if (Preferred)
     return {std::exchange(Preferred, std::nullopt)};
-  if (Tree.IsWatcher && usable(Store, Now))
+  if (watchesItself() && usable(Store, Now))
     return Store;
   FeedSource Soonest = Store;
   Instant SoonestAt = Instant::max();
@@ -49,7 +69,7 @@
       Soonest = S;
     }
   }
-  if (usable(Store, Now))
+  if (mayFallBackOnStore() && usable(Store, Now))
     return Store;
   // All sources are in backoff.
   return Soonest;
@@ -65,14 +85,15 @@
   if (Preferred)
     return FeedSource{std::exchange(Preferred, std::nullopt)};
   bool FromStore = mayListFromStore(Now);
-  if (FromStore && Tree.IsWatcher && usable(Store, Now))
+  if (FromStore && watchesItself() && usable(Store, Now))
     return Store;
   for (const Member &M : Tree.Peers) {
     bool Default = !Tree.IsWatcher && M.Id == Tree.Peers.front().Id;
     if ((Default || M.State == MemberState::Alive) && usable({M}, Now))
       return FeedSource{M};
   }
-  return FromStore ? std::optional(Store) : std::nullopt;
+  return FromStore && mayFallBackOnStore() ? std::optional(Store)
+                                           : std::nullopt;
 }
 
 bool FeedSources::mayListFromStore(Instant Now) const {
@@ -99,10 +120,24 @@
       Now + fromMillisF(toMillisF(B.Backoff) * (0.75 + 0.5 * uniform01(Rng)));
 }
 
+bool FeedSources::refused(const Member &M) const {
+  return std::ranges::binary_search(Tree.Refused, M.Id);
+}
+
 /// A preferred source can be any serving member, so availability is decided by
-/// state, not by presence among the default sources.
+/// state, not by presence among the default sources. A source that the store
+/// refuses is given up as soon as a better one is known; so is a peer when this
+/// daemon reads itself in place of one that is refused.
 bool FeedSources::lost(const FeedSource &S) const {
-  return !S.direct() && !std::ranges::binary_search(*Tree.Serving, S.Peer->Id);
+  if (S.direct())
+    return Tree.Own == StoreAccess::Refused && !Tree.Peers.empty();
+  if (!std::ranges::binary_search(*Tree.Serving, S.Peer->Id))
+    return true;
+  if (Tree.IsWatcher && Tree.Own == StoreAccess::Reads)
+    return !Failures.contains(HostId());
+  const Member *Default = Tree.Peers.empty() ? nullptr : &Tree.Peers.front();
+  return refused(*S.Peer) && Default && Default->Id != S.Peer->Id &&
+         !refused(*Default);
 }
 
 } // namespace shallot
--- a/packages/front/FeedSources.h
+++ b/packages/front/FeedSources.h
@@ -14,7 +14,8 @@
 // When a source fails (dead, silent or stale), a daemon tries the second of its
 // region, then the first of another region, then the store. A failed source is
 // avoided with increasing backoff, so that an outage of the store does not make
-// the whole fleet call it.
+// the whole fleet call it. A daemon that the store refuses reads from peers
+// only; it finds out by trials when it can read again (StoreTrials.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FEEDSOURCES_H
@@ -54,7 +55,7 @@
 
   void update(const FleetView &View);
   /// The same, with the place of this daemon in the fleet's view.
-  void update(FeedTree T) { Tree = std::move(T); }
+  void update(FeedTree T);
   /// Whether the view holds (almost) the whole fleet. While a fleet starts, a
   /// daemon that has met few others takes itself for the first of its region.
   void setViewComplete(bool Complete) { ViewComplete = Complete; }
@@ -69,10 +70,15 @@
   void prefer(const Member &Peer) { Preferred = Peer; }
   void recordSuccess(const FeedSource &S);
   void recordFailure(const FeedSource &S, Random &Rng, Instant Now);
-  /// True when \p S may be unavailable: its daemon has left or is suspected.
+  /// True when \p S should be replaced: its daemon has left or is suspected, or
+  /// the store refuses it and a better source is known.
   bool lost(const FeedSource &S) const;
   /// True when this daemon reads from the store on behalf of its region.
   bool watchesStore() const { return Tree.IsWatcher; }
+  /// True when this daemon reads in place of one that the store refuses. Its
+  /// first call to the store does not wait for a change: those that read from
+  /// it need to know at once how old its data is.
+  bool tookOver() const { return Tree.Own == StoreAccess::Reads; }
   /// True when other daemons of the region read from this one.
   bool relays() const { return Tree.Relays; }
 
@@ -85,6 +91,9 @@
 
   bool usable(const FeedSource &S, Instant Now) const;
   bool mayListFromStore(Instant Now) const;
+  bool watchesItself() const;
+  bool mayFallBackOnStore() const;
+  bool refused(const Member &M) const;
 
   HostId Self;
   Region Here;
--- a/packages/front/FeedTiming.h
+++ b/packages/front/FeedTiming.h
@@ -19,6 +19,13 @@
 /// make 1.3 calls per second in each region.
 inline constexpr Duration StoreWatchWait = Millis(1500);
 
+/// Time after StoreWatchWait without an answer after which a watcher tests
+/// whether the store still answers it, and the same for one that is behind its
+/// peers. The store answers in milliseconds, and changes of replicas are
+/// fetched ReplicaBatchDelay apart.
+inline constexpr Duration OverduePatience = Millis(300);
+inline constexpr Duration HangingTimeout = Millis(300);
+
 /// Changes within this interval are fetched together. Replicas register
 /// individually and update their warm-up time, and each change would otherwise
 /// be one call to the store from every region. A leaving replica must receive
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -13,6 +13,7 @@
 #include "front/FeedReport.h"
 #include "front/FeedSources.h"
 #include "front/FeedWire.h"
+#include "front/StoreTrials.h"
 #include "shallotshift/telemetry.h"
 
 #include <fmt/format.h>
@@ -42,6 +43,15 @@
 /// Interval at which a daemon without a source looks for one again.
 inline constexpr Duration NoSourceRetry = Millis(100);
 
+/// Result of a call to the store itself.
+struct StoreCallResult {
+  bool Answered = false;
+  Instant Began;
+  /// Time that the store took beyond the wait of the call; nothing if it had
+  /// changes to reply earlier.
+  std::optional<Duration> Took;
+};
+
 /// A store whose calls can be inspected and cancelled while they run.
 template <typename S>
 concept CallableStore = KindStore<S> &&
@@ -66,6 +76,11 @@
         Meter(Meter) {}
 
   FeedSources &sources() { return Sources; }
+  const FeedSources &sources() const { return Sources; }
+  /// \p Fn is called within the reply to each call to the store itself.
+  void onStoreCall(std::function<void(const StoreCallResult &)> Fn) {
+    OnStoreCall = std::move(Fn);
+  }
 
   void list(const std::string &Kind, const std::string &After,
             StoreCallback<KindPage> OnDone) {
@@ -85,6 +100,7 @@
       Listed = Listed || (P && !P->More);
       OnDone(std::move(P));
     };
+    beginCall(std::nullopt);
     if (Source.direct()) {
       Call = S.list(Kind, After, std::move(Done));
       return;
@@ -102,7 +118,12 @@
   void watchKind(const std::string &Kind, StoreRevision Revision, Duration Wait,
                  StoreCallback<KindChanges> OnDone) {
     cancelCurrentCall(Kind);
+    bool WasDirect = direct();
     FeedSource Source = *chooseSource(Kind, true); // Listed: there is one.
+    IsFirstCall = Source.direct() && !WasDirect && Sources.tookOver();
+    if (IsFirstCall)
+      Wait = Duration(0);
+    beginCall(Wait);
     auto Done = [this, Source,
                  OnDone = std::move(OnDone)](Attempt<KindChanges> C) {
       bool Fresh = recordResult(Source, C);
@@ -132,6 +153,18 @@
   bool lost() const { return Last && Sources.lost(*Last); }
   /// True when the last call was made to the store itself.
   bool direct() const { return Last && Last->direct(); }
+  /// True while the first reply of the store to a daemon that took over its
+  /// region is expected.
+  bool renewing() const {
+    return IsFirstCall && progress() && Loop.now() < CallBegan + TrialPatience;
+  }
+  /// True when the open call watches the store itself and nothing has arrived
+  /// \p Patience after the store should have replied.
+  bool overdue(Duration Patience) const {
+    std::optional<TransferProgress> P = progress();
+    return P && direct() && CallWait && P->Bytes == 0 &&
+           P->Age > *CallWait + Patience;
+  }
   /// True when part of a reply arrived within the last \p D. Such a call is not
   /// cancelled for another one: the transfer would start over.
   bool receivedWithin(Duration D) const {
@@ -153,10 +186,29 @@
     return Source;
   }
 
+  void beginCall(std::optional<Duration> Wait) {
+    CallBegan = Loop.now();
+    CallWait = Wait;
+  }
+
+  template <typename T>
+  void reportStoreCall(const FeedSource &Source, const Attempt<T> &Got) {
+    // A store that limits the rate of calls would limit it for others too.
+    bool Throttled = !Got && Got.error().Code == ResultCode::PlatformThrottled;
+    if (!Source.direct() || !OnStoreCall || Throttled)
+      return;
+    bool Answered = Got || Got.error().Code == ResultCode::PlatformHistoryGone;
+    StoreCallResult R{Answered, CallBegan, std::nullopt};
+    if (Answered && CallWait && Loop.now() >= CallBegan + *CallWait)
+      R.Took = Loop.now() - CallBegan - *CallWait;
+    OnStoreCall(R);
+  }
+
   /// Returns whether the reply is fresh. Replaces one of an earlier epoch by an
   /// error.
   template <typename T>
   bool recordResult(const FeedSource &Source, Attempt<T> &Got) {
+    reportStoreCall(Source, Got);
     if (Got && Got->Revision.Epoch < Epoch)
       Got = Error{Source.direct() ? ResultCode::PlatformBadReply
                                   : ResultCode::PeerUnreachable,
@@ -223,6 +275,10 @@
   std::uint64_t Epoch = 0;        ///< Of the last reply.
   std::optional<FeedSource> Last; ///< Source of the latest call.
   HttpClient::TransferId Call = 0;
+  Instant CallBegan;
+  bool IsFirstCall = false; ///< To the store, by a daemon that took over.
+  std::optional<Duration> CallWait; ///< Of the latest call; none for a list.
+  std::function<void(const StoreCallResult &)> OnStoreCall;
   TimerHandle Retry; ///< Looks for a source again.
 };
 
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -11,11 +11,13 @@
 
 #include "front/FeedServer.h"
 #include "front/FeedTiming.h"
+#include "front/StoreAccessLink.h"
 #include "front/StoreObjectApplier.h"
 #include "front/WatchedKind.h"
 #include "shallotshift/crashguard.h"
 #include "shallotshift/store.h"
 
+#include <algorithm>
 #include <string>
 
 namespace shallot {
@@ -37,14 +39,19 @@
                     evacuationWatchOptions(), evacuationHooks()),
         Sync(Loop, S, Schema.QuarantineKind, D.quarantine().table(),
              D.random()),
+        Access(Loop, S, D, Schema.ConfigKind, [this] { renewHanging(); }),
         Server(
             D.timers(), [this](const std::string &Kind) { return view(Kind); },
-            [this](const std::string &Kind) { return age(Kind); }) {
+            [this](const std::string &Kind) { return age(Kind); },
+            [this](const std::string &Kind) { return renewing(Kind); }) {
     Kinds = {{&Configs, Schema.ConfigKind},
              {&Replicas, Schema.ReplicaKind},
              {&Records, Schema.QuarantineKind}};
     if (!Schema.EvacuationKind.empty())
       Kinds.push_back({&Evacuations, Schema.EvacuationKind});
+    for (const NamedKind &K : Kinds)
+      K.Objects->onStoreCall(
+          [this](const StoreCallResult &R) { Access.record(R); });
   }
 
   void start() {
@@ -83,6 +90,12 @@
     return {};
   }
 
+  bool renewing(const std::string &Name) const {
+    return std::ranges::any_of(Kinds, [&](const NamedKind &K) {
+      return K.Name == Name && K.Objects->renewing();
+    });
+  }
+
   /// The watch calls for quarantine records and evacuations wait long; replies
   /// of the store to the other two watches prove freshness as well.
   Duration age(const std::string &Name) const {
@@ -102,6 +115,8 @@
     if (!AllListed)
       updateViewComplete();
     D.fleet().announce(readRevisions());
+    if (Started)
+      testAccess();
     if (++Ticks % CompareEvery == 0)
       compareWithPeers();
     if (Ticks % SyncEvery == 0)
@@ -109,6 +124,31 @@
     Loop.after(FeedTick, [this] { tick(); });
   }
 
+  void testAccess() {
+    Duration Patience = std::max(OverduePatience, Access.patience());
+    if (Configs.overdue(Patience) || Replicas.overdue(Patience))
+      Access.suspect();
+    Access.tick();
+  }
+
+  /// The store answers, but calls to it that are open may not be answered.
+  void renewHanging() {
+    Configs.renewIfDirect();
+    Replicas.renewIfDirect();
+  }
+
+  /// A watcher that is behind its peers may have been cut off silently.
+  void suspectIfBehind(const ReadRevisions &Mine, const ReadRevisions &Most) {
+    bool Behind = Most.ConfigVersion >
+                      std::max(Mine.ConfigVersion, Suspected.ConfigVersion) ||
+                  Most.Replicas > std::max(Mine.Replicas, Suspected.Replicas);
+    bool Progressing = Mine != std::exchange(PreviousRead, Mine);
+    if (!Hanging.shouldSwitch(Behind, Progressing, Loop.now()))
+      return;
+    Suspected = Most;
+    Access.suspect();
+  }
+
   void updateViewComplete() {
     AllListed = true;
     bool Complete = D.fleet().viewComplete(Loop.now());
@@ -131,6 +171,7 @@
     ReadRevisions Most = Configs.watch().listed()
                              ? D.fleet().newestPeerRevisions()
                              : ReadRevisions();
+    suspectIfBehind(Mine, Most);
     Duration Period = FeedTick * CompareEvery;
     RevisionOf Version = [](const ReadRevisions &R) {
       return StoreRevision(0, R.ConfigVersion);
@@ -166,6 +207,7 @@
         FeedTree::of(D.view(), D.settings().Host, D.settings().Here.Reg);
     for (const NamedKind &K : Kinds)
       K.Objects->fleetChanged(Tree);
+    Access.setTree(Tree);
     Sync.setMembers(D.view().Members.size());
   }
 
@@ -333,9 +375,15 @@
   Kind Evacuations; ///< Not started where zones are not evacuated.
   std::vector<NamedKind> Kinds;
   QuarantineSync<Store, EventLoop> Sync;
+  StoreAccessLink<Store> Access;
   FeedServer Server;
-  bool Started = false;   ///< The watches have been started.
-  bool AllListed = false; ///< Every kind has been read once.
+  /// How long the watcher of a region may be behind its peers before it tests
+  /// whether the store still answers it.
+  CatchUp Hanging{HangingTimeout};
+  ReadRevisions PreviousRead; ///< At the last comparison.
+  ReadRevisions Suspected;    ///< Newest of the peers at the last suspicion.
+  bool Started = false;       ///< The watches have been started.
+  bool AllListed = false;     ///< Every kind has been read once.
   unsigned Ticks = 0;
 };
 
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -45,6 +45,17 @@
     return Objects;
   }
   FeedSources &sources() { return Source.sources(); }
+  /// RelayedStore::onStoreCall() and overdue().
+  void onStoreCall(std::function<void(const StoreCallResult &)> Fn) {
+    Source.onStoreCall(std::move(Fn));
+  }
+  bool renewing() const { return Source.renewing(); }
+  bool overdue(Duration Patience) const { return Source.overdue(Patience); }
+  /// Renews a call to the store of which nothing has arrived.
+  void renewIfDirect() {
+    if (Source.direct())
+      renewIfSilent();
+  }
 
   /// Called when the membership view has changed. A host whose link is
   /// saturated does not answer probes and becomes suspected, even by daemons
--- a/packages/front/include/shallotshift/front.h
+++ b/packages/front/include/shallotshift/front.h
@@ -4,7 +4,7 @@
 // (FrontDaemon.h), the header names of a deployment (HeaderNames.h) and the
 // delivery of store objects to the daemon (ServingFeed.h), relayed by peers to
 // save calls to the store (FeedSources.h, RelayedStore.h, FeedServer.h,
-// CatchUp.h).
+// CatchUp.h, StoreTrials.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_H
@@ -22,6 +22,7 @@
 #include "front/RelayedStore.h"
 #include "front/ReplyReading.h"
 #include "front/ServingFeed.h"
+#include "front/StoreTrials.h"
 #include "front/WatchedKind.h"
 
 #endif // SHALLOTSHIFT_FRONT_H
--- a/tests/FleetBag.h
+++ b/tests/FleetBag.h
@@ -62,11 +62,12 @@
         "10.1." + std::to_string(N / 250) + "." + std::to_string(N % 250 + 1);
     return {{host(N), Nodes[N].Incarnation},
             AvailabilityZone("zone-" + std::to_string(N % 3)),
-            Region("region-" + std::to_string(N % 2)),
+            Region("region-" + std::to_string(N % Regions)),
             {Ip, 8080},
             {Ip, 7946},
             {Ip, 9090},
-            MemberState::Alive};
+            MemberState::Alive,
+            Capacity ? Capacity(N) : 0};
   }
 
   /// Starts node N anew, with nodes 0 to 2 as its seeds.
@@ -164,7 +165,14 @@
   /// Bytes sent to another region.
   std::uint64_t farBytes() const { return FarBytes; }
 
+  /// Changes what node \p N announces; \p Change returns the output.
+  template <typename F> void change(std::size_t N, F &&Change) {
+    take(N, Change(*Nodes[N].Machine));
+  }
+
   BagFaults Faults;
+  std::size_t Regions = 2;
+  std::function<std::uint32_t(std::size_t)> Capacity; ///< Member::Capacity.
   MembershipOptions Options;
   Random Rng;
   std::vector<BagNode> Nodes;
