front: the first of many daemons of a region lists the store without waiting

What callers saw: after a return of all hosts, and at each start, nothing was served until the view of the fleet had been quiet for 0.25 s, though the first of the region was known earlier.

Cause: a daemon that has met few others takes itself for the first of its region, so it waited until no more were found.

Change: with 16 daemons of the region in view, the first of them lists the store at once. Of N daemons that know as many others at random about N/16 are wrong in that, which costs a few calls.

New case in FeedSourcesFailOver.

--- a/packages/front/FeedSources.cpp
+++ b/packages/front/FeedSources.cpp
@@ -97,7 +97,8 @@
 }
 
 bool FeedSources::mayListFromStore(Instant Now) const {
-  return (Tree.IsWatcher && ViewComplete) ||
+  bool ViewSuffices = ViewComplete || Tree.InRegion >= EnoughOfRegion;
+  return (Tree.IsWatcher && ViewSuffices) ||
          Now >= *FirstAskedAt + StartPatience;
 }
 
--- a/packages/front/FeedSources.h
+++ b/packages/front/FeedSources.h
@@ -43,6 +43,11 @@
 /// get a reply from the store every one to two seconds.
 inline constexpr Duration MaxFeedAge = Millis(2200);
 
+/// A daemon that is the first of at least this many of its region lists from
+/// the store before its view is complete. If each of N daemons knows as many
+/// others at random, about N / EnoughOfRegion of them do so.
+inline constexpr std::size_t EnoughOfRegion = 16;
+
 /// A daemon that could not read from a peer for this long after its start reads
 /// from the store: long enough that the daemons of a fleet that starts as a
 /// whole know each other, and the first of each region have read everything.
@@ -63,8 +68,8 @@
   FeedSource next(Instant Now);
   /// The same for one that has read nothing yet. A peer that is still starting
   /// is used only if it is the default source, and the store only by the
-  /// watcher of a complete view or after StartPatience; nothing if there is no
-  /// such source yet.
+  /// watcher of a complete view or of EnoughOfRegion, or after StartPatience;
+  /// nothing if there is no such source yet.
   std::optional<FeedSource> first(Instant Now);
   /// Uses \p Peer for the next call because it is ahead of this daemon.
   void prefer(const Member &Peer) { Preferred = Peer; }
--- a/packages/front/FeedTree.cpp
+++ b/packages/front/FeedTree.cpp
@@ -190,6 +190,7 @@
     Others[M.Reg].add(M);
   }
   std::ranges::sort(Own, std::greater<>(), &Ranked::Rank);
+  T.InRegion = Own.size();
   T.Access = regionAccess(Own, Self);
   putReaderFirst(Own, T.Access);
   T.Serving = std::make_shared<const std::vector<DaemonId>>(std::move(Serving));
--- a/packages/front/FeedTree.h
+++ b/packages/front/FeedTree.h
@@ -57,8 +57,9 @@
   std::vector<Member> Peers; ///< Sources in order of preference.
   /// All members that can be a source, by id.
   std::shared_ptr<const std::vector<DaemonId>> Serving;
-  bool IsWatcher = true; ///< Reads from the store for its region.
-  bool Relays = false;   ///< Other daemons of the region read from this one.
+  bool IsWatcher = true;    ///< Reads from the store for its region.
+  bool Relays = false;      ///< Other daemons of the region read from this one.
+  std::size_t InRegion = 0; ///< Daemons of this region, this one included.
   StoreAccess Own = StoreAccess::Untried; ///< Of this daemon.
   RegionAccess Access;
   std::vector<DaemonId> Refused; ///< Of all regions, by id.
--- a/tests/failure/FeedSourcesFailOver.cpp
+++ b/tests/failure/FeedSourcesFailOver.cpp
@@ -161,6 +161,21 @@
   CHECK(F.first(Now)->direct());
 }
 
+TEST_CASE_FIXTURE(FleetFixture,
+                  "the first of many daemons of a region does not wait until "
+                  "no more are found") {
+  while (View.Members.size() < 2 * EnoughOfRegion)
+    add("east" + std::to_string(View.Members.size()), "east");
+  for (Member &M : View.Members)
+    M.State = MemberState::Starting;
+  std::size_t FromStore = 0;
+  for (const Member &M : View.Members) {
+    auto S = of(M.Id.Host.str(), M.Reg.str()).first(Now);
+    FromStore += S && S->direct();
+  }
+  CHECK(FromStore == 1);
+}
+
 TEST_CASE_FIXTURE(FleetFixture,
                   "a restarted watcher reads from a daemon that serves") {
   FeedSources F = of(watchers()[0], "east");
