limits: what the bound of a quota rests on can be varied

QuotaPolicy holds the times and shares that the bound rests on, with the values in force so far as defaults. The model checker takes them out one at a time; no daemon sets them.

--- a/packages/limits/QuotaAgent.cpp
+++ b/packages/limits/QuotaAgent.cpp
@@ -1,8 +1,6 @@
 //===- QuotaAgent.cpp -----------------------------------------------------===//
 #include "limits/QuotaAgent.h"
 
-#include "limits/HandoverGuard.h"
-
 #include <algorithm>
 
 namespace shallot {
@@ -56,8 +54,10 @@
 
 } // namespace
 
-QuotaAgent::QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated)
-    : Self(Self), Owners(Self.Host), Ledger(Tolerated) {}
+QuotaAgent::QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated,
+                       QuotaPolicy Policy)
+    : Self(Self), Policy(Policy), Owners(Self.Host), Ledger(Tolerated, Policy) {
+}
 
 void QuotaAgent::setQuotas(std::unordered_map<Tenant, Quota> All) {
   Quotas = std::move(All);
@@ -110,9 +110,9 @@
     return R;
   Instant Begin = std::max(*Since, MayGrantSince);
   std::optional<Instant> Accepted = Ledger.acceptedAt(Name);
-  R.Released = Accepted && *Accepted >= Begin - ViewPropagationTime;
+  R.Released = Accepted && *Accepted >= Begin - Policy.OwnerWait;
   Instant From =
-      R.Released ? std::max(*Accepted, Begin) : Begin + ViewPropagationTime;
+      R.Released ? std::max(*Accepted, Begin) : Begin + Policy.OwnerWait;
   From = std::max(From, Ledger.yieldedUntil(Name));
   if (From <= Now)
     R.OwnerSince = From;
@@ -181,7 +181,7 @@
   auto Q = Quotas.find(Name);
   if (Q == Quotas.end() || !Q->second.limited())
     return AdmissionDecision::start();
-  QuotaTokens &T = Held[Name];
+  QuotaTokens &T = Held.try_emplace(Name, Policy).first->second;
   AdmissionDecision Decision = T.offer(Id, Expires, Now);
   if (Decision.What != AdmissionAction::Wait)
     return Decision;
--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -40,7 +40,8 @@
 
 class QuotaAgent {
 public:
-  QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated);
+  QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated,
+             QuotaPolicy Policy = {});
 
   /// Sets the incarnation of this daemon, which changes if the fleet knows a
   /// later one. Owners answer only the incarnation that they see.
@@ -87,6 +88,7 @@
   const Member *findMember(const DaemonId &Id) const;
 
   DaemonId Self;
+  QuotaPolicy Policy;
   QuotaOwners Owners;
   QuotaLedger Ledger;
   std::unordered_map<Tenant, Quota> Quotas;
--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -1,8 +1,6 @@
 //===- QuotaLedger.cpp ----------------------------------------------------===//
 #include "limits/QuotaLedger.h"
 
-#include "limits/HandoverGuard.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -59,16 +57,16 @@
     return;
   }
   if (!A.Active) {
-    A.Level = Role.Released ? A.Level : 0;
+    A.Level = Role.Released ? A.Level : Policy.InitialFill * A.Capacity;
     A.FilledAt = *Role.OwnerSince;
     A.Active = true;
   }
   fill(A, Now);
 }
 
-void QuotaLedger::fill(Account &A, Instant Now) {
+void QuotaLedger::fill(Account &A, Instant Now) const {
   std::erase_if(A.Leases, [&](const auto &Item) {
-    return Item.second.HeardAt + LeaseTime < Now;
+    return Item.second.HeardAt + Policy.Lease < Now;
   });
   double Room = std::max(0.0, A.Capacity - outstanding(A, Now));
   double Passed = std::max(0.0, secondsOf(Now - A.FilledAt));
@@ -80,7 +78,7 @@
                               Instant Now) const {
   // A bucket that holds half of the share and fills with the other half in one
   // window grants at most the share in any window.
-  double Half = Role.Fraction * StandbyExcessShare * Tolerated.excess(Q) / 2;
+  double Half = Role.Fraction * Policy.StandbyShare * Tolerated.excess(Q) / 2;
   double Passed = std::max(0.0, secondsOf(Now - A.StandbyAt));
   if (A.StandbyAt == Instant())
     A.StandbyLevel = Half;
@@ -140,7 +138,7 @@
     return;
   A.Level = R.Level;
   A.Reserved = R.Outstanding;
-  A.ReservedUntil = Now + TokenLifetime;
+  A.ReservedUntil = Now + Policy.Lifetime;
   A.AcceptedAt = Now;
 }
 
@@ -158,7 +156,7 @@
 }
 
 QuotaRelease QuotaLedger::yield(const Tenant &Name, Instant Now) {
-  Accounts[Name].YieldedUntil = Now + ViewPropagationTime;
+  Accounts[Name].YieldedUntil = Now + Policy.OwnerWait;
   return release(Name, Now).value_or(QuotaRelease{Name});
 }
 
--- a/packages/limits/QuotaLedger.h
+++ b/packages/limits/QuotaLedger.h
@@ -25,6 +25,7 @@
 #ifndef SHALLOTSHIFT_LIMITS_QUOTALEDGER_H
 #define SHALLOTSHIFT_LIMITS_QUOTALEDGER_H
 
+#include "limits/HandoverGuard.h"
 #include "limits/Quota.h"
 #include "limits/QuotaMessages.h"
 
@@ -46,6 +47,18 @@
 inline constexpr double StandbyExcessShare = 0.375;
 static_assert(OwnerExcessShare + 2 * StandbyExcessShare <= 1);
 
+/// What the bound rests on. Only the model checker uses other values than these
+/// defaults, to show that each is needed.
+struct QuotaPolicy {
+  /// How long a new owner waits until no other daemon acts as the owner.
+  Duration OwnerWait = ViewPropagationTime;
+  Duration Lifetime = TokenLifetime;
+  Duration Lease = LeaseTime;
+  double StandbyShare = StandbyExcessShare;
+  /// Fraction of the capacity in the bucket of a new owner.
+  double InitialFill = 0;
+};
+
 /// This daemon's part in the account of one organisation.
 struct QuotaRole {
   /// Since when it may grant as the owner; nothing if it is not the owner or
@@ -60,7 +73,8 @@
 
 class QuotaLedger {
 public:
-  explicit QuotaLedger(QuotaTolerance Tolerated) : Tolerated(Tolerated) {}
+  explicit QuotaLedger(QuotaTolerance Tolerated, QuotaPolicy Policy = {})
+      : Tolerated(Tolerated), Policy(Policy) {}
 
   /// Handles an ask of \p From about an organisation with the quota \p Q.
   QuotaGrant grant(const DaemonId &From, const QuotaAsk &A, const Quota &Q,
@@ -115,7 +129,7 @@
   static double outstanding(const Account &A, Instant Now);
   void activate(Account &A, const Quota &Q, const QuotaRole &Role,
                 Instant Now) const;
-  static void fill(Account &A, Instant Now);
+  void fill(Account &A, Instant Now) const;
   void fillStandby(Account &A, const Quota &Q, const QuotaRole &Role,
                    Instant Now) const;
   static void grantAsOwner(Account &A, Lease &L, const QuotaAsk &Ask,
@@ -123,6 +137,7 @@
   static void grantAsStandby(Account &A, Lease &L, const QuotaAsk &Ask);
 
   QuotaTolerance Tolerated;
+  QuotaPolicy Policy;
   std::unordered_map<Tenant, Account> Accounts;
 };
 
--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -41,7 +41,7 @@
 /// The granter may give expired tokens to others; here they count as spent.
 void QuotaTokens::dropExpired(Instant Now) {
   for (auto &[Who, L] : Lines)
-    if (L.ConfirmedAt + TokenLifetime <= Now)
+    if (L.ConfirmedAt + Policy.Lifetime <= Now)
       L.Spent = L.Granted;
 }
 
@@ -184,13 +184,13 @@
 }
 
 bool QuotaTokens::idle(Instant Now) const {
-  return Waiting.empty() && held(Now) == 0 && Now - UsedAt > LeaseTime;
+  return Waiting.empty() && held(Now) == 0 && Now - UsedAt > Policy.Lease;
 }
 
 std::uint64_t QuotaTokens::held(Instant Now) const {
   std::uint64_t Sum = 0;
   for (const auto &[Who, L] : Lines)
-    if (L.ConfirmedAt + TokenLifetime > Now)
+    if (L.ConfirmedAt + Policy.Lifetime > Now)
       Sum += L.held();
   return Sum;
 }
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -28,6 +28,8 @@
 
 class QuotaTokens {
 public:
+  explicit QuotaTokens(const QuotaPolicy &Policy = {}) : Policy(Policy) {}
+
   /// Starts, queues or refuses a request that can wait until \p Expires.
   AdmissionDecision offer(TicketId Id, Instant Expires, Instant Now);
   /// Removes a request; returns false if it does not wait.
@@ -84,6 +86,7 @@
   void recordDemand(Instant Now);
   std::uint64_t target(Instant Now) const;
 
+  QuotaPolicy Policy;
   std::map<DaemonId, Line> Lines;
   std::deque<Waiter> Waiting;
   double Demand = 0; ///< Requests per second, decaying.
