limits: totals of tokens begin anew with each line

Callers of an organisation could exceed its quota without limit after the owner restarted. An ask sent to the former incarnation reaches the new one, which takes the reported total for a lease without tokens and repeats it in its reply. The asker had no line to the new incarnation, made one that began at zero, and held the whole total as tokens; once the line was removed, again. The same could follow when a line was removed for want of use and made anew while the owner still kept its lease.

Replies of granters that were not asked are ignored, and a new line begins its totals above those of any earlier one.

--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -23,6 +23,15 @@
 /// The most tokens that are asked for in advance.
 constexpr double MaxAdvance = 1000;
 
+/// Where the totals of a line begin: above those of any earlier line to the
+/// same granter, which may still have them in a lease. No daemon uses a million
+/// tokens per second.
+std::uint64_t firstTotal(Instant Now) {
+  using Micros = std::chrono::microseconds;
+  auto Passed = std::chrono::duration_cast<Micros>(Now.time_since_epoch());
+  return static_cast<std::uint64_t>(Passed.count());
+}
+
 } // namespace
 
 /// Spends a token of the line that was confirmed last.
@@ -95,7 +104,10 @@
 QuotaAsk QuotaTokens::ask(const DaemonId &Granter, const Tenant &Name,
                           QuotaNeed Need, Instant Now) {
   dropExpired(Now);
-  Line &L = Lines[Granter];
+  auto [At, IsNew] = Lines.try_emplace(Granter);
+  Line &L = At->second;
+  if (IsNew)
+    L.Granted = L.Spent = L.Returned = L.Reported = firstTotal(Now);
   std::uint64_t Target = target(Now);
   if (Target == 0 && Waiting.empty()) {
     L.Returned += L.held();
@@ -117,7 +129,10 @@
 
 void QuotaTokens::granted(const DaemonId &Granter, const QuotaGrant &G,
                           Instant SentAt, Instant Now) {
-  Line &L = Lines[Granter];
+  auto At = Lines.find(Granter);
+  if (At == Lines.end())
+    return; // Answers an ask to another incarnation of the granter.
+  Line &L = At->second;
   L.ConfirmedAt = std::max(L.ConfirmedAt, SentAt);
   L.UnansweredSince = Instant::max();
   L.Granted = std::max(L.Granted, G.Granted);
