limits: a former owner does not renew tokens

Daemons kept the tokens of a former owner alive by reporting to it, as long as they did not need them. Its successor reserves them for TokenLifetime only and then grants them to others, so a later burst could exceed the quota by what daemons held.

Only the owner's replies renew tokens; others count for the tokens that they add. A daemon's tokens now end TokenLifetime after its last answered ask to the owner, when the reserve ends.

--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -34,12 +34,12 @@
 
 } // namespace
 
-/// Spends a token of the line that was confirmed last.
+/// Spends a token of the line that was renewed last.
 bool QuotaTokens::spend(Instant Now) {
   dropExpired(Now);
   Line *Best = nullptr;
   for (auto &[Who, L] : Lines)
-    if (L.held() > 0 && (!Best || L.ConfirmedAt > Best->ConfirmedAt))
+    if (L.held() > 0 && (!Best || L.RenewedAt > Best->RenewedAt))
       Best = &L;
   if (!Best)
     return false;
@@ -50,7 +50,7 @@
 /// The granter may give expired tokens to others; here they count as spent.
 void QuotaTokens::dropExpired(Instant Now) {
   for (auto &[Who, L] : Lines)
-    if (L.ConfirmedAt + Policy.Lifetime <= Now)
+    if (L.RenewedAt + Policy.Lifetime <= Now)
       L.Spent = L.Granted;
 }
 
@@ -135,9 +135,12 @@
   Line &L = At->second;
   L.ConfirmedAt = std::max(L.ConfirmedAt, SentAt);
   L.UnansweredSince = Instant::max();
+  bool FromOwner = G.Interval != Duration(0);
+  if (FromOwner || G.Granted > L.Granted)
+    L.RenewedAt = std::max(L.RenewedAt, SentAt);
   L.Granted = std::max(L.Granted, G.Granted);
-  if (G.Interval == Duration(0))
-    return; // Not from the owner.
+  if (!FromOwner)
+    return;
   Interval = G.Interval;
   EmptyUntil = Now + G.Wait;
   if (G.Wait > Duration(0))
@@ -205,7 +208,7 @@
 std::uint64_t QuotaTokens::held(Instant Now) const {
   std::uint64_t Sum = 0;
   for (const auto &[Who, L] : Lines)
-    if (L.ConfirmedAt + Policy.Lifetime > Now)
+    if (L.RenewedAt + Policy.Lifetime > Now)
       Sum += L.held();
   return Sum;
 }
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -68,6 +68,9 @@
     std::uint64_t Returned = 0;
     std::uint64_t Reported = 0; ///< Spent in the last ask.
     Instant ConfirmedAt;        ///< When the last answered ask was sent.
+    /// When the last ask was sent that gave or renewed tokens: those of a
+    /// former owner are not renewed, since its successor grants them to others.
+    Instant RenewedAt;
     Instant AskedAt;
     /// The first ask since the last reply; the latest instant: all answered.
     Instant UnansweredSince = Instant::max();
