limits: an owner renews only tokens that it knows of

A daemon that was wrongly taken for failed gets a new incarnation and keeps its tokens. The owner gives the new incarnation a lease without tokens and counts those of the old one as spent after LeaseTime, but its replies kept them alive. So a daemon could use tokens that the owner had granted again.

A reply with a lower total than the tokens held does not renew them.

Model checker, one failure: 68 requests in a window with a bound of 66 before (a daemon other than the owner is taken for failed, then a burst, later all requests at once); 61 after.

--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -136,7 +136,8 @@
   L.ConfirmedAt = std::max(L.ConfirmedAt, SentAt);
   L.UnansweredSince = Instant::max();
   bool FromOwner = G.Interval != Duration(0);
-  if (FromOwner || G.Granted > L.Granted)
+  // A lower total shows a granter that does not know of the tokens held.
+  if (G.Granted > L.Granted || (FromOwner && G.Granted == L.Granted))
     L.RenewedAt = std::max(L.RenewedAt, SentAt);
   L.Granted = std::max(L.Granted, G.Granted);
   if (!FromOwner)
