tests: a model checker for the quotas' bound

Explores every order of a few failures around three shipped QuotaAgents in virtual time and checks every window; takes each safeguard out in turn and expects the bound broken. 172,163 paths, 17.5 s with three threads at a load of 19. quota_model_doubt, a running owner taken for failed, is red and in KNOWN-RED.txt.

--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -10,6 +10,14 @@
 shallot_test(quota_failure PACKAGES limits store peer LABELS failure
   SOURCES QuotaFleet.cpp failure/QuotasHoldInEveryWindow.cpp)
 
+shallot_test(quota_model_check PACKAGES limits LABELS correctness
+  SOURCES QuotaWorld.cpp correctness/QuotaModelCheck.cpp)
+add_test(NAME quota_model_doubt COMMAND quota_model_check --no-skip
+         "--test-case=*taken for failed*")
+set_tests_properties(quota_model_doubt PROPERTIES LABELS correctness
+                     TIMEOUT ${SHALLOT_TEST_SECONDS})
+set_tests_properties(quota_model_check quota_model_doubt PROPERTIES PROCESSORS 3)
+
 shallot_bench(bench_overload PACKAGES limits TEST bench_overload
   SOURCES performance/BenchOverload.cpp performance/OverloadModel.cpp)
 shallot_bench(bench_quotas PACKAGES limits forward store peer TEST bench_quotas
