--- a/tests/QuotaWorld.cpp
+++ b/tests/QuotaWorld.cpp
@@ -345,10 +345,19 @@
 }
 
 std::string QuotaWorld::describe(const QuotaEvent &E) const {
-  static constexpr const char *Names[] = {
-      "none",     "kill",  "start", "restart",          "restart all",
-      "cut off",  "split", "wrongly failed", "heal",  "lose messages of", "delay messages of",
-      "burst at", "flood"};
+  static constexpr const char *Names[] = {"none",
+                                          "kill",
+                                          "start",
+                                          "restart",
+                                          "restart all",
+                                          "cut off",
+                                          "split",
+                                          "wrongly failed",
+                                          "heal",
+                                          "lose messages of",
+                                          "delay messages of",
+                                          "burst at",
+                                          "flood"};
   std::string Text = fmt::format("{} d{}", Names[std::size_t(E.Kind)], E.Who);
   for (std::size_t N = 0; N < Daemons.size(); ++N)
     if ((E.Late >> N & 1) != 0)
--- a/tests/correctness/QuotaModelCheck.cpp
+++ b/tests/correctness/QuotaModelCheck.cpp
@@ -30,7 +30,8 @@
 
 class Checker {
 public:
-  Checker(const QuotaWorldOptions &O, Bounds Limits) : O(O), Limits(Limits) {}
+  Checker(const QuotaWorldOptions &O, Bounds Limits)
+      : O(O), Limits(std::move(Limits)) {}
 
   /// Explores every choice. Returns false and keeps the events of the first
   /// violation.
@@ -71,7 +72,8 @@
   for (std::size_t N = 0; N < O.Daemons; ++N) {
     for (Kind K : {Kind::Lose, Kind::Delay})
       All.push_back({K, N, 0});
-    std::vector<Kind> Kinds{Kind::Kill, Kind::Start, Kind::Restart, Kind::CutOff};
+    std::vector<Kind> Kinds{Kind::Kill, Kind::Start, Kind::Restart,
+                            Kind::CutOff};
     if (Limits.Doubts)
       Kinds.push_back(Kind::Doubt);
     for (Kind K : Kinds)
@@ -156,7 +158,7 @@
 
 /// Explores with ever more disruptions; the first violation is a shortest one.
 std::string check(const std::string &What, const QuotaWorldOptions &O,
-                  Bounds Limits) {
+                  const Bounds &Limits) {
   using Clock = std::chrono::steady_clock;
   auto Begin = Clock::now();
   std::string Found;
@@ -170,8 +172,8 @@
       Found += E + "\n";
     std::chrono::duration<double> Took = Clock::now() - Begin;
     fmt::print("{}, {} disruptions: {} paths, most {} of {}, {:.1f} s: {}\n",
-               What, N, C.paths(), C.most(), QuotaWorld(O).bound(), Took.count(),
-               Held ? "holds" : "BROKEN\n" + Found);
+               What, N, C.paths(), C.most(), QuotaWorld(O).bound(),
+               Took.count(), Held ? "holds" : "BROKEN\n" + Found);
   }
   return Found;
 }
@@ -256,6 +258,7 @@
     return Found;
   };
   std::vector<std::future<std::string>> Workers;
+  Workers.reserve(3);
   for (int I = 0; I < 3; ++I)
     Workers.push_back(std::async(std::launch::async, Work));
   std::string Found;
@@ -287,6 +290,7 @@
 TEST_CASE("the bound holds when a daemon that runs is taken for failed" *
           doctest::skip()) {
   std::vector<Task> Tasks;
+  Tasks.reserve(std::size(Deployments) * Beginnings.size());
   for (Deployed D : {LargeBurst, LargeRate, ThreeZones})
     for (Beginning B : {AllUp, StandbyDown, OwnerDown, OwnerCutOff}) {
       Tasks.push_back(taskOf(D, B));
