--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -23,14 +23,23 @@
 /// The most tokens that are asked for in advance.
 constexpr double MaxAdvance = 1000;
 
+/// Where the totals of a line begin: above those of any earlier line to the
+/// same granter, which may still have them in a lease. No daemon uses a million
+/// tokens per second.
+std::uint64_t firstTotal(Instant Now) {
+  using Micros = std::chrono::microseconds;
+  auto Passed = std::chrono::duration_cast<Micros>(Now.time_since_epoch());
+  return static_cast<std::uint64_t>(Passed.count());
+}
+
 } // namespace
 
-/// Spends a token of the line that was confirmed last.
+/// Spends a token of the line that was renewed last.
 bool QuotaTokens::spend(Instant Now) {
   dropExpired(Now);
   Line *Best = nullptr;
   for (auto &[Who, L] : Lines)
-    if (L.held() > 0 && (!Best || L.ConfirmedAt > Best->ConfirmedAt))
+    if (L.held() > 0 && (!Best || L.RenewedAt > Best->RenewedAt))
       Best = &L;
   if (!Best)
     return false;
@@ -41,7 +50,7 @@
 /// The granter may give expired tokens to others; here they count as spent.
 void QuotaTokens::dropExpired(Instant Now) {
   for (auto &[Who, L] : Lines)
-    if (L.ConfirmedAt + TokenLifetime <= Now)
+    if (L.RenewedAt + Policy.Lifetime <= Now)
       L.Spent = L.Granted;
 }
 
@@ -95,7 +104,10 @@
 QuotaAsk QuotaTokens::ask(const DaemonId &Granter, const Tenant &Name,
                           QuotaNeed Need, Instant Now) {
   dropExpired(Now);
-  Line &L = Lines[Granter];
+  auto [At, IsNew] = Lines.try_emplace(Granter);
+  Line &L = At->second;
+  if (IsNew)
+    L.Granted = L.Spent = L.Returned = L.Reported = firstTotal(Now);
   std::uint64_t Target = target(Now);
   if (Target == 0 && Waiting.empty()) {
     L.Returned += L.held();
@@ -117,12 +129,19 @@
 
 void QuotaTokens::granted(const DaemonId &Granter, const QuotaGrant &G,
                           Instant SentAt, Instant Now) {
-  Line &L = Lines[Granter];
+  auto At = Lines.find(Granter);
+  if (At == Lines.end())
+    return; // Answers an ask to another incarnation of the granter.
+  Line &L = At->second;
   L.ConfirmedAt = std::max(L.ConfirmedAt, SentAt);
   L.UnansweredSince = Instant::max();
+  bool FromOwner = G.Interval != Duration(0);
+  // A lower total shows a granter that does not know of the tokens held.
+  if (G.Granted > L.Granted || (FromOwner && G.Granted == L.Granted))
+    L.RenewedAt = std::max(L.RenewedAt, SentAt);
   L.Granted = std::max(L.Granted, G.Granted);
-  if (G.Interval == Duration(0))
-    return; // Not from the owner.
+  if (!FromOwner)
+    return;
   Interval = G.Interval;
   EmptyUntil = Now + G.Wait;
   if (G.Wait > Duration(0))
@@ -184,13 +203,13 @@
 }
 
 bool QuotaTokens::idle(Instant Now) const {
-  return Waiting.empty() && held(Now) == 0 && Now - UsedAt > LeaseTime;
+  return Waiting.empty() && held(Now) == 0 && Now - UsedAt > Policy.Lease;
 }
 
 std::uint64_t QuotaTokens::held(Instant Now) const {
   std::uint64_t Sum = 0;
   for (const auto &[Who, L] : Lines)
-    if (L.ConfirmedAt + TokenLifetime > Now)
+    if (L.RenewedAt + Policy.Lifetime > Now)
       Sum += L.held();
   return Sum;
 }
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -28,6 +28,8 @@
 
 class QuotaTokens {
 public:
+  explicit QuotaTokens(const QuotaPolicy &Policy = {}) : Policy(Policy) {}
+
   /// Starts, queues or refuses a request that can wait until \p Expires.
   AdmissionDecision offer(TicketId Id, Instant Expires, Instant Now);
   /// Removes a request; returns false if it does not wait.
@@ -66,6 +68,9 @@
     std::uint64_t Returned = 0;
     std::uint64_t Reported = 0; ///< Spent in the last ask.
     Instant ConfirmedAt;        ///< When the last answered ask was sent.
+    /// When the last ask was sent that gave or renewed tokens: those of a
+    /// former owner are not renewed, since its successor grants them to others.
+    Instant RenewedAt;
     Instant AskedAt;
     /// The first ask since the last reply; the latest instant: all answered.
     Instant UnansweredSince = Instant::max();
@@ -84,6 +89,7 @@
   void recordDemand(Instant Now);
   std::uint64_t target(Instant Now) const;
 
+  QuotaPolicy Policy;
   std::map<DaemonId, Line> Lines;
   std::deque<Waiter> Waiting;
   double Demand = 0; ///< Requests per second, decaying.
