limits, forward, front: waiting requests are divided between organisations

What callers saw: when the replicas could not take it all, whoever asked most got most.

Cause: admission knew classes, no organisations; each class had one queue in order of arrival, and refusals fell on whoever came next.

Change: inside a class, waiting requests are divided by start-time fair queueing (limits/FairQueue): by weight, at the cost of the work (parts of a fan-out times the usual service time). The lowest tag starts first. The newest request of the organisation that is furthest above its share gives way when the queue is full or its last request cannot start in time. Callers that leave the queue, hedges and retries are charged. Cost is charged only while requests wait or have waited within a second, so the use of idle room is held against nobody. A request without a key counts for the owner of its route. An organisation has a weight (default 1), checked with the configuration; no interface sets it yet.

Without organisations all decisions are as before: AdmissionWithoutOrganisations replays 40 random loads through this and a copy of the single queue.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -314,6 +314,23 @@
 /// A shard that lost its replicas is full at any load. As many of the worst
 /// parts as an answer may lack are left out of the sample, since they do not
 /// tell how many requests may start.
+FairClaim ForwardRequest::claim(Duration ServiceTime) const {
+  FairClaim C;
+  if (Config->callers().empty())
+    return C;
+  const Organisation *Payer = Caller;
+  if (!Payer && Matched->Owner)
+    Payer = Config->callers().find(*Matched->Owner);
+  if (Payer) {
+    C.Organisation = Payer->Name;
+    C.Weight = Payer->Share.Weight;
+  }
+  const ShardFanOut *Fan = Matched->fanOut();
+  std::size_t Sends = Fan ? Fan->Shards.size() : 1;
+  C.Cost = toMillisF(ServiceTime) * static_cast<double>(Sends);
+  return C;
+}
+
 LoadSample ForwardRun::load(Instant Now) const {
   std::vector<Duration> Queues;
   std::size_t LostToFull = 0;
@@ -328,6 +345,8 @@
   L.Queued = std::accumulate(Queues.begin(), Queues.end(), Duration(0)) /
              static_cast<std::int64_t>(Queues.size());
   L.Overloaded = LostToFull > MaxMissing;
+  if (!Parts.empty())
+    L.ExtraSends = double(Stats.Hedges + Stats.Retries) / double(Parts.size());
   return L;
 }
 
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -120,6 +120,9 @@
     return Caller ? Caller->Priority.value_or(Matched->Priority)
                   : Matched->Priority;
   }
+  /// Whose share of the capacity it uses, and its work in milliseconds of a
+  /// replica's slot. Without a caller that is the owner of the route.
+  FairClaim claim(Duration ServiceTime) const;
 };
 
 /// A send to start.
--- a/packages/forward/Organisation.h
+++ b/packages/forward/Organisation.h
@@ -19,12 +19,16 @@
 
 namespace shallot {
 
+/// With more, one organisation would in fact be the only one.
+inline constexpr double MaxOrganisationWeight = 1000;
+
 struct Organisation {
   Tenant Name;
   std::vector<std::string> Keys; ///< Never logged and never forwarded.
   /// Replaces the priority of the route; 0 is the most urgent.
   std::optional<unsigned> Priority;
   Quota Limit;
+  OrganisationWeight Share; ///< Of capacity that is too small for all.
   /// Regions whose replicas may run its requests.
   AllowedRegions Regions = AllowedRegions::anywhere();
 
@@ -37,7 +41,9 @@
   Organisations() = default;
   /// Fails with ConfigInvalid, naming the organisation, if its name is not
   /// unique or not 1 to MaxNameBytes of printable ASCII, if a key is empty or
-  /// held by another organisation, or if the rate or burst is below 0.
+  /// held by another organisation, if the rate, the burst or the guaranteed
+  /// rate is below 0, or if the weight is not above 0 and at most
+  /// MaxOrganisationWeight.
   static Result<Organisations> make(std::vector<Organisation> All);
 
   bool empty() const { return All.empty(); }
--- a/packages/forward/RouteAdmission.cpp
+++ b/packages/forward/RouteAdmission.cpp
@@ -164,10 +164,10 @@
 
 AdmissionDecision RouteAdmission::offer(const Route &R, unsigned Priority,
                                         TicketId Id, Instant Deadline,
-                                        Instant Now) {
+                                        Instant Now, const FairClaim &Claim) {
   const GroupPtr &G = ByRoute.at(R.Name);
   AdmissionDecision Decision =
-      G->offer({Id, classOf(Priority, R), Deadline}, Now);
+      G->offer({Id, classOf(Priority, R), Deadline, Claim}, Now);
   if (Decision.What != AdmissionAction::Refuse)
     Tickets.emplace(Id, G);
   return Decision;
--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -14,6 +14,9 @@
 // replica rejected. Both indicate overload only; latency does not, since it
 // also rises with a pause or a slow replica.
 //
+// Inside a group and a class of requests, organisations share the capacity by
+// their weights (limits/FairQueue.h).
+//
 // A configuration may move routes to other services. A group's estimate is kept
 // with its routes.
 //
@@ -37,7 +40,8 @@
   /// Retry-After time. \p R is a route of the installed configuration, and
   /// \p Priority its own or that of one of the organisations.
   AdmissionDecision offer(const Route &R, unsigned Priority, TicketId Id,
-                          Instant Deadline, Instant Now);
+                          Instant Deadline, Instant Now,
+                          const FairClaim &Claim = {});
   /// A started request was answered, or waits for stragglers only.
   void done(TicketId Id, const LoadSample &S, Instant Now);
   /// The caller closed its connection, or the request was dropped.
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -106,10 +106,13 @@
 /// Starts the request, queues it or rejects it.
 void RequestHandler::Impl::admit(const JobPtr &J) {
   const ForwardRequest &Request = J->Run.request();
+  const Route &R = *Request.Matched;
+  FairClaim Claim =
+      Request.claim(ServiceTimes.of(R.Name, R.Objective).median());
   J->Ticket = ++LastTicket;
-  AdmissionDecision V =
-      Admission.offer(*Request.Matched, Request.priority(), J->Ticket,
-                      Request.Arrived + Request.CallerWaits, Timers.now());
+  AdmissionDecision V = Admission.offer(R, Request.priority(), J->Ticket,
+                                        Request.Arrived + Request.CallerWaits,
+                                        Timers.now(), Claim);
   switch (V.What) {
   case AdmissionAction::Start:
     start(J);
--- a/packages/limits/Admission.cpp
+++ b/packages/limits/Admission.cpp
@@ -62,8 +62,8 @@
   Instant LatestStart = R.Deadline - Q.Latency.value();
   Instant QueueEnd = Now + Q.Policy.QueueWait;
   if (LatestStart < QueueEnd)
-    return {R.Id, LatestStart, true};
-  return {R.Id, QueueEnd, false};
+    return {R.Id, LatestStart, true, R.Claim.Cost};
+  return {R.Id, QueueEnd, false, R.Claim.Cost};
 }
 
 AdmissionDecision Admission::offer(const AdmissionRequest &R, Instant Now) {
@@ -72,17 +72,21 @@
     return AdmissionDecision::refuse(ResultCode::UnknownClass, MinRetryAfter);
   LastNow = Now;
   ClassQueue &Q = It->second;
-  Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
+  std::size_t Ahead = Q.Waiting.ahead(R.Claim);
+  Duration ExpectedWait =
+      std::max(expectedWait(Q, Ahead), Q.Waiting.ownWait(R.Claim, Now));
   if (R.Deadline <= Now)
     return AdmissionDecision::refuse(ResultCode::WouldMissDeadline,
                                      clampRetryAfter(ExpectedWait));
   // Below the limit a request starts regardless of the typical latency: a
   // latency that led to refusing everything would never be measured again.
   if (mayStart() && WaitingPositions.empty()) {
-    InFlight.emplace(R.Id, R.Class);
+    Q.Waiting.startedAtOnce(R.Claim, Now);
+    InFlight.emplace(R.Id, Started{R.Class, R.Claim});
     return AdmissionDecision::start();
   }
-  if (Q.Waiting.size() >= Q.Policy.QueueLimit)
+  bool Full = Q.Waiting.size() >= Q.Policy.QueueLimit;
+  if (Full && Ahead == Q.Waiting.size())
     return AdmissionDecision::refuse(ResultCode::QueueFull,
                                      clampRetryAfter(ExpectedWait));
   Waiter W = waiterFor(R, Q, Now);
@@ -90,14 +94,29 @@
     return AdmissionDecision::refuse(
         W.ByDeadline ? ResultCode::WouldMissDeadline : ResultCode::Overloaded,
         clampRetryAfter(ExpectedWait));
-  Q.Rate.setWaiting(true, Now);
-  std::uint64_t Arrival = Arrivals++;
-  Q.Waiting[Arrival] = W;
-  Q.Expiry.insert({W.Expires, Arrival});
-  WaitingPositions[R.Id] = {&Q, Arrival};
+  if (Full)
+    evictLast(Q);
+  enqueue(Q, R, W);
   return AdmissionDecision::wait();
 }
 
+void Admission::enqueue(ClassQueue &Q, const AdmissionRequest &R,
+                        const Waiter &W) {
+  Q.Rate.setWaiting(true, LastNow);
+  Place Who = Q.Waiting.push(R.Claim, Arrivals++, W, LastNow);
+  Q.ByExpiry.insert({W.Expires, Who});
+  WaitingPositions[R.Id] = {&Q, Who};
+}
+
+/// Makes room for a request of an organisation that is less above its share.
+void Admission::evictLast(ClassQueue &Q) {
+  Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
+  Waiter W = removeWaiter(Q, Q.Waiting.last());
+  Evicted.push_back(
+      {W.Id, AdmissionDecision::refuse(ResultCode::QueueFull,
+                                       clampRetryAfter(ExpectedWait))});
+}
+
 Duration Admission::startInterval() const {
   // Little's law: at the limit, one request ends per interval.
   return Limit.typicalLatency() / static_cast<std::int64_t>(Limit.limit());
@@ -127,8 +146,12 @@
   auto It = InFlight.find(Id);
   if (It == InFlight.end())
     return;
-  if (auto Q = Classes.find(It->second); Q != Classes.end())
+  const Started &Ended = It->second;
+  if (auto Q = Classes.find(Ended.Class); Q != Classes.end()) {
     Q->second.Latency.add(S.Latency);
+    if (S.ExtraSends > 0)
+      Q->second.Waiting.charge(Ended.Claim, S.ExtraSends, Now);
+  }
   InFlight.erase(It);
   Limit.observe(S, Before, Now);
 }
@@ -139,27 +162,34 @@
   auto It = WaitingPositions.find(Id);
   if (It == WaitingPositions.end())
     return false;
-  removeWaiter(*It->second.In, It->second.Arrival);
+  ClassQueue &Q = *It->second.In;
+  Place Who = It->second.Who;
+  // Its place could have served another caller.
+  FairClaim Wasted = Who.claim();
+  removeWaiter(Q, Who);
+  Q.Waiting.charge(Wasted, 1, LastNow);
   return true;
 }
 
-Admission::Waiter Admission::removeWaiter(ClassQueue &Q,
-                                          std::uint64_t Arrival) {
-  auto It = Q.Waiting.find(Arrival);
-  Waiter W = It->second;
-  Q.Expiry.erase({W.Expires, Arrival});
-  Q.Waiting.erase(It);
+Admission::Waiter Admission::removeWaiter(ClassQueue &Q, Place Who) {
+  Waiter W = Q.Waiting.remove(Who, LastNow);
+  removed(Q, W, Who);
+  return W;
+}
+
+void Admission::removed(ClassQueue &Q, const Waiter &W, Place Who) {
+  Q.ByExpiry.erase({W.Expires, Who});
   WaitingPositions.erase(W.Id);
   if (Q.Waiting.empty()) {
     Q.Credit = 0;
     Q.Rate.setWaiting(false, LastNow);
   }
-  return W;
 }
 
 AdmissionEvents Admission::poll(Instant Now) {
   LastNow = Now;
   AdmissionEvents Out;
+  Out.swap(Evicted);
   for (auto &[Class, Q] : Classes) {
     if (!Q.InPreset)
       refuseUnknown(Q, Out);
@@ -172,16 +202,15 @@
 
 void Admission::refuseUnknown(ClassQueue &Q, AdmissionEvents &Out) {
   while (!Q.Waiting.empty()) {
-    Waiter W = removeWaiter(Q, Q.Waiting.begin()->first);
+    Waiter W = removeWaiter(Q, Q.Waiting.next());
     Out.push_back({W.Id, AdmissionDecision::refuse(ResultCode::UnknownClass,
                                                    MinRetryAfter)});
   }
 }
 
-void Admission::refuse(ClassQueue &Q, std::uint64_t Arrival,
-                       AdmissionEvents &Out) {
+void Admission::refuse(ClassQueue &Q, Place Who, AdmissionEvents &Out) {
   Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
-  Waiter W = removeWaiter(Q, Arrival);
+  Waiter W = removeWaiter(Q, Who);
   ResultCode Code =
       W.ByDeadline ? ResultCode::WouldMissDeadline : ResultCode::Overloaded;
   Out.push_back(
@@ -190,14 +219,14 @@
 
 void Admission::refuseExpired(ClassQueue &Q, Instant Now,
                               AdmissionEvents &Out) {
-  while (!Q.Expiry.empty() && Q.Expiry.begin()->first <= Now)
-    refuse(Q, Q.Expiry.begin()->second, Out);
+  while (!Q.ByExpiry.empty() && Q.ByExpiry.begin()->At <= Now)
+    refuse(Q, Q.ByExpiry.begin()->Who, Out);
   Q.Rate.update(Now);
   while (!Q.Waiting.empty()) {
-    const auto &[Arrival, Last] = *Q.Waiting.rbegin();
-    if (Now + expectedWait(Q, Q.Waiting.size() - 1) <= Last.Expires)
+    Place Last = Q.Waiting.last();
+    if (Now + expectedWait(Q, Q.Waiting.size() - 1) <= Last.waiter().Expires)
       return;
-    refuse(Q, Arrival, Out);
+    refuse(Q, Last, Out);
   }
 }
 
@@ -229,8 +258,10 @@
         Other.Credit += MinClassShare;
     Q->Credit = std::max(0.0, Q->Credit - 1);
     Q->Rate.started();
-    Waiter W = removeWaiter(*Q, Q->Waiting.begin()->first);
-    InFlight.emplace(W.Id, Q->Class);
+    Place Who = Q->Waiting.next();
+    InFlight.emplace(Who.waiter().Id, Started{Q->Class, Who.claim()});
+    Waiter W = Q->Waiting.startNext(LastNow);
+    removed(*Q, W, Who);
     Out.push_back({W.Id, AdmissionDecision::start()});
   }
 }
@@ -238,8 +269,8 @@
 std::optional<Instant> Admission::nextExpiry() const {
   std::optional<Instant> Next;
   for (const auto &[Class, Q] : Classes)
-    if (!Q.Expiry.empty() && (!Next || Q.Expiry.begin()->first < *Next))
-      Next = Q.Expiry.begin()->first;
+    if (!Q.ByExpiry.empty() && (!Next || Q.ByExpiry.begin()->At < *Next))
+      Next = Q.ByExpiry.begin()->At;
   return Next;
 }
 
--- a/packages/limits/Admission.h
+++ b/packages/limits/Admission.h
@@ -12,12 +12,20 @@
 // of better priority arrive. No request is queued if it is already certain to
 // be refused. A refused request has not been executed.
 //
+// Inside a class, the waiting requests are divided between organisations by
+// weight and cost (FairQueue.h). Refusals for lack of room fall on the newest
+// request of the organisation that is furthest above its share, even if a
+// request of another organisation arrives after it. What a caller wastes by
+// leaving the queue, and sends beyond the first of each part, are charged to
+// its organisation.
+//
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_ADMISSION_H
 #define SHALLOTSHIFT_LIMITS_ADMISSION_H
 
 #include "limits/AdmissionDecision.h"
 #include "limits/ConcurrencyLimit.h"
+#include "limits/FairQueue.h"
 #include "limits/StartRate.h"
 #include "shallotshift/model.h"
 
@@ -36,6 +44,7 @@
   TicketId Id = 0;
   CallerClass Class;
   Instant Deadline;
+  FairClaim Claim;
 };
 
 /// The classes of requests with their priorities and queue bounds.
@@ -63,7 +72,8 @@
   void setClasses(const ClassPolicies &Policies, Duration TargetQueued);
 
   /// Returns Start, Wait, or Refuse with UnknownClass, QueueFull, Overloaded or
-  /// WouldMissDeadline.
+  /// WouldMissDeadline. After Wait, poll() may return the refusal of another
+  /// request.
   AdmissionDecision offer(const AdmissionRequest &R, Instant Now);
 
   /// Reports that a started request has ended.
@@ -84,10 +94,15 @@
   AdmissionReport report() const;
 
 private:
-  struct Waiter {
-    TicketId Id = 0;
-    Instant Expires;         ///< Latest time to start.
-    bool ByDeadline = false; ///< Expires by its deadline, not by QueueWait.
+  using Waiter = internal::FairQueue::Waiter;
+  using Place = internal::FairQueue::Place;
+  struct Expiry {
+    Instant At;
+    Place Who;
+
+    friend bool operator<(const Expiry &A, const Expiry &B) {
+      return std::tie(A.At, A.Who.Arrival) < std::tie(B.At, B.Who.Arrival);
+    }
   };
   struct ClassQueue {
     CallerClass Class;
@@ -96,8 +111,8 @@
     /// Grows by MinClassShare with each start while requests wait here. From 1
     /// on, the class goes before those of better priority; a start costs 1.
     double Credit = 0;
-    std::map<std::uint64_t, Waiter> Waiting; ///< By arrival.
-    std::set<std::pair<Instant, std::uint64_t>> Expiry;
+    internal::FairQueue Waiting;
+    std::set<Expiry> ByExpiry;
     internal::StartRate Rate;
     /// From start to end, kept per class: SlotQueue serves better priorities
     /// first, so a routine pull takes many times longer than a desk check. With
@@ -108,7 +123,11 @@
   using Queues = std::map<CallerClass, ClassQueue>;
   struct QueuePosition {
     ClassQueue *In = nullptr;
-    std::uint64_t Arrival = 0;
+    Place Who;
+  };
+  struct Started {
+    CallerClass Class;
+    FairClaim Claim;
   };
 
   Waiter waiterFor(const AdmissionRequest &R, const ClassQueue &Q,
@@ -116,17 +135,22 @@
   Duration expectedWait(const ClassQueue &Q, std::size_t AheadInClass) const;
   Duration startInterval() const;
   bool mayStart() const { return InFlight.size() < Limit.limit(); }
-  Waiter removeWaiter(ClassQueue &Q, std::uint64_t Arrival);
+  void enqueue(ClassQueue &Q, const AdmissionRequest &R, const Waiter &W);
+  /// Removes a request that is refused or was cancelled.
+  Waiter removeWaiter(ClassQueue &Q, Place Who);
+  void removed(ClassQueue &Q, const Waiter &W, Place Who);
   ClassQueue *nextToStart();
   void startWaiting(AdmissionEvents &Out);
-  void refuse(ClassQueue &Q, std::uint64_t Arrival, AdmissionEvents &Out);
+  void refuse(ClassQueue &Q, Place Who, AdmissionEvents &Out);
+  void evictLast(ClassQueue &Q);
   void refuseExpired(ClassQueue &Q, Instant Now, AdmissionEvents &Out);
   void refuseUnknown(ClassQueue &Q, AdmissionEvents &Out);
 
   ConcurrencyLimit Limit;
   Queues Classes;
   std::unordered_map<TicketId, QueuePosition> WaitingPositions;
-  std::unordered_map<TicketId, CallerClass> InFlight;
+  std::unordered_map<TicketId, Started> InFlight;
+  AdmissionEvents Evicted; ///< For the next poll().
   std::uint64_t Arrivals = 0;
   Instant LastNow; ///< The latest time passed in.
 };
--- a/packages/limits/ConcurrencyLimit.h
+++ b/packages/limits/ConcurrencyLimit.h
@@ -22,6 +22,8 @@
   Duration Queued{0};
   /// A sub-request was refused for load, or the deadline passed.
   bool Overloaded = false;
+  /// Sends beyond the first of each part, as a fraction of the parts.
+  double ExtraSends = 0;
 };
 
 struct ConcurrencyLimitOptions {
--- a/packages/limits/include/shallotshift/limits.h
+++ b/packages/limits/include/shallotshift/limits.h
@@ -24,6 +24,7 @@
 #include "limits/AdmissionDecision.h"
 #include "limits/Budget.h"
 #include "limits/ConcurrencyLimit.h"
+#include "limits/FairQueue.h"
 #include "limits/GrantedShare.h"
 #include "limits/HandoverGuard.h"
 #include "limits/OrganisationUse.h"
--- a/tests/correctness/AdmissionEndsEveryEntry.cpp
+++ b/tests/correctness/AdmissionEndsEveryEntry.cpp
@@ -125,3 +125,41 @@
     L.checkAllEndedOnce();
   }
 }
+
+TEST_CASE("random operations of organisations: every entry ends once") {
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    Random Rng(Seed);
+    Admission A(twoClasses(), {.Initial = 6, .Max = 12});
+    Instant Now;
+    AdmissionLedger L;
+    for (int Step = 0; Step < 3000; ++Step) {
+      Now += Micros(below(Rng, Step / 500 % 2 == 0 ? 3000 : 9000));
+      std::size_t Before = L.Running.size();
+      std::uint64_t What = below(Rng, 10);
+      if (What == 0 && !L.Waiting.empty()) {
+        CHECK(A.cancel(L.takeWaiting()));
+      } else if (What < 4 && !L.Running.empty()) {
+        LoadSample S = took(Millis(below(Rng, 60)));
+        S.ExtraSends = static_cast<double>(below(Rng, 3)) / 2;
+        A.done(L.takeRunning(), S, Now);
+      } else {
+        AdmissionRequest R;
+        R.Id = L.next();
+        R.Class = below(Rng, 2) == 0 ? Desk : Pull;
+        R.Deadline = Now + Millis(below(Rng, 3000));
+        std::uint64_t Organisation = below(Rng, 1 + below(Rng, 100));
+        R.Claim = {Tenant("org-" + std::to_string(Organisation)),
+                   1 + static_cast<double>(Organisation % 3),
+                   1 + static_cast<double>(below(Rng, 10)) / 3};
+        L.offered(R.Id, A.offer(R, Now));
+      }
+      L.happened(A.poll(Now));
+      CHECK(L.Running.size() <= std::max(A.report().Limit, Before));
+      CHECK(A.report().InFlight == L.Running.size());
+      CHECK(A.report().Waiting == L.Waiting.size());
+      CHECK((L.Waiting.empty() || A.nextExpiry() > Now));
+    }
+    L.happened(A.poll(Now + MaxDeadline));
+    L.checkAllEndedOnce();
+  }
+}
--- a/tests/error/ServingConfigIsChecked.cpp
+++ b/tests/error/ServingConfigIsChecked.cpp
@@ -1,6 +1,7 @@
 // An invalid configuration is rejected with an error that names the route.
 #include "shallotshift/forward.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
 #include <functional>
 
@@ -71,3 +72,22 @@
     CHECK(E.Detail == Text);
   }
 }
+
+TEST_CASE("each error of a weight or guaranteed rate names its organisation") {
+  auto errorOf = [](const OrganisationWeight &Share) {
+    Organisation O;
+    O.Name = Tenant("north");
+    O.Share = Share;
+    auto Made = attempt([&] { return Organisations::make({O}); });
+    return Made ? std::string() : Made.error().Detail;
+  };
+  CHECK(errorOf({}).empty());
+  CHECK(errorOf({0.5, 20}).empty());
+  CHECK(errorOf({0, 0}) ==
+        "organisation north: weight 0 must be above 0 and at most 1000");
+  CHECK(errorOf({-1, 0}).find("weight -1") != std::string::npos);
+  CHECK(errorOf({1001, 0}).find("weight 1001") != std::string::npos);
+  CHECK(errorOf({std::nan(""), 0}).find("weight nan") != std::string::npos);
+  CHECK(errorOf({1, -3}) ==
+        "organisation north: guaranteed rate -3 must not be below 0");
+}
--- a/tests/forward.cmake
+++ b/tests/forward.cmake
@@ -1,5 +1,6 @@
 shallot_test(forward_correctness PACKAGES forward LABELS correctness
-  SOURCES correctness/RecordsAreMerged.cpp
+  SOURCES correctness/ClaimsAreOfOrganisations.cpp
+          correctness/RecordsAreMerged.cpp
           correctness/RttIsObserved.cpp
           correctness/RoutesMatchLongestPrefix.cpp)
 shallot_test(forward_failure PACKAGES forward LABELS failure
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -1,5 +1,7 @@
 shallot_test(limits_correctness PACKAGES limits LABELS correctness
-  SOURCES correctness/AdmissionEndsEveryEntry.cpp
+  SOURCES SingleQueueAdmission.cpp correctness/AdmissionEndsEveryEntry.cpp
+          correctness/AdmissionWithoutOrganisations.cpp
+          correctness/WaitingIsFair.cpp
           correctness/AllocationIsBalancedAndStable.cpp
           correctness/ExtraWorkIsBounded.cpp
           correctness/SlotQueueServesTheUrgent.cpp
@@ -7,6 +9,8 @@
 shallot_test(limits_failure PACKAGES limits LABELS failure
   SOURCES failure/ReturnsAreSpread.cpp failure/GrantedSharesChangeHands.cpp
           failure/SlotsChangeHands.cpp)
+shallot_test(limits_performance PACKAGES limits LABELS performance
+  SOURCES SingleQueueAdmission.cpp performance/SharesUnderOverload.cpp)
 shallot_test(quota_failure PACKAGES limits store peer LABELS failure
   SOURCES QuotaFleet.cpp failure/QuotasHoldInEveryWindow.cpp)
 
