limits, front: a refused caller is told a time at which a place is kept

What callers saw: a caller that came back exactly when it was told was refused again behind newcomers, six times in ten at 1.5 of the room and eight in ten when the overload grew.

Cause: Retry-After was the wait expected for a newcomer. All callers of a moment were told nearly the same time, nothing was kept for them, and more were told so than can start.

Each gets another moment, at its organisation's share of that rate, within a third of the time that it has left. With a plain count for each organisation the next newcomer would take the place of the caller that was told. Callers that cannot be promised a place are told a later time, spread by their fingerprint.

Only requests of an organisation are promised places; without organisations the decisions are those of before (AdmissionWithoutOrganisations).

--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -109,6 +109,9 @@
   const Route &R = *Request.Matched;
   FairClaim Claim =
       Request.claim(ServiceTimes.of(R.Name, R.Objective).median());
+  // Another try has another id, but the same fingerprint.
+  if (!Claim.Organisation.empty())
+    Claim.Key = hash64(J->Name.Fingerprint.str());
   J->Ticket = ++LastTicket;
   AdmissionDecision V = Admission.offer(R, Request.priority(), J->Ticket,
                                         Request.Arrived + Request.CallerWaits,
--- a/packages/limits/Admission.cpp
+++ b/packages/limits/Admission.cpp
@@ -16,6 +16,10 @@
 /// leaves slots idle (figures in docs/design/limits.md).
 constexpr int QueuedDeadlineDivisor = 10;
 
+/// A place is kept for a caller within this part of the time that it has left.
+/// One that comes back later has no time for another try.
+constexpr int ReturnDeadlineDivisor = 3;
+
 Duration intervalOf(double Rate) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1.0 / Rate));
@@ -62,8 +66,8 @@
   Instant LatestStart = R.Deadline - Q.Latency.value();
   Instant QueueEnd = Now + Q.Policy.QueueWait;
   if (LatestStart < QueueEnd)
-    return {R.Id, LatestStart, true, R.Claim.Cost};
-  return {R.Id, QueueEnd, false, R.Claim.Cost};
+    return {R.Id, LatestStart, true, R.Claim.Cost, R.Claim.Key, R.Deadline};
+  return {R.Id, QueueEnd, false, R.Claim.Cost, R.Claim.Key, R.Deadline};
 }
 
 AdmissionDecision Admission::offer(const AdmissionRequest &R, Instant Now) {
@@ -72,9 +76,12 @@
     return AdmissionDecision::refuse(ResultCode::UnknownClass, MinRetryAfter);
   LastNow = Now;
   ClassQueue &Q = It->second;
-  std::size_t Ahead = Q.Waiting.ahead(R.Claim);
-  Duration ExpectedWait =
-      std::max(expectedWait(Q, Ahead), Q.Waiting.ownWait(R.Claim, Now));
+  bool Promised = Q.Promises.size() > 0 && Q.Promises.redeem(R.Claim.Key, Now);
+  std::size_t Ahead =
+      Promised ? Q.Waiting.promised() : Q.Waiting.ahead(R.Claim);
+  Duration ExpectedWait = expectedWait(Q, Ahead);
+  if (!Promised)
+    ExpectedWait = std::max(ExpectedWait, Q.Waiting.ownWait(R.Claim, Now));
   if (R.Deadline <= Now)
     return AdmissionDecision::refuse(ResultCode::WouldMissDeadline,
                                      clampRetryAfter(ExpectedWait));
@@ -87,19 +94,53 @@
   }
   bool Full = Q.Waiting.size() >= Q.Policy.QueueLimit;
   if (Full && Ahead == Q.Waiting.size())
-    return AdmissionDecision::refuse(ResultCode::QueueFull,
-                                     clampRetryAfter(ExpectedWait));
+    return refusal(Q, ResultCode::QueueFull, R.Claim, R.Deadline, ExpectedWait);
   Waiter W = waiterFor(R, Q, Now);
+  W.Promised = Promised;
   if (toMillisF(ExpectedWait) > MaxWaitFraction * toMillisF(W.Expires - Now))
-    return AdmissionDecision::refuse(
-        W.ByDeadline ? ResultCode::WouldMissDeadline : ResultCode::Overloaded,
-        clampRetryAfter(ExpectedWait));
+    return refusal(Q,
+                   W.ByDeadline ? ResultCode::WouldMissDeadline
+                                : ResultCode::Overloaded,
+                   R.Claim, R.Deadline, ExpectedWait);
   if (Full)
     evictLast(Q);
   enqueue(Q, R, W);
   return AdmissionDecision::wait();
 }
 
+double Admission::startsPerSecond(const ClassQueue &Q) const {
+  if (double Rate = Q.Rate.perSecond(LastNow); Rate > 0)
+    return Rate;
+  Duration Interval = startInterval();
+  return Interval > Duration{0} ? 1000 / toMillisF(Interval) : 0;
+}
+
+/// A refusal with a time at which a place is kept, if there is one that the
+/// caller can use.
+AdmissionDecision Admission::refusal(ClassQueue &Q, ResultCode Code,
+                                     const FairClaim &C, Instant Deadline,
+                                     Duration ExpectedWait) {
+  Duration Told = clampRetryAfter(ExpectedWait);
+  if (C.Organisation.empty())
+    return AdmissionDecision::refuse(Code, Told);
+  Duration Longest = (Deadline - LastNow) / ReturnDeadlineDivisor;
+  double Starts = startsPerSecond(Q);
+  internal::PromiseRate Rate{Q.Waiting.shareOf(C, Starts, LastNow), Starts};
+  Instant Earliest = LastNow + Told;
+  if (C.Key == 0)
+    return AdmissionDecision::refuse(Code, Told);
+  if (auto At = Q.Promises.promise(C.Organisation, C.Key, Rate, Earliest,
+                                   LastNow + Longest))
+    return AdmissionDecision::refuse(Code, *At - LastNow);
+  // All places up to Longest are promised. Such callers are spread over as long
+  // a time after it.
+  constexpr std::uint64_t Steps = 1024;
+  Duration Later =
+      Longest * static_cast<std::int64_t>(C.Key % Steps) / std::int64_t(Steps);
+  return AdmissionDecision::refuse(
+      Code, clampRetryAfter(std::max(Told, Longest + Later)));
+}
+
 void Admission::enqueue(ClassQueue &Q, const AdmissionRequest &R,
                         const Waiter &W) {
   Q.Rate.setWaiting(true, LastNow);
@@ -111,10 +152,11 @@
 /// Makes room for a request of an organisation that is less above its share.
 void Admission::evictLast(ClassQueue &Q) {
   Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
-  Waiter W = removeWaiter(Q, Q.Waiting.last());
-  Evicted.push_back(
-      {W.Id, AdmissionDecision::refuse(ResultCode::QueueFull,
-                                       clampRetryAfter(ExpectedWait))});
+  Place Last = Q.Waiting.last();
+  FairClaim Claim = Last.claim();
+  Waiter W = removeWaiter(Q, Last);
+  Evicted.push_back({W.Id, refusal(Q, ResultCode::QueueFull, Claim, W.Deadline,
+                                   ExpectedWait)});
 }
 
 Duration Admission::startInterval() const {
@@ -210,11 +252,11 @@
 
 void Admission::refuse(ClassQueue &Q, Place Who, AdmissionEvents &Out) {
   Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
+  FairClaim Claim = Who.claim();
   Waiter W = removeWaiter(Q, Who);
   ResultCode Code =
       W.ByDeadline ? ResultCode::WouldMissDeadline : ResultCode::Overloaded;
-  Out.push_back(
-      {W.Id, AdmissionDecision::refuse(Code, clampRetryAfter(ExpectedWait))});
+  Out.push_back({W.Id, refusal(Q, Code, Claim, W.Deadline, ExpectedWait)});
 }
 
 void Admission::refuseExpired(ClassQueue &Q, Instant Now,
--- a/packages/limits/Admission.h
+++ b/packages/limits/Admission.h
@@ -17,7 +17,8 @@
 // request of the organisation that is furthest above its share, even if a
 // request of another organisation arrives after it. What a caller wastes by
 // leaving the queue, and sends beyond the first of each part, are charged to
-// its organisation.
+// its organisation. Their refused callers are told times at which a place is
+// kept for them (PromisedPlaces.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_ADMISSION_H
@@ -26,6 +27,7 @@
 #include "limits/AdmissionDecision.h"
 #include "limits/ConcurrencyLimit.h"
 #include "limits/FairQueue.h"
+#include "limits/PromisedPlaces.h"
 #include "limits/StartRate.h"
 #include "shallotshift/model.h"
 
@@ -112,6 +114,7 @@
     /// on, the class goes before those of better priority; a start costs 1.
     double Credit = 0;
     internal::FairQueue Waiting;
+    internal::PromisedPlaces Promises;
     std::set<Expiry> ByExpiry;
     internal::StartRate Rate;
     /// From start to end, kept per class: SlotQueue serves better priorities
@@ -135,6 +138,9 @@
   Duration expectedWait(const ClassQueue &Q, std::size_t AheadInClass) const;
   Duration startInterval() const;
   bool mayStart() const { return InFlight.size() < Limit.limit(); }
+  double startsPerSecond(const ClassQueue &Q) const;
+  AdmissionDecision refusal(ClassQueue &Q, ResultCode Code, const FairClaim &C,
+                            Instant Deadline, Duration ExpectedWait);
   void enqueue(ClassQueue &Q, const AdmissionRequest &R, const Waiter &W);
   /// Removes a request that is refused or was cancelled.
   Waiter removeWaiter(ClassQueue &Q, Place Who);
--- a/packages/limits/FairQueue.cpp
+++ b/packages/limits/FairQueue.cpp
@@ -2,6 +2,7 @@
 #include "limits/FairQueue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace shallot::internal {
 
@@ -17,8 +18,16 @@
 
 } // namespace
 
+/// The newest request that was not promised a place, or the newest of all.
+std::uint64_t FairQueue::newest(const Account &A) {
+  for (auto It = A.Waiting.rbegin(); It != A.Waiting.rend(); ++It)
+    if (!It->second.Promised)
+      return It->first;
+  return A.Waiting.rbegin()->first;
+}
+
 double FairQueue::tagOfNewest(const Account &A) {
-  double Newest = A.Waiting.rbegin()->second.Cost;
+  double Newest = A.Waiting.at(newest(A)).Cost;
   return A.Served + (A.WaitingCost - Newest) / A.Weight;
 }
 
@@ -79,12 +88,17 @@
   if (onlyOwnWaits(Own))
     return Waiting;
   double Tag = startTag(Own);
-  std::size_t Count = Own ? Own->Waiting.size() : 0;
+  std::size_t Count = PromisedOrder.size();
+  if (Own)
+    for (const auto &[Arrival, W] : Own->Waiting)
+      Count += W.Promised ? 0 : 1;
   for (const Account *A : Backlogged) {
     if (A == Own)
       continue;
     double Other = A->Served;
     for (const auto &[Arrival, W] : A->Waiting) {
+      if (W.Promised)
+        continue;
       if (Other > Tag)
         break;
       ++Count;
@@ -109,6 +123,8 @@
   }
   A.Waiting[Arrival] = W;
   A.WaitingCost += W.Cost;
+  if (W.Promised)
+    PromisedOrder[Arrival] = &A;
   ++Waiting;
   EverWaited = true;
   LastWaiting = Now;
@@ -120,6 +136,8 @@
   auto It = A.Waiting.find(At.Arrival);
   Waiter W = It->second;
   A.Waiting.erase(It);
+  if (W.Promised)
+    PromisedOrder.erase(At.Arrival);
   A.WaitingCost = A.Waiting.empty() ? 0 : A.WaitingCost - W.Cost;
   if (A.Waiting.empty()) {
     std::erase(Backlogged, &A);
@@ -133,7 +151,8 @@
 FairQueue::Waiter FairQueue::startNext(Instant Now) {
   Place At = next();
   Account &A = *At.In;
-  Level = std::max(Level, A.Served);
+  if (!At.waiter().Promised)
+    Level = std::max(Level, A.Served);
   A.Rate.started();
   A.Rate.update(Now);
   Waiter W = remove(At, Now);
@@ -157,6 +176,8 @@
 }
 
 FairQueue::Place FairQueue::next() const {
+  if (!PromisedOrder.empty())
+    return {PromisedOrder.begin()->second, PromisedOrder.begin()->first};
   Account *Best = nullptr;
   for (Account *A : Backlogged)
     if (!Best || A->Served < Best->Served ||
@@ -168,17 +189,27 @@
 
 FairQueue::Place FairQueue::last() const {
   Account *Worst = nullptr;
-  double Highest = 0;
-  for (Account *A : Backlogged) {
-    double Tag = tagOfNewest(*A);
-    bool Later = Worst && Tag == Highest &&
-                 A->Waiting.rbegin()->first > Worst->Waiting.rbegin()->first;
-    if (Worst && Tag <= Highest && !Later)
-      continue;
-    Worst = A;
-    Highest = Tag;
-  }
-  return {Worst, Worst->Waiting.rbegin()->first};
+  auto order = [](const Account &A) {
+    std::uint64_t Arrival = newest(A);
+    // Those with a promise are the last to be refused.
+    return std::tuple(!A.Waiting.at(Arrival).Promised, tagOfNewest(A), Arrival);
+  };
+  for (Account *A : Backlogged)
+    if (!Worst || order(*A) > order(*Worst))
+      Worst = A;
+  return {Worst, newest(*Worst)};
+}
+
+double FairQueue::shareOf(const FairClaim &C, double PerSecond,
+                          Instant Now) const {
+  const Account *Own = find(C.Organisation);
+  double Weights = C.Weight;
+  for (const Account *A : Backlogged)
+    if (A != Own)
+      Weights += A->Weight;
+  double Share = PerSecond * C.Weight / Weights;
+  double Measured = Own ? Own->Rate.perSecond(Now) : 0;
+  return Measured > 0 ? std::min(Share, Measured) : Share;
 }
 
 } // namespace shallot::internal
--- a/packages/limits/FairQueue.h
+++ b/packages/limits/FairQueue.h
@@ -11,6 +11,9 @@
 // while requests wait or have waited within ContentionMemory, so that the use
 // of idle room is never held against anybody.
 //
+// Requests that came back when they were told (PromisedPlaces.h) start before
+// all others. They are charged as well.
+//
 // With a single organisation, or with none, this is a queue in order of
 // arrival.
 //
@@ -33,6 +36,8 @@
   Tenant Organisation;
   double Weight = 1; ///< Above 0.
   double Cost = 1;   ///< Above 0, in any unit that all requests share.
+  /// Equal for all tries of a caller's request; 0: unknown.
+  std::uint64_t Key = 0;
 
   friend bool operator==(const FairClaim &, const FairClaim &) = default;
 };
@@ -50,6 +55,9 @@
     Instant Expires;         ///< Latest time to start.
     bool ByDeadline = false; ///< Expires by its deadline, not by QueueWait.
     double Cost = 1;
+    std::uint64_t Key = 0;
+    Instant Deadline;
+    bool Promised = false; ///< Came back when it was told.
   };
   struct Account {
     Tenant Organisation;
@@ -66,7 +74,7 @@
 
     const Waiter &waiter() const { return In->Waiting.at(Arrival); }
     FairClaim claim() const {
-      return {In->Organisation, In->Weight, waiter().Cost};
+      return {In->Organisation, In->Weight, waiter().Cost, waiter().Key};
     }
   };
 
@@ -75,6 +83,10 @@
   /// Organisations that have a waiting request.
   std::size_t organisations() const { return Backlogged.size(); }
 
+  /// How many of the waiting requests came back when they were told.
+  std::size_t promised() const { return PromisedOrder.size(); }
+  /// The organisation's part of \p PerSecond starts of this queue.
+  double shareOf(const FairClaim &C, double PerSecond, Instant Now) const;
   /// How many waiting requests start before one that is offered now.
   std::size_t ahead(const FairClaim &C) const;
   /// How long a request that is offered now would wait behind those of its own
@@ -103,6 +115,7 @@
 
 private:
   bool onlyOwnWaits(const Account *Own) const;
+  static std::uint64_t newest(const Account &A);
   static double tagOfNewest(const Account &A);
   double startTag(const Account *A) const;
   bool contended(Instant Now) const;
@@ -112,6 +125,7 @@
 
   std::unordered_map<Tenant, Account> Accounts;
   std::vector<Account *> Backlogged;
+  std::map<std::uint64_t, Account *> PromisedOrder; ///< By arrival.
   std::size_t Waiting = 0;
   std::size_t SweepAt = 0;
   double Level = 0;
--- a/tests/performance/FairnessModel.h
+++ b/tests/performance/FairnessModel.h
@@ -59,6 +59,8 @@
   unsigned RefusedLate = 0; ///< Tries that waited before.
   unsigned Returned = 0;    ///< Tries at the time that the caller was told.
   unsigned RefusedAgain = 0;
+  unsigned AnyReturned = 0; ///< Tries after the first.
+  unsigned AnyRefusedAgain = 0;
 };
 
 struct FairnessFigures {
@@ -115,6 +117,7 @@
     Instant FirstTry;
     unsigned Try = 1;
     bool Told = false; ///< Came back at the time that it was told.
+    std::uint64_t Key = 0;
     unsigned Left = 0; ///< Parts without an answer.
     Duration Queued{0};
     bool Gone = false;
@@ -158,12 +161,13 @@
         Idle ? Millis(10) : fromMillisF(exponential() * 1000 / PerSecond);
     at(Now + Gap, [this, I, Idle] {
       if (!Idle)
-        ask(I, Now, 1, false);
+        ask(I, Now, 1, false, ++LastKey);
       arrive(I);
     });
   }
 
-  void ask(std::size_t I, Instant FirstTry, unsigned Try, bool Told) {
+  void ask(std::size_t I, Instant FirstTry, unsigned Try, bool Told,
+           std::uint64_t Key) {
     const ModelOrganisation &C = Load.Callers[I];
     OrganisationFigures &F = Out.ByCaller[I];
     if (Try == 1) {
@@ -171,10 +175,11 @@
       ++F.Requests;
     }
     F.Returned += Told;
+    F.AnyReturned += Try > 1;
     TicketId Id = Last++;
     Request &R = Requests[Id];
-    R = {I, Now, {}, FirstTry, Try, Told, C.Parts, {}, false};
-    FairClaim Claim{Tenant(C.Name), C.Weight, double(C.Parts)};
+    R = {I, Now, {}, FirstTry, Try, Told, Key, C.Parts, {}, false};
+    FairClaim Claim{Tenant(C.Name), C.Weight, double(C.Parts), Key};
     AdmissionDecision D = Admit.offer(
         {Id, CallerClass("all"), FirstTry + Load.Deadline, Claim}, Now);
     if (D.What == AdmissionAction::Refuse)
@@ -205,6 +210,7 @@
     ++F.Refused;
     F.RefusedLate += Now > R.Arrived;
     F.RefusedAgain += R.Told;
+    F.AnyRefusedAgain += R.Try > 1;
     AfterRefusal Then = Load.Callers[R.Caller].Then;
     Duration Wait = Then == AfterRefusal::RepeatNow ? Millis(5) : D.RetryAfter;
     unsigned MaxTries = Then == AfterRefusal::GiveUp     ? 1
@@ -214,9 +220,9 @@
       return;
     // A caller with a deadline comes back sooner than it was told, if it must.
     Duration LeftTime = R.FirstTry + Load.Deadline - Now;
-    bool Told = Then == AfterRefusal::KeepTime && Wait <= LeftTime / 2;
-    at(Now + std::min(Wait, LeftTime / 2),
-       [this, R, Told] { ask(R.Caller, R.FirstTry, R.Try + 1, Told); });
+    bool Told = Then == AfterRefusal::KeepTime && Wait <= LeftTime / 3;
+    at(Now + std::min(Wait, LeftTime / 3),
+       [this, R, Told] { ask(R.Caller, R.FirstTry, R.Try + 1, Told, R.Key); });
   }
 
   void poll() {
@@ -285,6 +291,7 @@
   std::priority_queue<Event> Events;
   std::uint64_t Order = 0;
   TicketId Last = 1;
+  std::uint64_t LastKey = 0;
   std::unordered_map<TicketId, Request> Requests;
   std::deque<Part> Queue;
   unsigned Working = 0;
--- a/tests/performance/SharesUnderOverload.cpp
+++ b/tests/performance/SharesUnderOverload.cpp
@@ -54,6 +54,8 @@
   double LeastAll = 0;     ///< The least-served of all, of its max-min share.
   double LateRefusals = 0; ///< Of all refusals.
   double RefusedAgain = 0; ///< Of the tries at the time that callers were told.
+  double Told = 0;         ///< Tries at that time, of all after the first.
+  double AnyAgain = 0;     ///< Refused, of all tries after the first.
   double Good = 0;         ///< Answered in time, of the room.
 };
 
@@ -73,6 +75,8 @@
   double Late = 0;
   double Told = 0;
   double Again = 0;
+  double Any = 0;
+  double AnyAgain = 0;
   R.LeastAll = 1e9;
   unsigned Active = 0;
   for (std::size_t I = 0; I < Shares.size(); ++I) {
@@ -81,6 +85,8 @@
     Late += O.RefusedLate;
     Told += O.Returned;
     Again += O.RefusedAgain;
+    Any += O.AnyReturned;
+    AnyAgain += O.AnyRefusedAgain;
     // It fell silent; what it got was asked for before.
     if (O.Asked < SilentDemand * L.room() * Lasted)
       continue;
@@ -100,6 +106,8 @@
     R.Least = 1;
   R.Busy = F.Busy;
   R.LateRefusals = Refused > 0 ? Late / Refused : 0;
+  R.Told = Any > 0 ? Told / Any : 0;
+  R.AnyAgain = Any > 0 ? AnyAgain / Any : 0;
   R.RefusedAgain = Told > 0 ? Again / Told : 0;
   R.Good = Got / (L.room() * Lasted);
   return R;
@@ -127,20 +135,23 @@
     Mean.LeastAll = std::min(Mean.LeastAll, One.LeastAll);
     Mean.LateRefusals += One.LateRefusals / Seeds;
     Mean.RefusedAgain += One.RefusedAgain / Seeds;
+    Mean.Told += One.Told / Seeds;
+    Mean.AnyAgain += One.AnyAgain / Seeds;
     Mean.Good += One.Good / Seeds;
     for (std::size_t I = 0; I < Got.size(); ++I)
       Got[I] += F.ByCaller[I].InTime / F.ByCaller[I].Asked / Seeds;
   }
-  std::printf("%-28s %-6s jain %.3f least %.3f least-of-all %.3f busy %.3f "
-              "good %.3f late-refusals %.3f refused-again %.3f first %.3f "
-              "second %.3f\n",
+  std::printf("%-26s %-6s jain %.3f least %.3f least-of-all %.3f busy %.3f "
+              "good %.3f late-refusals %.3f told %.3f refused-again %.3f "
+              "any-again %.3f first %.3f second %.3f\n",
               Name, Which, Mean.Jain, Mean.Least, Mean.LeastAll, Mean.Busy,
-              Mean.Good, Mean.LateRefusals, Mean.RefusedAgain, Got[0], Got[1]);
+              Mean.Good, Mean.LateRefusals, Mean.Told, Mean.RefusedAgain,
+              Mean.AnyAgain, Got[0], Got[1]);
   return Mean;
 }
 
 template <typename Prepare>
-void compare(const char *Name, const FairnessLoad &L, Prepare Then) {
+Fairness compare(const char *Name, const FairnessLoad &L, Prepare Then) {
   Fairness Before =
       replay<fixture::SingleQueueAdmission>(Name, "before", L, Then);
   Fairness After = replay<Admission>(Name, "after", L, Then);
@@ -148,6 +159,7 @@
   CHECK(After.Least >= 0.8);
   CHECK(After.Busy >= 0.95);
   CHECK(After.Good >= 0.98 * Before.Good);
+  return After;
 }
 
 std::vector<ModelOrganisation> organisations(unsigned Count, double Each) {
@@ -216,6 +228,31 @@
   compare("callers leave early", L, Nothing);
 }
 
+// Load: all callers of twenty organisations come back when they are told, at
+// 1.5 times what can be served.
+TEST_CASE("a caller that comes back when it was told is served") {
+  FairnessLoad L;
+  L.Callers = organisations(20, 0.075);
+  for (ModelOrganisation &O : L.Callers)
+    O.Then = AfterRefusal::KeepTime;
+  Fairness F = compare("all keep their time", L, Nothing);
+  CHECK(F.RefusedAgain < 0.05);
+}
+
+// Load: the demand grows from 1.2 to 3 times what can be served, and all
+// callers come back when they are told.
+TEST_CASE("promises hold while the overload grows") {
+  FairnessLoad L;
+  L.Callers = organisations(20, 0.06);
+  for (ModelOrganisation &O : L.Callers)
+    O.Then = AfterRefusal::KeepTime;
+  Fairness F = compare("overload grows to 3x", L, [](auto &M) {
+    for (std::size_t I = 0; I < 20; ++I)
+      M.setDemand(I, 0.15);
+  });
+  CHECK(F.RefusedAgain < 0.05);
+}
+
 // Load: a daemon with few slots, where queues hold one or two requests.
 TEST_CASE("a small daemon is fair as well") {
   FairnessLoad L;
