forward, front: who uses the capacity and who is refused, by organisation

An operator saw refusals by route and code, but not whose requests used the capacity meanwhile. Every 10 s the ten organisations with the most requests and the sum of all others are counted (shallot_capacity_work_ms_total, shallot_capacity_refused_total) and, while anything is refused, logged (capacity_shared). shallot_capacity_waiting shows who waits.

OrganisationsShareCapacity guards the whole way from a configuration with organisations to the shares of a group of routes.

--- a/packages/forward/RouteAdmission.cpp
+++ b/packages/forward/RouteAdmission.cpp
@@ -131,6 +131,7 @@
   for (std::size_t I = 0; I < C.routes().size(); ++I)
     Members[Of.of(I)].push_back(&C.routes()[I]);
   std::set<unsigned> OfCallers = prioritiesOf(C.callers());
+  HasOrganisations = !C.callers().empty();
   auto Before = std::exchange(ByRoute, {});
   auto GroupsBefore = std::exchange(Groups, {});
   for (const auto &[Number, Routes] : Members) {
@@ -169,15 +170,33 @@
   AdmissionDecision Decision =
       G->offer({Id, classOf(Priority, R), Deadline, Claim}, Now);
   if (Decision.What != AdmissionAction::Refuse)
-    Tickets.emplace(Id, G);
+    Tickets.emplace(Id, Ticket{G, Claim.Organisation, Claim.Cost});
+  count(Decision.What, Claim.Organisation, Claim.Cost);
   return Decision;
 }
 
+void RouteAdmission::count(AdmissionAction What, const Tenant &Organisation,
+                           double Cost) {
+  if (!HasOrganisations)
+    return;
+  if (What == AdmissionAction::Start)
+    Tally.started(Organisation, Cost);
+  else if (What == AdmissionAction::Refuse)
+    Tally.refused(Organisation);
+}
+
+std::map<Tenant, std::size_t> RouteAdmission::waiting() const {
+  std::map<Tenant, std::size_t> Counts;
+  for (const GroupPtr &G : Groups)
+    G->addWaiting(Counts);
+  return Counts;
+}
+
 void RouteAdmission::done(TicketId Id, const LoadSample &S, Instant Now) {
   auto At = Tickets.find(Id);
   if (At == Tickets.end())
     return;
-  At->second->done(Id, S, Now);
+  At->second.Group->done(Id, S, Now);
   Tickets.erase(At);
 }
 
@@ -185,7 +204,7 @@
   auto At = Tickets.find(Id);
   if (At == Tickets.end())
     return;
-  At->second->cancel(Id);
+  At->second.Group->cancel(Id);
   Tickets.erase(At);
 }
 
@@ -196,6 +215,8 @@
     All.insert(All.end(), Some.begin(), Some.end());
   }
   for (AdmissionEvent &E : All) {
+    if (auto At = Tickets.find(E.Id); At != Tickets.end())
+      count(E.Final.What, At->second.Organisation, At->second.Cost);
     if (E.Final.What != AdmissionAction::Refuse)
       continue;
     Tickets.erase(E.Id);
--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -53,11 +53,23 @@
 
   /// The state of the group of \p R.
   AdmissionReport report(const Route &R) const;
+  /// Work started and requests refused since the last call, by organisation.
+  /// Empty if the configuration has no organisations.
+  OrganisationTally &tally() { return Tally; }
+  /// Numbers of waiting requests by organisation, over all groups.
+  std::map<Tenant, std::size_t> waiting() const;
 
 private:
   using GroupPtr = std::shared_ptr<Admission>;
   using GroupMap = std::unordered_map<std::string, GroupPtr>;
 
+  struct Ticket {
+    GroupPtr Group;
+    Tenant Organisation;
+    double Cost = 0;
+  };
+
+  void count(AdmissionAction What, const Tenant &Organisation, double Cost);
   GroupPtr existingGroup(const GroupMap &Before,
                          const std::vector<const Route *> &Routes) const;
 
@@ -66,7 +78,9 @@
   std::vector<GroupPtr> Groups;
   /// The group of each admitted or waiting request; it may have been removed
   /// from Groups.
-  std::unordered_map<TicketId, GroupPtr> Tickets;
+  std::unordered_map<TicketId, Ticket> Tickets;
+  bool HasOrganisations = false;
+  OrganisationTally Tally;
 };
 
 } // namespace shallot
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -297,6 +297,7 @@
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
   Meter.gauge("shallot_load_millicores", {}, double(Fleet->self().Load));
   Requests.quarantine().writeGauges(Meter);
+  Requests.writeGauges();
   const DatagramStats &G = Fleet->traffic();
   Meter.gauge("shallot_membership_sent_bytes", {}, double(G.SentBytes));
   Meter.gauge("shallot_membership_received_bytes", {}, double(G.ReceivedBytes));
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -7,6 +7,10 @@
 #include "front/AnswerWriting.h"
 #include "front/RequestHandlerImpl.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+#include <functional>
+
 namespace shallot {
 
 namespace {
@@ -21,6 +25,11 @@
 /// starts after this time has too little left.
 constexpr int MaxQuotaWaitDivisor = 2;
 
+/// How often the organisations with the most work are logged and counted, and
+/// how many. The others are summed up.
+constexpr Duration OrganisationsPeriod = Seconds(10);
+constexpr std::size_t OrganisationsShown = 10;
+
 LocalAnswer quotaAnswer(const AdmissionDecision &V, const Tenant &Caller) {
   std::string Why =
       V.Code == ResultCode::QuotaExceeded
@@ -193,4 +202,50 @@
     });
 }
 
+/// Says who uses the capacity and who is refused, while requests are refused
+/// for lack of it.
+void RequestHandler::Impl::reportOrganisations() {
+  Instant Now = Timers.now();
+  if (Now - OrganisationsReported < OrganisationsPeriod)
+    return;
+  OrganisationsReported = Now;
+  bool Log = Admission.tally().anyRefused();
+  auto Counts = Admission.tally().take(OrganisationsShown);
+  double Work = 0;
+  for (const OrganisationCount &C : Counts)
+    Work += C.Cost;
+  for (const OrganisationCount &C : Counts) {
+    if (C.Started + C.Refused == 0)
+      continue;
+    std::string Name =
+        C.Organisation.empty() ? "all others" : C.Organisation.str();
+    Meter.count("shallot_capacity_work_ms_total", {{"tenant", Name}}, C.Cost);
+    Meter.count("shallot_capacity_refused_total", {{"tenant", Name}},
+                C.Refused);
+    if (Log)
+      logEvent(LogLevel::Info, "capacity_shared",
+               {{"tenant", Name},
+                {"work", fmt::format("{:.3f}", Work > 0 ? C.Cost / Work : 0)},
+                {"started", std::to_string(C.Started)},
+                {"refused", std::to_string(C.Refused)}});
+  }
+}
+
+void RequestHandler::Impl::writeGauges() {
+  std::map<Tenant, std::size_t> Counts = Admission.waiting();
+  std::vector<std::pair<std::size_t, Tenant>> Most;
+  for (const auto &[Name, Count] : Counts)
+    if (!Name.empty())
+      Most.emplace_back(Count, Name);
+  std::ranges::sort(Most, std::greater<>());
+  Most.resize(std::min(Most.size(), OrganisationsShown));
+  for (const Tenant &Shown : std::exchange(WaitingShown, {}))
+    Meter.gauge("shallot_capacity_waiting", {{"tenant", Shown.str()}}, 0);
+  for (const auto &[Count, Name] : Most) {
+    Meter.gauge("shallot_capacity_waiting", {{"tenant", Name.str()}},
+                double(Count));
+    WaitingShown.insert(Name);
+  }
+}
+
 } // namespace shallot
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -280,8 +280,11 @@
   I->probeUnavailableReplicas();
   I->Shared.Replicas.expire(I->Timers.now());
   I->Pool.trimIdle(I->Timers.now() - IdleFor);
+  I->reportOrganisations();
 }
 
+void RequestHandler::writeGauges() { I->writeGauges(); }
+
 void RequestHandler::closeIdleConnections() { I->Pool.closeIdle(); }
 
 std::size_t RequestHandler::inFlight() const { return I->Unanswered; }
--- a/packages/front/RequestHandler.h
+++ b/packages/front/RequestHandler.h
@@ -41,6 +41,8 @@
   /// Probes unavailable replicas, expires stale entries and closes surplus idle
   /// connections; call a few times per second.
   void tick();
+  /// Sets the gauges of waiting requests by organisation.
+  void writeGauges();
   /// Closes all idle connections, which may be dead after the machine was
   /// suspended.
   void closeIdleConnections();
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -10,6 +10,7 @@
 
 #include "front/RequestHandler.h"
 
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -63,6 +64,8 @@
   void reject(const JobPtr &J, LocalAnswer A);
   void releaseTicket(const JobPtr &J);
   void pollAdmission();
+  void reportOrganisations();
+  void writeGauges();
   void apply(const JobPtr &J, RunOutput Out);
   void send(const JobPtr &J, const StartSend &S);
   void sendEnded(const JobPtr &J, unsigned Send, const ReplicaEntry &To,
@@ -90,6 +93,8 @@
   TicketId LastTicket = 0;
   std::unordered_map<TicketId, JobPtr> Waiting; ///< For admission.
   TimerQueue::Key AdmissionTimer = 0;
+  Instant OrganisationsReported; ///< Last time.
+  std::set<Tenant> WaitingShown; ///< Organisations that have a gauge.
   std::unordered_set<JobPtr> Jobs;
   std::size_t Unanswered = 0;
   std::uint64_t Handled = 0;
--- a/packages/limits/Admission.h
+++ b/packages/limits/Admission.h
@@ -94,6 +94,11 @@
   std::optional<Instant> nextExpiry() const;
 
   AdmissionReport report() const;
+  /// Adds the numbers of waiting requests by organisation.
+  void addWaiting(std::map<Tenant, std::size_t> &Counts) const {
+    for (const auto &[Class, Q] : Classes)
+      Q.Waiting.addWaiting(Counts);
+  }
 
 private:
   using Waiter = internal::FairQueue::Waiter;
--- a/packages/limits/FairQueue.h
+++ b/packages/limits/FairQueue.h
@@ -82,6 +82,10 @@
   bool empty() const { return Waiting == 0; }
   /// Organisations that have a waiting request.
   std::size_t organisations() const { return Backlogged.size(); }
+  void addWaiting(std::map<Tenant, std::size_t> &Counts) const {
+    for (const Account *A : Backlogged)
+      Counts[A->Organisation] += A->Waiting.size();
+  }
 
   /// How many of the waiting requests came back when they were told.
   std::size_t promised() const { return PromisedOrder.size(); }
--- a/packages/limits/include/shallotshift/limits.h
+++ b/packages/limits/include/shallotshift/limits.h
@@ -14,6 +14,9 @@
 // retries (Budget.h), and slow start of an upstream that shed load or is cold
 // (SlowStart.h).
 //
+// Fair shares of organisations in capacity that is too small for all
+// (FairQueue.h), and who uses it (OrganisationTally.h).
+//
 // The package does no I/O and reads no clock: callers pass the time in.
 //
 //===----------------------------------------------------------------------===//
@@ -27,6 +30,7 @@
 #include "limits/FairQueue.h"
 #include "limits/GrantedShare.h"
 #include "limits/HandoverGuard.h"
+#include "limits/OrganisationTally.h"
 #include "limits/OrganisationUse.h"
 #include "limits/Quota.h"
 #include "limits/QuotaAgent.h"
--- a/tests/forward.cmake
+++ b/tests/forward.cmake
@@ -6,7 +6,8 @@
 shallot_test(forward_failure PACKAGES forward LABELS failure
   SOURCES failure/ActionsAreForwardedOnce.cpp failure/ConnectionsFollowNeed.cpp
           failure/CrashingRequestsAreSentOnce.cpp
-          failure/DeadReplicasAreEjected.cpp failure/HedgesDecideAnswers.cpp failure/OverloadIsTurnedAway.cpp failure/PartsAreMissing.cpp
+          failure/DeadReplicasAreEjected.cpp failure/HedgesDecideAnswers.cpp failure/OrganisationsShareCapacity.cpp
+          failure/OverloadIsTurnedAway.cpp failure/PartsAreMissing.cpp
           failure/ReplicasStartAgain.cpp
           failure/RegionsBindEverySend.cpp
           failure/RetryBudgetHoldsInEveryWindow.cpp
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -1,7 +1,7 @@
 shallot_test(limits_correctness PACKAGES limits LABELS correctness
   SOURCES SingleQueueAdmission.cpp correctness/AdmissionEndsEveryEntry.cpp
           correctness/AdmissionWithoutOrganisations.cpp
-          correctness/PromisesAreKept.cpp correctness/WaitingIsFair.cpp
+          correctness/TallyIsBounded.cpp correctness/PromisesAreKept.cpp correctness/WaitingIsFair.cpp
           correctness/AllocationIsBalancedAndStable.cpp
           correctness/ExtraWorkIsBounded.cpp
           correctness/SlotQueueServesTheUrgent.cpp
