limits: newcomers wait for the callers that are expected back

Change: the expected wait of a newcomer includes the places that are promised until then, times the part of the promises that were taken lately.

--- a/packages/limits/Admission.cpp
+++ b/packages/limits/Admission.cpp
@@ -81,7 +81,7 @@
       Promised ? Q.Waiting.promised() : Q.Waiting.ahead(R.Claim);
   Duration ExpectedWait = expectedWait(Q, Ahead);
   if (!Promised)
-    ExpectedWait = std::max(ExpectedWait, Q.Waiting.ownWait(R.Claim, Now));
+    ExpectedWait = newcomerWait(Q, R.Claim, Ahead, ExpectedWait);
   if (R.Deadline <= Now)
     return AdmissionDecision::refuse(ResultCode::WouldMissDeadline,
                                      clampRetryAfter(ExpectedWait));
@@ -182,6 +182,16 @@
   return std::min(BehindBetter, AtMinShare);
 }
 
+/// A newcomer also waits for those that come back meanwhile, and for its own
+/// organisation's share.
+Duration Admission::newcomerWait(const ClassQueue &Q, const FairClaim &C,
+                                 std::size_t Ahead, Duration Wait) const {
+  if (Q.Promises.size() > 0)
+    Wait =
+        expectedWait(Q, Ahead + Q.Promises.expected(LastNow, LastNow + Wait));
+  return std::max(Wait, Q.Waiting.ownWait(C, LastNow));
+}
+
 void Admission::done(TicketId Id, const LoadSample &S, Instant Now) {
   LastNow = Now;
   std::size_t Before = InFlight.size();
--- a/packages/limits/Admission.h
+++ b/packages/limits/Admission.h
@@ -141,6 +141,8 @@
   Waiter waiterFor(const AdmissionRequest &R, const ClassQueue &Q,
                    Instant Now) const;
   Duration expectedWait(const ClassQueue &Q, std::size_t AheadInClass) const;
+  Duration newcomerWait(const ClassQueue &Q, const FairClaim &C,
+                        std::size_t Ahead, Duration Wait) const;
   Duration startInterval() const;
   bool mayStart() const { return InFlight.size() < Limit.limit(); }
   double startsPerSecond(const ClassQueue &Q) const;
--- a/packages/limits/PromisedPlaces.cpp
+++ b/packages/limits/PromisedPlaces.cpp
@@ -2,6 +2,7 @@
 #include "limits/PromisedPlaces.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallot::internal {
 
@@ -9,6 +10,7 @@
 
 /// Promises of all organisations are bounded for each slot of this length.
 constexpr Duration SlotLength = Millis(100);
+constexpr double KeptSmoothing = 0.05; ///< Weight of the newest promise.
 
 } // namespace
 
@@ -56,9 +58,21 @@
   ByTime.erase(std::find_if(
       From, To, [&](const auto &Row) { return Row.second == Key; }));
   ByKey.erase(Due);
+  ended(true);
   return true;
 }
 
+std::size_t PromisedPlaces::expected(Instant From, Instant To) const {
+  auto Promised =
+      std::distance(ByTime.lower_bound(From), ByTime.upper_bound(To));
+  return static_cast<std::size_t>(
+      std::lround(KeptPart * static_cast<double>(Promised)));
+}
+
+void PromisedPlaces::ended(bool Kept) {
+  KeptPart += KeptSmoothing * ((Kept ? 1 : 0) - KeptPart);
+}
+
 void PromisedPlaces::expire(Instant Now) {
   while (!ByTime.empty() && ByTime.begin()->first + MaxLateness < Now) {
     auto [At, Key] = *ByTime.begin();
@@ -66,6 +80,7 @@
     ByKey.erase(std::find_if(
         First, Last, [&](const auto &Row) { return Row.second == At; }));
     ByTime.erase(ByTime.begin());
+    ended(false);
   }
   if (!InSlot.empty() && InSlot.begin()->first < slotOf(Now)) {
     InSlot.erase(InSlot.begin(), InSlot.lower_bound(slotOf(Now)));
--- a/packages/limits/PromisedPlaces.h
+++ b/packages/limits/PromisedPlaces.h
@@ -45,6 +45,9 @@
   /// one.
   bool redeem(std::uint64_t Key, Instant Now);
 
+  /// How many callers are expected back from \p From to \p To: the places that
+  /// are promised for then, times the part of the callers that came lately.
+  std::size_t expected(Instant From, Instant To) const;
   std::size_t size() const { return ByKey.size(); }
 
 private:
@@ -52,12 +55,14 @@
 
   static Slot slotOf(Instant T);
   bool takeInSlot(Instant At, double PerSecond);
+  void ended(bool Kept);
   void expire(Instant Now);
 
   std::unordered_map<Tenant, Instant> NextFree;
   std::map<Slot, unsigned> InSlot; ///< Of all organisations.
   std::unordered_multimap<std::uint64_t, Instant> ByKey;
   std::multimap<Instant, std::uint64_t> ByTime;
+  double KeptPart = 0; ///< Of the promises of late.
 };
 
 } // namespace shallot::internal
