--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -10,7 +10,8 @@
   SOURCES failure/ReturnsAreSpread.cpp failure/GrantedSharesChangeHands.cpp
           failure/SlotsChangeHands.cpp)
 shallot_test(limits_performance PACKAGES limits LABELS performance
-  SOURCES SingleQueueAdmission.cpp performance/SharesUnderOverload.cpp)
+  SOURCES SingleQueueAdmission.cpp performance/SharesOverTheFleet.cpp
+          performance/SharesUnderOverload.cpp)
 shallot_test(quota_failure PACKAGES limits store peer LABELS failure
   SOURCES QuotaFleet.cpp failure/QuotasHoldInEveryWindow.cpp)
 
