--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -14,6 +14,9 @@
 // replica rejected. Both indicate overload only; latency does not, since it
 // also rises with a pause or a slow replica.
 //
+// Inside a group and a class of requests, organisations share the capacity by
+// their weights (limits/FairQueue.h).
+//
 // A configuration may move routes to other services. A group's estimate is kept
 // with its routes.
 //
@@ -37,7 +40,8 @@
   /// Retry-After time. \p R is a route of the installed configuration, and
   /// \p Priority its own or that of one of the organisations.
   AdmissionDecision offer(const Route &R, unsigned Priority, TicketId Id,
-                          Instant Deadline, Instant Now);
+                          Instant Deadline, Instant Now,
+                          const FairClaim &Claim = {});
   /// A started request was answered, or waits for stragglers only.
   void done(TicketId Id, const LoadSample &S, Instant Now);
   /// The caller closed its connection, or the request was dropped.
@@ -49,11 +53,23 @@
 
   /// The state of the group of \p R.
   AdmissionReport report(const Route &R) const;
+  /// Work started and requests refused since the last call, by organisation.
+  /// Empty if the configuration has no organisations.
+  OrganisationTally &tally() { return Tally; }
+  /// Numbers of waiting requests by organisation, over all groups.
+  std::map<Tenant, std::size_t> waiting() const;
 
 private:
   using GroupPtr = std::shared_ptr<Admission>;
   using GroupMap = std::unordered_map<std::string, GroupPtr>;
 
+  struct Ticket {
+    GroupPtr Group;
+    Tenant Organisation;
+    double Cost = 0;
+  };
+
+  void count(AdmissionAction What, const Tenant &Organisation, double Cost);
   GroupPtr existingGroup(const GroupMap &Before,
                          const std::vector<const Route *> &Routes) const;
 
@@ -62,7 +78,9 @@
   std::vector<GroupPtr> Groups;
   /// The group of each admitted or waiting request; it may have been removed
   /// from Groups.
-  std::unordered_map<TicketId, GroupPtr> Tickets;
+  std::unordered_map<TicketId, Ticket> Tickets;
+  bool HasOrganisations = false;
+  OrganisationTally Tally;
 };
 
 } // namespace shallot
--- a/packages/limits/Admission.cpp
+++ b/packages/limits/Admission.cpp
@@ -16,6 +16,10 @@
 /// leaves slots idle (figures in docs/design/limits.md).
 constexpr int QueuedDeadlineDivisor = 10;
 
+/// A place is kept for a caller within this part of the time that it has left.
+/// One that comes back later has no time for another try.
+constexpr int ReturnDeadlineDivisor = 3;
+
 Duration intervalOf(double Rate) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1.0 / Rate));
@@ -62,8 +66,8 @@
   Instant LatestStart = R.Deadline - Q.Latency.value();
   Instant QueueEnd = Now + Q.Policy.QueueWait;
   if (LatestStart < QueueEnd)
-    return {R.Id, LatestStart, true};
-  return {R.Id, QueueEnd, false};
+    return {R.Id, LatestStart, true, R.Claim.Cost, R.Claim.Key, R.Deadline};
+  return {R.Id, QueueEnd, false, R.Claim.Cost, R.Claim.Key, R.Deadline};
 }
 
 AdmissionDecision Admission::offer(const AdmissionRequest &R, Instant Now) {
@@ -72,32 +76,89 @@
     return AdmissionDecision::refuse(ResultCode::UnknownClass, MinRetryAfter);
   LastNow = Now;
   ClassQueue &Q = It->second;
-  Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
+  bool Promised = Q.Promises.size() > 0 && Q.Promises.redeem(R.Claim.Key, Now);
+  std::size_t Ahead =
+      Promised ? Q.Waiting.promised() : Q.Waiting.ahead(R.Claim);
+  Duration ExpectedWait = expectedWait(Q, Ahead);
+  if (!Promised)
+    ExpectedWait = newcomerWait(Q, R.Claim, Ahead, ExpectedWait);
   if (R.Deadline <= Now)
     return AdmissionDecision::refuse(ResultCode::WouldMissDeadline,
                                      clampRetryAfter(ExpectedWait));
   // Below the limit a request starts regardless of the typical latency: a
   // latency that led to refusing everything would never be measured again.
   if (mayStart() && WaitingPositions.empty()) {
-    InFlight.emplace(R.Id, R.Class);
+    Q.Waiting.startedAtOnce(R.Claim, Now);
+    InFlight.emplace(R.Id, Started{R.Class, R.Claim});
     return AdmissionDecision::start();
   }
-  if (Q.Waiting.size() >= Q.Policy.QueueLimit)
-    return AdmissionDecision::refuse(ResultCode::QueueFull,
-                                     clampRetryAfter(ExpectedWait));
+  bool Full = Q.Waiting.size() >= Q.Policy.QueueLimit;
+  if (Full && Ahead == Q.Waiting.size())
+    return refusal(Q, ResultCode::QueueFull, R.Claim, R.Deadline, ExpectedWait);
   Waiter W = waiterFor(R, Q, Now);
+  W.Promised = Promised;
   if (toMillisF(ExpectedWait) > MaxWaitFraction * toMillisF(W.Expires - Now))
-    return AdmissionDecision::refuse(
-        W.ByDeadline ? ResultCode::WouldMissDeadline : ResultCode::Overloaded,
-        clampRetryAfter(ExpectedWait));
-  Q.Rate.setWaiting(true, Now);
-  std::uint64_t Arrival = Arrivals++;
-  Q.Waiting[Arrival] = W;
-  Q.Expiry.insert({W.Expires, Arrival});
-  WaitingPositions[R.Id] = {&Q, Arrival};
+    return refusal(Q,
+                   W.ByDeadline ? ResultCode::WouldMissDeadline
+                                : ResultCode::Overloaded,
+                   R.Claim, R.Deadline, ExpectedWait);
+  if (Full)
+    evictLast(Q);
+  enqueue(Q, R, W);
   return AdmissionDecision::wait();
 }
 
+double Admission::startsPerSecond(const ClassQueue &Q) const {
+  if (double Rate = Q.Rate.perSecond(LastNow); Rate > 0)
+    return Rate;
+  Duration Interval = startInterval();
+  return Interval > Duration{0} ? 1000 / toMillisF(Interval) : 0;
+}
+
+/// A refusal with a time at which a place is kept, if there is one that the
+/// caller can use.
+AdmissionDecision Admission::refusal(ClassQueue &Q, ResultCode Code,
+                                     const FairClaim &C, Instant Deadline,
+                                     Duration ExpectedWait) {
+  Duration Told = clampRetryAfter(ExpectedWait);
+  if (C.Organisation.empty())
+    return AdmissionDecision::refuse(Code, Told);
+  Duration Longest = (Deadline - LastNow) / ReturnDeadlineDivisor;
+  double Starts = startsPerSecond(Q);
+  internal::PromiseRate Rate{Q.Waiting.shareOf(C, Starts, LastNow), Starts};
+  Instant Earliest = LastNow + Told;
+  if (C.Key == 0)
+    return AdmissionDecision::refuse(Code, Told);
+  if (auto At = Q.Promises.promise(C.Organisation, C.Key, Rate, Earliest,
+                                   LastNow + Longest))
+    return AdmissionDecision::refuse(Code, *At - LastNow);
+  // All places up to Longest are promised. Such callers are spread over as long
+  // a time after it.
+  constexpr std::uint64_t Steps = 1024;
+  Duration Later =
+      Longest * static_cast<std::int64_t>(C.Key % Steps) / std::int64_t(Steps);
+  return AdmissionDecision::refuse(
+      Code, clampRetryAfter(std::max(Told, Longest + Later)));
+}
+
+void Admission::enqueue(ClassQueue &Q, const AdmissionRequest &R,
+                        const Waiter &W) {
+  Q.Rate.setWaiting(true, LastNow);
+  Place Who = Q.Waiting.push(R.Claim, Arrivals++, W, LastNow);
+  Q.ByExpiry.insert({W.Expires, Who});
+  WaitingPositions[R.Id] = {&Q, Who};
+}
+
+/// Makes room for a request of an organisation that is less above its share.
+void Admission::evictLast(ClassQueue &Q) {
+  Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
+  Place Last = Q.Waiting.last();
+  FairClaim Claim = Last.claim();
+  Waiter W = removeWaiter(Q, Last);
+  Evicted.push_back({W.Id, refusal(Q, ResultCode::QueueFull, Claim, W.Deadline,
+                                   ExpectedWait)});
+}
+
 Duration Admission::startInterval() const {
   // Little's law: at the limit, one request ends per interval.
   return Limit.typicalLatency() / static_cast<std::int64_t>(Limit.limit());
@@ -121,14 +182,28 @@
   return std::min(BehindBetter, AtMinShare);
 }
 
+/// A newcomer also waits for those that come back meanwhile, and for its own
+/// organisation's share.
+Duration Admission::newcomerWait(const ClassQueue &Q, const FairClaim &C,
+                                 std::size_t Ahead, Duration Wait) const {
+  if (Q.Promises.size() > 0)
+    Wait =
+        expectedWait(Q, Ahead + Q.Promises.expected(LastNow, LastNow + Wait));
+  return std::max(Wait, Q.Waiting.ownWait(C, LastNow));
+}
+
 void Admission::done(TicketId Id, const LoadSample &S, Instant Now) {
   LastNow = Now;
   std::size_t Before = InFlight.size();
   auto It = InFlight.find(Id);
   if (It == InFlight.end())
     return;
-  if (auto Q = Classes.find(It->second); Q != Classes.end())
+  const Started &Ended = It->second;
+  if (auto Q = Classes.find(Ended.Class); Q != Classes.end()) {
     Q->second.Latency.add(S.Latency);
+    if (S.ExtraSends > 0)
+      Q->second.Waiting.charge(Ended.Claim, S.ExtraSends, Now);
+  }
   InFlight.erase(It);
   Limit.observe(S, Before, Now);
 }
@@ -139,27 +214,34 @@
   auto It = WaitingPositions.find(Id);
   if (It == WaitingPositions.end())
     return false;
-  removeWaiter(*It->second.In, It->second.Arrival);
+  ClassQueue &Q = *It->second.In;
+  Place Who = It->second.Who;
+  // Its place could have served another caller.
+  FairClaim Wasted = Who.claim();
+  removeWaiter(Q, Who);
+  Q.Waiting.charge(Wasted, 1, LastNow);
   return true;
 }
 
-Admission::Waiter Admission::removeWaiter(ClassQueue &Q,
-                                          std::uint64_t Arrival) {
-  auto It = Q.Waiting.find(Arrival);
-  Waiter W = It->second;
-  Q.Expiry.erase({W.Expires, Arrival});
-  Q.Waiting.erase(It);
+Admission::Waiter Admission::removeWaiter(ClassQueue &Q, Place Who) {
+  Waiter W = Q.Waiting.remove(Who, LastNow);
+  removed(Q, W, Who);
+  return W;
+}
+
+void Admission::removed(ClassQueue &Q, const Waiter &W, Place Who) {
+  Q.ByExpiry.erase({W.Expires, Who});
   WaitingPositions.erase(W.Id);
   if (Q.Waiting.empty()) {
     Q.Credit = 0;
     Q.Rate.setWaiting(false, LastNow);
   }
-  return W;
 }
 
 AdmissionEvents Admission::poll(Instant Now) {
   LastNow = Now;
   AdmissionEvents Out;
+  Out.swap(Evicted);
   for (auto &[Class, Q] : Classes) {
     if (!Q.InPreset)
       refuseUnknown(Q, Out);
@@ -172,32 +254,31 @@
 
 void Admission::refuseUnknown(ClassQueue &Q, AdmissionEvents &Out) {
   while (!Q.Waiting.empty()) {
-    Waiter W = removeWaiter(Q, Q.Waiting.begin()->first);
+    Waiter W = removeWaiter(Q, Q.Waiting.next());
     Out.push_back({W.Id, AdmissionDecision::refuse(ResultCode::UnknownClass,
                                                    MinRetryAfter)});
   }
 }
 
-void Admission::refuse(ClassQueue &Q, std::uint64_t Arrival,
-                       AdmissionEvents &Out) {
+void Admission::refuse(ClassQueue &Q, Place Who, AdmissionEvents &Out) {
   Duration ExpectedWait = expectedWait(Q, Q.Waiting.size());
-  Waiter W = removeWaiter(Q, Arrival);
+  FairClaim Claim = Who.claim();
+  Waiter W = removeWaiter(Q, Who);
   ResultCode Code =
       W.ByDeadline ? ResultCode::WouldMissDeadline : ResultCode::Overloaded;
-  Out.push_back(
-      {W.Id, AdmissionDecision::refuse(Code, clampRetryAfter(ExpectedWait))});
+  Out.push_back({W.Id, refusal(Q, Code, Claim, W.Deadline, ExpectedWait)});
 }
 
 void Admission::refuseExpired(ClassQueue &Q, Instant Now,
                               AdmissionEvents &Out) {
-  while (!Q.Expiry.empty() && Q.Expiry.begin()->first <= Now)
-    refuse(Q, Q.Expiry.begin()->second, Out);
+  while (!Q.ByExpiry.empty() && Q.ByExpiry.begin()->At <= Now)
+    refuse(Q, Q.ByExpiry.begin()->Who, Out);
   Q.Rate.update(Now);
   while (!Q.Waiting.empty()) {
-    const auto &[Arrival, Last] = *Q.Waiting.rbegin();
-    if (Now + expectedWait(Q, Q.Waiting.size() - 1) <= Last.Expires)
+    Place Last = Q.Waiting.last();
+    if (Now + expectedWait(Q, Q.Waiting.size() - 1) <= Last.waiter().Expires)
       return;
-    refuse(Q, Arrival, Out);
+    refuse(Q, Last, Out);
   }
 }
 
@@ -229,8 +310,10 @@
         Other.Credit += MinClassShare;
     Q->Credit = std::max(0.0, Q->Credit - 1);
     Q->Rate.started();
-    Waiter W = removeWaiter(*Q, Q->Waiting.begin()->first);
-    InFlight.emplace(W.Id, Q->Class);
+    Place Who = Q->Waiting.next();
+    InFlight.emplace(Who.waiter().Id, Started{Q->Class, Who.claim()});
+    Waiter W = Q->Waiting.startNext(LastNow);
+    removed(*Q, W, Who);
     Out.push_back({W.Id, AdmissionDecision::start()});
   }
 }
@@ -238,8 +321,8 @@
 std::optional<Instant> Admission::nextExpiry() const {
   std::optional<Instant> Next;
   for (const auto &[Class, Q] : Classes)
-    if (!Q.Expiry.empty() && (!Next || Q.Expiry.begin()->first < *Next))
-      Next = Q.Expiry.begin()->first;
+    if (!Q.ByExpiry.empty() && (!Next || Q.ByExpiry.begin()->At < *Next))
+      Next = Q.ByExpiry.begin()->At;
   return Next;
 }
 
