forward: daemons believe reports of slow replicas where they see few answers

In a fleet of a hundred daemons each sees few answers of a replica. With a third of the replicas eight times slower each daemon had to detect every one of them by itself and had half forgotten it by its next request.

AnswerEvidence records late answers of a replica, ReplicaSharing decides what to tell of them, SharedObservations holds what others told and decides how much of it to believe. ReplicaRegistry adds it to the prediction of a replica, at random and for at most half of a service's replicas, so that daemons with the same reports do not all select the same one. It is off by default, in regions with fewer than 8 daemons, and for replicas with 8 recent own answers.

--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -179,7 +179,7 @@
     if (!X.Open)
       continue;
     X.Open = false;
-    X.To->sendEnded(X.Started, SendStatus::Abandoned, Duration(0), Now);
+    X.To->sendEnded(X.Started, SendStatus::Abandoned, X.ServiceTime, Now);
     Out.Drop.push_back(I);
   }
   OpenSends = 0;
@@ -195,7 +195,7 @@
     --P.Open;
     --P.MayHaveRun;
     --OpenSends;
-    X.To->sendEnded(X.Started, SendStatus::Abandoned, Duration(0), Now);
+    X.To->sendEnded(X.Started, SendStatus::Abandoned, X.ServiceTime, Now);
   }
   Out.Start.clear();
 }
--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -198,6 +198,7 @@
   X.Part = Index;
   X.To = To;
   X.Started = Now;
+  X.ServiceTime = serviceTime(S);
   if (Request.Matched->Kind == RetrySemantics::Idempotent)
     X.HedgeAt = hedgeAt(S, P, To, Now);
   Out.Start.push_back({static_cast<unsigned>(Sends.size()), To,
@@ -385,6 +386,8 @@
   // For its replica, a failed run counts like a rejected send.
   X.To->sendEnded(X.Started, Failure ? SendStatus::Rejected : Result.How,
                   serviceTime(S), Now);
+  if (Result.How == SendStatus::Answered && !Failure)
+    S.Replicas.sharing().observed(X.To, Now);
   if (Result.Opened)
     X.To->rtt().opened(*Result.Opened);
   if (Result.ConnectionRefused)
@@ -414,6 +417,8 @@
   if (Answered) {
     if (Now >= DropAt)
       dropOpen(Out, Now);
+    for (unsigned Send : Out.Drop)
+      S.Replicas.sharing().observed(Sends[Send].To, Now);
     return Out;
   }
   CutoffPassed = CutoffPassed || Now >= Cutoff;
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -248,6 +248,7 @@
     unsigned Part = 0;
     ReplicaPtr To;
     Instant Started;
+    Duration ServiceTime{}; ///< Usual for such a request.
     Instant HedgeAt = Instant::max();
     bool Open = true;
     SendStatus How = SendStatus::Abandoned;
--- a/packages/forward/Replica.cpp
+++ b/packages/forward/Replica.cpp
@@ -93,13 +93,14 @@
                  std::shared_ptr<RttEstimate> Rtt, Instant Now,
                  Instant RestartedAt,
                  std::shared_ptr<EjectedReplicas> Ejections)
-    : Entry(std::move(E)), Dist(Dist), Rtt(std::move(Rtt)),
-      RestartedAt(RestartedAt), WarmAt(Now + Entry.WarmupLeft), LastAnswer(Now),
-      SlownessAt(Now), FailureAt(Now), LoadAt(Now),
-      Ejections(std::move(Ejections)) {}
+    : Entry(std::move(E)), Key(replicaKey(Entry.Id, Entry.StartedUnixMs)),
+      Dist(Dist), Rtt(std::move(Rtt)), RestartedAt(RestartedAt),
+      WarmAt(Now + Entry.WarmupLeft), LastAnswer(Now), SlownessAt(Now),
+      FailureAt(Now), LoadAt(Now), Ejections(std::move(Ejections)) {}
 
 void Replica::update(ReplicaEntry E, Instant Now) {
   Entry = std::move(E);
+  Key = replicaKey(Entry.Id, Entry.StartedUnixMs);
   WarmAt = Now + Entry.WarmupLeft;
 }
 
@@ -136,6 +137,7 @@
 void Replica::recordAnswer(Instant Started, Duration ServiceTime, Instant Now) {
   Instant From = std::max(Started + roundTrip(), LastAnswer);
   double Ratio = toMillisF(Now - From) / std::max(1.0, toMillisF(ServiceTime));
+  Evidence.answered(Ratio, Now);
   double Seen = slowness(Now);
   bool Late = Ratio > Seen * LargeStepRatio;
   LateInARow = Late ? LateInARow + 1 : 0;
@@ -179,6 +181,9 @@
     // lost, unless the replica answered or rejected another one meanwhile;
     // otherwise a replica that accepts requests and never answers would cost
     // every request a hedge.
+    if (ServiceTime > Duration(0) && LastAnswer <= Started)
+      Evidence.abandoned(
+          toMillisF(Now - Started - roundTrip()) / toMillisF(ServiceTime), Now);
     if (toMillisF(Now - Started) < LossTimeoutMs || LastAnswer > Started)
       return;
     recordFailure(1, Now);
--- a/packages/forward/Replica.h
+++ b/packages/forward/Replica.h
@@ -20,10 +20,14 @@
 // Failures always lengthen a prediction, so that a replica that fails quickly
 // does not look fast.
 //
+// What other daemons report of a replica is added by ReplicaRegistry
+// (ReplicaSharing.h), not here.
+//
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FORWARD_REPLICA_H
 #define SHALLOTSHIFT_FORWARD_REPLICA_H
 
+#include "forward/AnswerEvidence.h"
 #include "forward/ConnectionAllowance.h"
 #include "forward/RttEstimate.h"
 
@@ -86,6 +90,8 @@
           std::shared_ptr<EjectedReplicas> Ejections = nullptr);
 
   const ReplicaEntry &entry() const { return Entry; }
+  /// Of this incarnation, in reports.
+  ReplicaKey key() const { return Key; }
   Distance distance() const { return Dist; }
   /// Connections opened before this time lead to a process that has ended: a
   /// request sent on one is lost, and may or may not have run.
@@ -122,6 +128,10 @@
   /// It recently reported waiting requests. More connections would not help: a
   /// replica with a long queue accepts fewer.
   bool reportedBusy(Instant Now) const;
+  /// Requests that were waiting according to its last report.
+  unsigned reportedWaiting() const { return Load ? Load->Waiting : 0; }
+  /// Late answers, for reports to other daemons. Changes no prediction.
+  const AnswerEvidence &evidence() const { return Evidence; }
   /// Connections beyond this daemon's share.
   ConnectionAllowance &allowance() { return Allowance; }
   const ConnectionAllowance &allowance() const { return Allowance; }
@@ -143,6 +153,7 @@
   void recordFailure(double Outcome, Instant Now);
 
   ReplicaEntry Entry;
+  ReplicaKey Key;
   Distance Dist;
   std::shared_ptr<RttEstimate> Rtt;
   Instant RestartedAt;
@@ -158,6 +169,7 @@
   double LastFailureRate = 0;
   Instant FailureAt;
   unsigned LateInARow = 0; ///< Consecutive late answers.
+  AnswerEvidence Evidence;
   unsigned LostInARow = 0;
   std::optional<ReportedLoad> Load;
   Instant LoadAt;
--- a/packages/forward/ReplicaRegistry.cpp
+++ b/packages/forward/ReplicaRegistry.cpp
@@ -211,12 +211,60 @@
          static_cast<double>(R.openSends()) < Cap * MaxDaemonFraction;
 }
 
+/// The replicas from which a send is kept away because of reports: at most half
+/// of those that may serve it, the slowest ones, so that reports at most double
+/// the load of the others.
+std::vector<ReplicaRegistry::Held>
+ReplicaRegistry::heldByReports(const std::vector<Slot *> &Slots,
+                               const ReplicaCriteria &C, double Jitter,
+                               Instant Now) const {
+  std::vector<Held> Found;
+  if (!Sharing.anyTold())
+    return Found;
+  std::size_t Usable = 0;
+  for (const Slot *S : Slots) {
+    const Replica &R = *S->Ptr;
+    if (!C.Regions.allows(R.entry().Reg) || !mayServe(*S, Now))
+      continue;
+    ++Usable;
+    ToldSlowness T = Sharing.told(R, Now);
+    if (T.slow())
+      Found.push_back({&R, T});
+  }
+  std::ranges::stable_sort(Found, [](const Held &A, const Held &B) {
+    return A.Told.Slowness > B.Told.Slowness;
+  });
+  Found.resize(std::min(Found.size(), Usable / 2));
+  // One draw for each replica, independent of those of choose().
+  double Draw = Jitter;
+  std::erase_if(Found, [&](const Held &H) {
+    Draw = Draw * 7919.17 + 0.618;
+    Draw -= static_cast<double>(static_cast<int>(Draw));
+    return Draw >= H.Told.holdProbability();
+  });
+  return Found;
+}
+
+/// What reports add to the predicted duration of a send to \p R.
+double ReplicaRegistry::toldExtraMs(const std::vector<Held> &Kept,
+                                    const Replica &R, Duration ServiceTime,
+                                    Instant Now) {
+  auto At = std::ranges::find(Kept, &R, &Held::Which);
+  if (At == Kept.end())
+    return 0;
+  return std::max(0.0, At->Told.Slowness - R.slowness(Now)) *
+         toMillisF(ServiceTime);
+}
+
 ReplicaPtr ReplicaRegistry::choose(const ReplicaCriteria &C, double Jitter,
                                    Instant Now) {
   auto At = ByService.find(C.Service->Name);
   if (At == ByService.end())
     return nullptr;
   std::vector<Slot *> &Slots = At->second;
+  std::vector<Held> Kept = heldByReports(Slots, C, Jitter, Now);
+  ReplicaPtr OwnBest; ///< The best one if there were no reports.
+  double OwnBestMs = 0;
   auto Allowed = [&](const Slot &S) {
     return C.Regions.allows(S.Ptr->entry().Reg) && mayServe(S, Now);
   };
@@ -239,6 +287,13 @@
     double Ms = toMillisF(R.predicted(C.ServiceTime, Now)) *
                 (1 + JitterFraction * Draw);
     bool Room = hasRoom(R, C, Now);
+    if (!Kept.empty()) {
+      if (Room && (!OwnBest || Ms < OwnBestMs)) {
+        OwnBest = S->Ptr;
+        OwnBestMs = Ms;
+      }
+      Ms += toldExtraMs(Kept, R, C.ServiceTime, Now);
+    }
     ReplicaPtr &Leader = Room ? Best : Full;
     double &LeaderMs = Room ? BestMs : FullMs;
     if (Leader && Ms >= LeaderMs)
@@ -251,6 +306,10 @@
   if (Wanted && !Full->reportedBusy(Now) && Full->allowance().grow(Now) &&
       hasRoom(*Full, C, Now))
     return Full;
+  if (OwnBest && OwnBest != Best)
+    for (const Held &H : Kept)
+      if (H.Which == OwnBest.get())
+        Sharing.kept(*OwnBest, H.Told, Now);
   return Best;
 }
 
--- a/packages/forward/ReplicaRegistry.h
+++ b/packages/forward/ReplicaRegistry.h
@@ -31,6 +31,7 @@
 
 #include "forward/IncarnationTable.h"
 #include "forward/Replica.h"
+#include "forward/ReplicaSharing.h"
 #include "forward/Route.h"
 #include "forward/WarmupShare.h"
 
@@ -82,6 +83,8 @@
   /// If set, no replica is used until it is known which zones are evacuated.
   bool AwaitEvacuations = false;
   WarmupBound Warmup;
+  /// Daemons tell each other of slow replicas (ReplicaSharing).
+  bool ShareObservations = false;
 
   friend bool operator==(const ReplicaRegistryOptions &,
                          const ReplicaRegistryOptions &) = default;
@@ -102,6 +105,7 @@
 public:
   ReplicaRegistry(Location Here, ReplicaRegistryOptions Options)
       : Here(std::move(Here)), Options(Options),
+        Sharing(Options.ShareObservations),
         ZonesKnown(!Options.AwaitEvacuations) {}
 
   /// Replaces all registrations; replicas that are not in \p Entries have
@@ -119,7 +123,10 @@
   bool evacuated(const AvailabilityZone &Zone) const {
     return Evacuated.contains(Zone);
   }
-  void setFleetShare(FleetShare S) { Shared = S; }
+  void setFleetShare(FleetShare S) {
+    Shared = S;
+    Sharing.setDaemons(S.InRegion);
+  }
   const FleetShare &fleetShare() const { return Shared; }
   /// Sets the daemons that may send to cold replicas. Before the first call,
   /// there are none.
@@ -146,6 +153,7 @@
   std::vector<ReplicaPtr> dueProbes(Instant Now);
 
   std::size_t size() const { return ById.size(); }
+  ReplicaSharing &sharing() { return Sharing; }
 
 private:
   struct Slot {
@@ -154,6 +162,16 @@
     Instant VanishedAt{};
   };
 
+  struct Held {
+    const Replica *Which = nullptr;
+    ToldSlowness Told;
+  };
+
+  std::vector<Held> heldByReports(const std::vector<Slot *> &Slots,
+                                  const ReplicaCriteria &C, double Jitter,
+                                  Instant Now) const;
+  static double toldExtraMs(const std::vector<Held> &Kept, const Replica &R,
+                            Duration ServiceTime, Instant Now);
   std::shared_ptr<RttEstimate> rttTo(const ReplicaEntry &E);
   bool hasRoom(const Replica &R, const ReplicaCriteria &C, Instant Now) const;
   Distance distance(const ReplicaEntry &E) const;
@@ -169,6 +187,7 @@
   Location Here;
   ReplicaRegistryOptions Options;
   FleetShare Shared;
+  ReplicaSharing Sharing;
   WarmupSenders Senders;
   std::unordered_map<UpstreamId, Slot> ById;
   std::unordered_map<ServiceName, std::vector<Slot *>> ByService;
--- a/packages/forward/include/shallotshift/forward.h
+++ b/packages/forward/include/shallotshift/forward.h
@@ -6,6 +6,8 @@
 //   Organisation.h              organisations, their keys and quotas
 //   Replica.h, IncarnationTable.h, ReplicaRegistry.h
 //                               replicas, their incarnations, replica selection
+//   AnswerEvidence.h, ReplicaObservation.h, ReplicaSharing.h,
+//   SharedObservations.h        what daemons tell each other of slow replicas
 //   WarmupShare.h               which daemon sends to a cold replica
 //   RetryBudget.h, ServiceTimeEstimate.h
 //                               retry budget and service time estimates
@@ -23,6 +25,7 @@
 #include "forward/Replica.h"
 #include "forward/ReplicaObservation.h"
 #include "forward/ReplicaRegistry.h"
+#include "forward/ReplicaSharing.h"
 #include "forward/RetryBudget.h"
 #include "forward/Route.h"
 #include "forward/RouteAdmission.h"
--- a/tests/ForwardWorld.cpp
+++ b/tests/ForwardWorld.cpp
@@ -73,7 +73,9 @@
     }
   for (unsigned Zone = 0; Zone < S.Zones; ++Zone)
     for (unsigned D = 0; D < S.DaemonsPerZone; ++D) {
-      auto One = std::make_unique<Daemon>(placeOf(Zone), Rng());
+      ReplicaRegistryOptions O;
+      O.ShareObservations = S.ShareObservations;
+      auto One = std::make_unique<Daemon>(placeOf(Zone), Rng(), O);
       One->Zone = Zone;
       One->Shared.Rules.Retries = S.Retries;
       std::size_t Near = S.DaemonsPerZone;
@@ -85,6 +87,71 @@
     }
   for (unsigned Zone = 0; Zone < S.Zones; ++Zone)
     at(Now, [this, Zone] { query(Zone); });
+  if (S.ShareObservations)
+    for (unsigned D = 0; D < Daemons.size(); ++D)
+      at(Now + fromMillisF(uniform01(ReportRng) * toMillisF(ReportPeriod)),
+         [this, D] { report(D); });
+}
+
+double WorldFigures::latencyMs(double Q) const {
+  if (LatencyMs.empty())
+    return 0;
+  std::vector<double> Sorted = LatencyMs;
+  std::ranges::sort(Sorted);
+  return Sorted[std::min(Sorted.size() - 1, std::size_t(Q * Sorted.size()))];
+}
+
+void ForwardWorld::report(unsigned From) {
+  at(Now + ReportPeriod, [this, From] { report(From); });
+  Daemon &D = *Daemons[From];
+  D.Replicas.sharing().takeChanges(Now);
+  ReplicaObservationReport R;
+  R.From = {HostId("d" + std::to_string(From)), 1};
+  R.Sequence = ++D.Reports;
+  R.Replicas = D.Replicas.sharing().observations(Now);
+  if (Filter && !Filter(From, R))
+    return;
+  for (std::size_t I = reportFanOut(R.Replicas.size()); I > 0; --I) {
+    unsigned To = D.Zone * Shape.DaemonsPerZone +
+                  unsigned(below(ReportRng, Shape.DaemonsPerZone));
+    if (To == From)
+      continue;
+    Figures.ReportBytes += reportBytes(R.Replicas.size());
+    at(Now + Millis(1),
+       [this, To, R] { Daemons[To]->Replicas.sharing().receive(R, Now); });
+  }
+}
+
+/// Time until a request that arrives now would start.
+Duration ForwardWorld::wait(const ModelReplica &R) const {
+  std::vector<Instant> Free(Shape.Slots, Now);
+  for (std::size_t I = 0; I < R.Ends.size(); ++I)
+    Free[I % Free.size()] = std::max(Free[I % Free.size()], R.Ends[I]);
+  auto Soonest = [&] { return std::ranges::min_element(Free); };
+  for (const auto &W : R.Queue)
+    if (!W->Dropped)
+      *Soonest() = awake(R, *Soonest()) + fromMillisF(W->Ms * R.What.Slow);
+  return awake(R, *Soonest()) - Now;
+}
+
+ForwardWorld::ModelReplica &ForwardWorld::soonest(const Job &J, unsigned Home,
+                                                  const Replica &Instead) {
+  ModelReplica *Best = nullptr;
+  Duration BestAt = Duration::max();
+  for (auto &One : Replicas) {
+    if (ServiceName("shard-" + std::to_string(One->Shard)) !=
+        Instead.entry().Service)
+      continue;
+    bool Tried = std::ranges::any_of(
+        J.Works, [&](const auto &W) { return W.second->On == One.get(); });
+    Duration At = 2 * way(Home, One->Zone) + wait(*One) +
+                  fromMillisF(Shape.WorkMs * One->What.Slow);
+    if (Tried || At >= BestAt)
+      continue;
+    Best = One.get();
+    BestAt = At;
+  }
+  return *Best;
 }
 
 void ForwardWorld::runUntil(Duration Until) {
@@ -192,6 +259,7 @@
   else if (const auto *P = std::get_if<RelayedAnswer>(&A))
     Share = P->Reply.success() ? 1 : 0;
   constexpr double LateCredit = 0.1;
+  Figures.LatencyMs.push_back(toMillisF(Now - J.Began));
   bool InTime = toMillisF(Now - J.Began) <= Shape.ObjectiveMs;
   bool TryInTime = toMillisF(Now - J.Tried) <= Shape.ObjectiveMs;
   double Worth = InTime ? 1 : TryInTime ? (1 + LateCredit) / 2 : LateCredit;
@@ -232,6 +300,8 @@
     if (One->Id == S.To->entry().Id)
       R = One.get();
   unsigned Home = Daemons[J->Home]->Zone;
+  if (Shape.Oracle)
+    R = &soonest(*J, Home, *S.To);
   Duration Matched = way(Home, R->Zone);
   Figures.FarSends += Home != R->Zone;
   auto W = std::make_shared<Work>();
@@ -272,6 +342,8 @@
     return;
   }
   at(Now + Matched, [this, J, R, W] {
+    ++R->Sends;
+    Figures.SlowSends += R->What.Slow > 1;
     bool First = J->SendsOfShard[R->Shard]++ == 0;
     ++(First ? Figures.FirstSends : Figures.ExtraSends);
     (First ? Firsts : Extras)[R->Shard].push_back(Now);
@@ -322,7 +394,9 @@
     ++R.Running;
     Instant End = awake(R, Now) + fromMillisF(W->Ms * R.What.Slow);
     bool Lost = uniform01(Rng) < R.What.Lose;
-    at(End, [this, &R, W, Lost] {
+    R.Ends.push_back(End);
+    at(End, [this, &R, W, Lost, End] {
+      std::erase(R.Ends, End);
       --R.Running;
       if (!W->Dropped)
         W->Done(Lost ? SendStatus::Lost : SendStatus::Answered, loadOf(R));
--- a/tests/ForwardWorld.h
+++ b/tests/ForwardWorld.h
@@ -39,6 +39,11 @@
   bool Admission = true; ///< Requests start only while replicas can take them.
   unsigned CallerTries = 2; ///< A refused caller comes back, when it was told.
   RetryAllowance Retries{0.2, 52, Seconds(10)};
+  /// The daemons of a zone report slow replicas to each other.
+  bool ShareObservations = false;
+  /// Every send goes to the replica that would answer it first, which only a
+  /// model can know.
+  bool Oracle = false;
 };
 
 /// What is wrong with a replica now.
@@ -61,7 +66,13 @@
   unsigned FirstSends = 0;
   unsigned ExtraSends = 0;
   unsigned FarSends = 0;
-  unsigned Resets = 0; ///< Connections above a replica's cap.
+  unsigned Resets = 0;    ///< Connections above a replica's cap.
+  unsigned SlowSends = 0; ///< To replicas that were slow (Trouble::Slow).
+  std::size_t ReportBytes = 0;
+  std::vector<double> LatencyMs; ///< Of each answer.
+
+  /// The latency that the fraction \p Q of the answers did not exceed.
+  double latencyMs(double Q) const;
 
   double worth() const { return Asked == 0 ? 0 : Credit / Asked; }
 };
@@ -85,6 +96,16 @@
   const std::vector<std::vector<Instant>> &extras() const { return Extras; }
   const std::vector<std::vector<Instant>> &firsts() const { return Firsts; }
   ReplicaRegistry &book(unsigned Daemon) { return Daemons[Daemon]->Replicas; }
+  std::size_t daemons() const { return Daemons.size(); }
+  /// Sends that reached the replica of \p Shard in \p Zone so far.
+  std::size_t sends(unsigned Shard, unsigned Zone) const {
+    return Replicas[Shard * Shape.Zones + Zone]->Sends;
+  }
+  /// Called with each report before it is delivered, with the number of the
+  /// daemon that sends it; returns false if it is lost.
+  using ReportFilter =
+      std::function<bool(unsigned, ReplicaObservationReport &)>;
+  void filterReports(ReportFilter Fn) { Filter = std::move(Fn); }
 
 private:
   struct ModelReplica;
@@ -103,6 +124,8 @@
     std::deque<std::shared_ptr<Work>> Queue;
     Duration PausePhase{};
     Trouble What;
+    std::size_t Sends = 0;
+    std::vector<Instant> Ends; ///< Of what runs.
   };
   /// One try of a caller.
   struct Job {
@@ -118,10 +141,11 @@
   };
   using JobPtr = std::shared_ptr<Job>;
   struct Daemon {
-    Daemon(Location Here, std::uint64_t Seed)
-        : Replicas(std::move(Here), {}),
+    Daemon(Location Here, std::uint64_t Seed, ReplicaRegistryOptions O)
+        : Replicas(std::move(Here), O),
           Rng(Seed), Shared{Replicas, Budgets, Works, Rng, {}} {}
     unsigned Zone = 0;
+    std::uint64_t Reports = 0;
     ReplicaRegistry Replicas;
     BudgetMap Budgets;
     ServiceTimeEstimates Works;
@@ -141,6 +165,9 @@
   void apply(const JobPtr &J, RunOutput Out);
   void count(const Job &J, const ForwardAnswer &A);
   void start(const JobPtr &J, const StartSend &S);
+  void report(unsigned From);
+  ModelReplica &soonest(const Job &J, unsigned Home, const Replica &Instead);
+  Duration wait(const ModelReplica &R) const;
   ReportedLoad loadOf(const ModelReplica &R) const;
   static void hangUp(Work &W);
   void arrive(ModelReplica &R, const std::shared_ptr<Work> &W);
@@ -153,6 +180,8 @@
 
   WorldShape Shape;
   Random Rng;
+  Random ReportRng{7}; ///< Reports change no other draw.
+  ReportFilter Filter;
   Instant Now{Seconds(1000)};
   double Burst = 1;
   TicketId LastTicket = 0;
--- a/tests/forward.cmake
+++ b/tests/forward.cmake
@@ -9,8 +9,11 @@
           failure/ReplicasStartAgain.cpp
           failure/RegionsBindEverySend.cpp
           failure/RetryBudgetHoldsInEveryWindow.cpp
+          failure/SlowReplicasAreToldOf.cpp
           failure/VanishedReplicasStandIn.cpp)
 shallot_test(forward_error PACKAGES forward LABELS error
   SOURCES error/ServingConfigIsChecked.cpp)
 shallot_test(forward_performance PACKAGES forward LABELS performance
   SOURCES ForwardWorld.cpp performance/ForwardUnderTrouble.cpp)
+shallot_test(forward_sharing PACKAGES forward LABELS performance
+  SOURCES ForwardWorld.cpp performance/SharedEvidenceReplay.cpp)
