peer, front: daemons of a region report slow replicas to each other

It is on where the settings have internal_ports with a port that gossip and quotas do not use; the users' platform gives that range.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -2,6 +2,7 @@
 #include "front/FrontDaemon.h"
 
 #include "front/EntryAddresses.h"
+#include "front/ReplicaReportLink.h"
 #include "shallotshift/limits.h"
 
 #include <algorithm>
@@ -111,6 +112,7 @@
   RequestHandler Requests;
   std::unique_ptr<FleetLink> Fleet;
   std::unique_ptr<QuotaLink> Quotas;
+  std::unique_ptr<ReplicaReportLink> Reports; ///< Null if there are none.
   std::unique_ptr<CallerServer> Callers;
   std::unique_ptr<HttpServer> Directory;
   std::unique_ptr<HttpServer> Readiness;
@@ -142,6 +144,7 @@
   O.LapseHold = std::min(O.LapseHold, Set.DrainDuration / 2);
   O.AwaitEvacuations = Set.Evacuation.has_value();
   O.Warmup = Set.Warmup;
+  O.ShareObservations = Set.Reports.has_value();
   return O;
 }
 
@@ -178,6 +181,11 @@
       Fleet, FleetLink::open(Loop, Set, Rng, [this] { fleetChanged(); }));
   BOOST_LEAF_ASSIGN(Quotas, QuotaLink::open(Loop, Timers, Set, *Fleet));
   Requests.limitBy(*Quotas);
+  if (Set.Reports) {
+    BOOST_LEAF_ASSIGN(Reports,
+                      ReplicaReportLink::open(Loop, Timers, *Set.Reports,
+                                              *Fleet, Replicas, Rng));
+  }
   BOOST_LEAF_ASSIGN(
       Callers,
       CallerServer::open(Loop, Timers, Set.Callers, callerOptions({}),
@@ -305,6 +313,8 @@
   Meter.gauge("shallot_quota_sent_bytes", {}, double(Q.SentBytes));
   Meter.gauge("shallot_quota_received_bytes", {}, double(Q.ReceivedBytes));
   Meter.gauge("shallot_quota_malformed", {}, double(Q.Malformed));
+  if (Reports)
+    Reports->writeGauges(Meter);
   ServerReply Reply;
   Reply.ContentType = "text/plain; version=0.0.4";
   Reply.Body = Meter.text();
--- a/packages/front/FrontSettings.cpp
+++ b/packages/front/FrontSettings.cpp
@@ -3,6 +3,8 @@
 
 #include "shallotshift/model.h"
 
+#include <algorithm>
+#include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -15,6 +17,7 @@
 constexpr double MaxSeconds = 3600;
 constexpr double MaxRetries = 1e6;
 constexpr double MaxCores = 4096;
+constexpr int MaxPort = 65535;
 
 Result<Endpoint> endpoint(JsonFields &F, std::string_view Key) {
   BOOST_LEAF_AUTO(Text, F.string(Key));
@@ -76,6 +79,33 @@
   return {};
 }
 
+Result<void> readReports(JsonFields &F, FrontSettings &S) {
+  constexpr std::string_view Key = "internal_ports";
+  if (!F.has(Key))
+    return {};
+  BOOST_LEAF_AUTO(Ports, F.array(Key));
+  auto IsPort = [](const nlohmann::json &Item) {
+    return Item.is_number_integer() && Item >= 1 && Item <= MaxPort;
+  };
+  if (Ports->size() != 2 || !std::ranges::all_of(*Ports, IsPort))
+    return fail(ResultCode::OutOfRange,
+                "internal_ports: expected the first and the last port, as in "
+                "[7740, 7755]");
+  int First = (*Ports)[0].get<int>();
+  int Last = (*Ports)[1].get<int>();
+  Endpoint At{S.Gossip.Ip, static_cast<std::uint16_t>(First + 1)};
+  if (First > Last)
+    return fail(ResultCode::OutOfRange,
+                fmt::format("internal_ports: the first port {} is above the "
+                            "last, {}",
+                            First, Last));
+  // A range without a third port has none for reports.
+  bool Taken = At.Port == S.Gossip.Port || At.Port == S.Quotas.Port;
+  if (First < Last && !Taken)
+    S.Reports = At;
+  return {};
+}
+
 Result<void> readBounds(JsonFields &F, FrontSettings &S) {
   BOOST_LEAF_ASSIGN(S.StopGrace, seconds(F, "stop_grace_s"));
   BOOST_LEAF_AUTO(DrainMs, F.number("drain_ms", 0, MaxSeconds * 1000));
@@ -113,6 +143,7 @@
   FrontSettings S;
   BOOST_LEAF_CHECK(readPlace(F, S));
   BOOST_LEAF_CHECK(readAddresses(F, S));
+  BOOST_LEAF_CHECK(readReports(F, S));
   BOOST_LEAF_CHECK(readBounds(F, S));
   BOOST_LEAF_CHECK(F.finish());
   return S;
--- a/packages/front/FrontSettings.h
+++ b/packages/front/FrontSettings.h
@@ -16,10 +16,12 @@
 //    "cpu_share": 0.25, "cores": 1,
 //    "retry_ratio": 0.2, "retry_window_s": 10, "retry_constant": 52,
 //    "evacuation_ms": 5000, "warmup_overage": 1.5, "warmup_slack": 5,
-//    "quota_window_s": 5, "quota_overage": 0.1, "quota_slack": 20}
+//    "quota_window_s": 5, "quota_overage": 0.1, "quota_slack": 20,
+//    "internal_ports": [7740, 7755]}
 //
-// The last six fields are omitted where availability zones are not evacuated,
-// the load on cold replicas is not bounded and organisations have no quotas.
+// The last seven fields are omitted where availability zones are not evacuated,
+// the load on cold replicas is not bounded, organisations have no quotas and
+// daemons do not report slow replicas to each other.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FRONTSETTINGS_H
@@ -58,6 +60,11 @@
   std::optional<Duration> Evacuation;
   WarmupBound Warmup;
   QuotaTolerance QuotaLimits;
+  /// UDP, reports of slow replicas: the second port of "internal_ports", the
+  /// first and last port for traffic between daemons, on the address of Gossip.
+  /// All daemons use the same port. Not set, if there is no such port or
+  /// gossip or quotas use it: no reports.
+  std::optional<Endpoint> Reports;
   double Cores = 0; ///< Share of the host for this process, in cores.
 
   friend bool operator==(const FrontSettings &,
--- a/packages/front/include/shallotshift/front.h
+++ b/packages/front/include/shallotshift/front.h
@@ -20,6 +20,7 @@
 #include "front/HeaderNames.h"
 #include "front/QuotaLink.h"
 #include "front/RelayedStore.h"
+#include "front/ReplicaReportLink.h"
 #include "front/ReplyReading.h"
 #include "front/ServingFeed.h"
 #include "front/WatchedKind.h"
--- a/packages/peer/include/shallotshift/peer.h
+++ b/packages/peer/include/shallotshift/peer.h
@@ -1,8 +1,9 @@
 //===- shallotshift/peer.h - Daemons talking to daemons ---------*- C++ -*-===//
 //
 // The public header of package peer: calls between daemons by Cap'n Proto RPC
-// (PeerNode.h), the datagrams of the membership protocol (GossipSocket.h) and
-// those of quotas (QuotaCodec.h).
+// (PeerNode.h), the datagrams of the membership protocol (GossipSocket.h),
+// those of quotas (QuotaCodec.h) and reports of slow replicas
+// (ReplicaReportCodec.h).
 // Callbacks run on the thread of the EventLoop and never before the call that
 // asked for them has returned.
 //
@@ -16,5 +17,6 @@
 #include "peer/PeerNode.h"
 #include "peer/PeerTypes.h"
 #include "peer/QuotaCodec.h"
+#include "peer/ReplicaReportCodec.h"
 
 #endif // SHALLOTSHIFT_PEER_H
--- a/tests/error/FrontSettingsAreChecked.cpp
+++ b/tests/error/FrontSettingsAreChecked.cpp
@@ -70,3 +70,34 @@
   CHECK(attempt([] { return FrontSettings::load("/nowhere"); }).error().Code ==
         ResultCode::SettingsUnreadable);
 }
+
+TEST_CASE("reports of slow replicas use the second internal port, if any") {
+  auto Read = [](const nlohmann::json &Ports) {
+    nlohmann::json Doc = good();
+    Doc["gossip"] = "10.0.0.1:7740";
+    Doc["quotas"] = "10.0.0.1:7755";
+    Doc["internal_ports"] = Ports;
+    return attempt([&] { return FrontSettings::parse(Doc.dump()); });
+  };
+  auto Absent = attempt([&] { return FrontSettings::parse(good().dump()); });
+  REQUIRE(Absent);
+  CHECK_FALSE(Absent->Reports);
+  auto Given = Read({7740, 7755});
+  REQUIRE(Given);
+  CHECK(Given->Reports == Endpoint{"10.0.0.1", 7741});
+  for (const nlohmann::json &NoneFree :
+       {nlohmann::json({7740, 7740}), nlohmann::json({7754, 7755})}) {
+    auto S = Read(NoneFree);
+    REQUIRE(S);
+    CHECK_FALSE(S->Reports);
+  }
+  for (const nlohmann::json &Bad :
+       {nlohmann::json({7755, 7740}), nlohmann::json({7740}),
+        nlohmann::json({0, 9}), nlohmann::json({7740, 70000}),
+        nlohmann::json({"7740", 7755})}) {
+    auto S = Read(Bad);
+    REQUIRE_FALSE(S);
+    CHECK(S.error().Code == ResultCode::OutOfRange);
+    CHECK(S.error().Detail.find("internal_ports") != std::string::npos);
+  }
+}
--- a/tests/front.cmake
+++ b/tests/front.cmake
@@ -8,6 +8,7 @@
           failure/DeadHostsAreNotNamed.cpp
           failure/FarMembersAreProbedSeldom.cpp
           failure/RelayedRepliesDoNotLoop.cpp
+          failure/ReplicaReportsReachPeers.cpp
           failure/RestoredStoreReachesPeers.cpp)
 shallot_bench(bench_fleet_scale PACKAGES front forward TEST bench_fleet_scale
   SOURCES performance/BenchFleetScale.cpp)
