tests: holds are logged and reports are off without a port

A daemon in a deployment shows the gauges of reports only where the settings have a port for them, and sends none in a small region (platform_correctness). A hold that begins is logged and is confined to the region that was told (front_failure).

--- a/tests/correctness/FrontServesADeployment.cpp
+++ b/tests/correctness/FrontServesADeployment.cpp
@@ -120,6 +120,25 @@
                     "outcome=\"complete\"} 1") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(FrontFixture, "reports of slow replicas are off without a "
+                                "port, and idle in a small region") {
+  constexpr const char *Held = "shallot_replicas_held";
+  SUBCASE("no port") {
+    start();
+    CHECK(ask(Set.Metrics, "/metrics").Body.find(Held) == std::string::npos);
+  }
+  SUBCASE("a port") {
+    Set.Reports = freeEndpoint(ownLoopbackIp());
+    start();
+    CHECK(get("/x/1").Status == 200);
+    runFor(3 * ReportPeriod);
+    std::string Page = ask(Set.Metrics, "/metrics").Body;
+    CHECK(Page.find("shallot_replicas_held 0") != std::string::npos);
+    CHECK(Page.find("shallot_replica_reports_sent_bytes 0") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE_FIXTURE(FrontFixture, "a shutdown answers requests that were read") {
   start();
   Pay.Instead = [this](const WireConnectionPtr &C, const WireRequest &) {
--- a/tests/failure/ReplicaReportsReachPeers.cpp
+++ b/tests/failure/ReplicaReportsReachPeers.cpp
@@ -42,6 +42,25 @@
     REQUIRE_MESSAGE(L, L.error().Detail);
     Link = std::move(*L);
     Replicas.setFleetShare({Daemons - 1, 1, 0.1});
+    for (const char *Id : {"slow", "usual"})
+      Replicas.put(entry(Id), Loop.now());
+  }
+  static ReplicaEntry entry(const std::string &Id) {
+    ReplicaEntry E;
+    E.Id = UpstreamId(Id);
+    E.Service = ServiceName("s");
+    E.Zone = AvailabilityZone("z");
+    E.Slots = 4;
+    return E;
+  }
+  /// Selects a replica a hundred times.
+  void choose(Instant Now) {
+    ServiceInfo Service{ServiceName("s"), 1000};
+    ReplicaCriteria C;
+    C.Service = &Service;
+    C.ServiceTime = Work;
+    for (unsigned Times = 0; Times < 100; ++Times)
+      Replicas.choose(C, uniform01(Rng), Now);
   }
   static ReplicaRegistryOptions options() {
     ReplicaRegistryOptions O;
@@ -75,12 +94,9 @@
     });
   }
   ReplicaPtr replica(const std::string &Id) {
-    ReplicaEntry E;
-    E.Id = UpstreamId(Id);
-    E.Slots = 4;
-    return std::make_shared<Replica>(
-        E, Distance::SameZone, std::make_shared<RttEstimate>(Millis(1)),
-        Loop.now() - Seconds(10));
+    return std::make_shared<Replica>(Node::entry(Id), Distance::SameZone,
+                                     std::make_shared<RttEstimate>(Millis(1)),
+                                     Loop.now() - Seconds(10));
   }
   bool heldSlow(std::size_t I, const ReplicaPtr &R) {
     return Nodes[I]->Replicas.sharing().told(*R, Loop.now()).slow();
@@ -110,6 +126,11 @@
   for (std::size_t I = 2; I + 1 < Daemons; ++I)
     runUntil([&] { return heldSlow(I, Unused); });
   CHECK_FALSE(heldSlow(Daemons - 1, Unused));
+  for (std::size_t I : {std::size_t(2), Daemons - 1})
+    Nodes[I]->choose(Loop.now());
+  CHECK(Nodes[2]->Replicas.sharing().held() == 1);
+  CHECK(Nodes[Daemons - 1]->Replicas.sharing().held() == 0);
+  runFor(Millis(1500)); // Logs the hold.
   CHECK(Nodes[Daemons - 1]->Replicas.sharing().toldOf() == 0);
   Metrics Meter;
   Nodes[0]->Link->writeGauges(Meter);
@@ -141,7 +162,8 @@
   runUntil([&] {
     Nodes[0]->Link->writeGauges(Meter);
     std::string Text = Meter.text();
-    return Text.find("shallot_replica_reports_dropped 2") != std::string::npos &&
+    return Text.find("shallot_replica_reports_dropped 2") !=
+               std::string::npos &&
            Text.find("shallot_replica_reports_malformed 1") !=
                std::string::npos;
   });
