--- a/packages/forward/ReplicaRegistry.h
+++ b/packages/forward/ReplicaRegistry.h
@@ -34,6 +34,7 @@
 
 #include "forward/IncarnationTable.h"
 #include "forward/Replica.h"
+#include "forward/ReplicaSharing.h"
 #include "forward/Route.h"
 #include "forward/WarmupShare.h"
 
@@ -85,6 +86,8 @@
   /// If set, no replica is used until it is known which zones are evacuated.
   bool AwaitEvacuations = false;
   WarmupBound Warmup;
+  /// Daemons tell each other of slow replicas (ReplicaSharing).
+  bool ShareObservations = false;
 
   friend bool operator==(const ReplicaRegistryOptions &,
                          const ReplicaRegistryOptions &) = default;
@@ -105,6 +108,7 @@
 public:
   ReplicaRegistry(Location Here, ReplicaRegistryOptions Options)
       : Here(std::move(Here)), Options(Options),
+        Sharing(Options.ShareObservations),
         ZonesKnown(!Options.AwaitEvacuations) {}
 
   /// Replaces all registrations; replicas that are not in \p Entries have
@@ -122,7 +126,10 @@
   bool evacuated(const AvailabilityZone &Zone) const {
     return Evacuated.contains(Zone);
   }
-  void setFleetShare(FleetShare S) { Shared = S; }
+  void setFleetShare(FleetShare S) {
+    Shared = S;
+    Sharing.setDaemons(S.InRegion);
+  }
   const FleetShare &fleetShare() const { return Shared; }
   /// Sets the daemons that may send to cold replicas. Before the first call,
   /// there are none.
@@ -149,6 +156,7 @@
   std::vector<ReplicaPtr> dueProbes(Instant Now);
 
   std::size_t size() const { return ById.size(); }
+  ReplicaSharing &sharing() { return Sharing; }
 
 private:
   struct Slot {
@@ -161,6 +169,16 @@
     bool VanishedInOutage = false;
   };
 
+  struct Held {
+    const Replica *Which = nullptr;
+    ToldSlowness Told;
+  };
+
+  std::vector<Held> heldByReports(const std::vector<Slot *> &Slots,
+                                  const ReplicaCriteria &C, double Jitter,
+                                  Instant Now) const;
+  static double toldExtraMs(const std::vector<Held> &Kept, const Replica &R,
+                            Duration ServiceTime, Instant Now);
   std::shared_ptr<RttEstimate> rttTo(const ReplicaEntry &E);
   bool hasRoom(const Replica &R, const ReplicaCriteria &C, Instant Now) const;
   Distance distance(const ReplicaEntry &E) const;
@@ -175,6 +193,7 @@
   Location Here;
   ReplicaRegistryOptions Options;
   FleetShare Shared;
+  ReplicaSharing Sharing;
   WarmupSenders Senders;
   std::unordered_map<UpstreamId, Slot> ById;
   std::unordered_map<ServiceName, std::vector<Slot *>> ByService;
--- a/tests/front.cmake
+++ b/tests/front.cmake
@@ -10,6 +10,7 @@
           failure/DeadHostsAreNotNamed.cpp
           failure/FarMembersAreProbedSeldom.cpp
           failure/RelayedRepliesDoNotLoop.cpp
+          failure/ReplicaReportsReachPeers.cpp
           failure/RestoredStoreReachesPeers.cpp)
 shallot_test(front_feed_scale PACKAGES front LABELS failure
   SOURCES failure/FeedCallsAreBounded.cpp FeedFleet.cpp)
