--- a/packages/limits/FairQueue.cpp
+++ b/packages/limits/FairQueue.cpp
@@ -189,13 +189,13 @@
 
 FairQueue::Place FairQueue::last() const {
   Account *Worst = nullptr;
-  auto order = [](const Account &A) {
+  auto Order = [](const Account &A) {
     std::uint64_t Arrival = newest(A);
     // Those with a promise are the last to be refused.
     return std::tuple(!A.Waiting.at(Arrival).Promised, tagOfNewest(A), Arrival);
   };
   for (Account *A : Backlogged)
-    if (!Worst || order(*A) > order(*Worst))
+    if (!Worst || Order(*A) > Order(*Worst))
       Worst = A;
   return {Worst, newest(*Worst)};
 }
--- a/packages/limits/PromisedPlaces.cpp
+++ b/packages/limits/PromisedPlaces.cpp
@@ -75,7 +75,8 @@
 
 void PromisedPlaces::expire(Instant Now) {
   while (!ByTime.empty() && ByTime.begin()->first + MaxLateness < Now) {
-    auto [At, Key] = *ByTime.begin();
+    Instant At = ByTime.begin()->first;
+    std::uint64_t Key = ByTime.begin()->second;
     auto [First, Last] = ByKey.equal_range(Key);
     ByKey.erase(std::find_if(
         First, Last, [&](const auto &Row) { return Row.second == At; }));
--- a/tests/correctness/PromisesAreKept.cpp
+++ b/tests/correctness/PromisesAreKept.cpp
@@ -76,7 +76,7 @@
   Instant Now = Start;
   TicketId Last = 0;
   TicketId Running = 0;
-  auto offer = [&](std::uint64_t Key) {
+  auto Offer = [&](std::uint64_t Key) {
     AdmissionRequest R{++Last, CallerClass("any"), Now + Seconds(2), {}};
     R.Claim = {North, 1, 1, Key};
     AdmissionDecision D = A.offer(R, Now);
@@ -84,9 +84,9 @@
       Running = Last;
     return D;
   };
-  REQUIRE(offer(1000).What == AdmissionAction::Start);
+  REQUIRE(Offer(1000).What == AdmissionAction::Start);
   // Ends the running request every 10 ms; the queue is never empty.
-  auto step = [&] {
+  auto Step = [&] {
     Now += Millis(10);
     A.done(Running, {.Latency = Millis(10)}, Now);
     for (const AdmissionEvent &E : A.poll(Now))
@@ -96,9 +96,9 @@
   std::optional<Duration> Told;
   std::uint64_t Key = 0;
   while (!Told && Key < 100) {
-    step();
+    Step();
     while (!Told) {
-      AdmissionDecision D = offer(++Key);
+      AdmissionDecision D = Offer(++Key);
       if (D.What == AdmissionAction::Refuse)
         Told = D.RetryAfter;
       A.poll(Now);
@@ -106,15 +106,15 @@
   }
   Instant Return = Now + *Told;
   while (Now < Return) {
-    step();
+    Step();
     for (std::uint64_t I = 0; I < 5; ++I)
-      offer(5000 + Last);
+      Offer(5000 + Last);
     A.poll(Now);
   }
-  REQUIRE(offer(Key).What == AdmissionAction::Wait);
+  REQUIRE(Offer(Key).What == AdmissionAction::Wait);
   TicketId Mine = Last;
   A.poll(Now);
-  step();
+  Step();
   CHECK(Running == Mine);
 }
 
--- a/tests/performance/SharesOverTheFleet.cpp
+++ b/tests/performance/SharesOverTheFleet.cpp
@@ -32,6 +32,7 @@
     Room -= Sorted[I];
   }
   std::vector<double> Shares;
+  Shares.reserve(Demands.size());
   for (double D : Demands)
     Shares.push_back(std::min(D, Level));
   return Shares;
