--- a/packages/front/FeedTree.cpp
+++ b/packages/front/FeedTree.cpp
@@ -51,10 +51,12 @@
 std::vector<const Member *>
 watchersOf(const std::map<Region, OtherRegion> &Others) {
   std::vector<const Member *> All;
+  All.reserve(Others.size());
   for (const auto &[Reg, Other] : Others)
     All.push_back(&Other.watcher());
-  std::ranges::stable_partition(
-      All, [](const Member *M) { return M->Store != StoreAccess::Refused; });
+  std::stable_partition(All.begin(), All.end(), [](const Member *M) {
+    return M->Store != StoreAccess::Refused;
+  });
   return All;
 }
 
