--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -9,17 +9,36 @@
 
 namespace {
 
-/// A daemon that has heard from no other for this long may be partitioned, and
-/// the others may soon have new owners. Shorter than the time in which they
-/// take a member for failed, and the time of several probes.
-constexpr Duration MaxSilence = Seconds(2);
+std::string_view evidenceName(QuotaEvidence E) {
+  switch (E) {
+  case QuotaEvidence::Waited:
+    return "waited";
+  case QuotaEvidence::Released:
+    return "released";
+  case QuotaEvidence::Standby:
+    return "standby_agrees";
+  case QuotaEvidence::All:
+    return "all_agree";
+  }
+  return "";
+}
+
+std::set<AvailabilityZone> zonesOf(const FrontSettings &Set) {
+  std::set<AvailabilityZone> Zones;
+  for (const auto &[Zone, Reg] : Set.Zones)
+    Zones.insert(Zone);
+  return Zones;
+}
 
 } // namespace
 
 QuotaLink::QuotaLink(EventLoop &Loop, TimerQueue &Timers,
                      const FrontSettings &Set, FleetLink &Fleet)
     : Loop(Loop), Timers(Timers), Port(Set.Quotas.Port), Fleet(Fleet),
-      Agent(Fleet.self().Id, Set.QuotaLimits) {}
+      Agent(Fleet.self().Id, Set.QuotaLimits) {
+  Agent.setZones(zonesOf(Set));
+  refresh();
+}
 
 QuotaLink::~QuotaLink() { Timers.cancel(Timer); }
 
@@ -32,7 +51,7 @@
                               const Endpoint &) {
     auto M = attempt([&] { return decodeQuota(Plain); });
     if (M)
-      Raw->apply(Raw->Agent.receive(*M, Raw->now()));
+      Raw->receive(*M);
     return bool(M);
   };
   BOOST_LEAF_ASSIGN(L->Socket,
@@ -68,15 +87,35 @@
     return false;
   if (Fleet.view().Members.size() == 1)
     return Fleet.settled(Now);
-  return Now - Fleet.heardAt() < MaxSilence;
+  return Now - std::max(Fleet.heardAt(), HeardAt) < MaxOwnerSilence;
 }
 
-void QuotaLink::tick() {
-  Timer = 0;
+/// A daemon that did not run for a time may have lost its accounts meanwhile,
+/// whatever it finds in its sockets.
+void QuotaLink::refresh() {
+  bool Paused = Fleet.view().Members.size() > 1 &&
+                Loop.now() - CheckedAt >= MaxOwnerSilence;
+  CheckedAt = Loop.now();
   Agent.setSelf(Fleet.self().Id);
-  Agent.setMayGrant(mayGrant(), now());
+  Agent.setMayGrant(!Paused && mayGrant(), now());
+  Agent.setViewComplete(Fleet.viewComplete(Loop.now()));
+  Agent.setHeardAt(now() - (Loop.now() - std::max(Fleet.heardAt(), HeardAt)));
   if (std::exchange(ViewIsNew, false))
     apply(Agent.update(Fleet.view(), now()));
+}
+
+/// Also without quotas: other daemons need the answers.
+void QuotaLink::receive(const QuotaMessage &M) {
+  refresh();
+  HeardAt = Loop.now();
+  apply(Agent.receive(M, now()));
+  if (Agent.waiting())
+    schedule();
+}
+
+void QuotaLink::tick() {
+  Timer = 0;
+  refresh();
   apply(Agent.tick(now()));
   schedule();
 }
@@ -93,6 +132,11 @@
 void QuotaLink::apply(const QuotaOutput &Out) {
   for (const QuotaSend &S : Out.Sends)
     Socket->send({S.To.Gossip.Ip, Port}, encodeQuota(S.Message));
+  for (const QuotaOpening &O : Out.Opened)
+    logEvent(LogLevel::Info, "quota_opened",
+             {{"organisation", O.Name.str()},
+              {"evidence", std::string(evidenceName(O.Evidence))},
+              {"after_ms", std::to_string(toMillis(O.After))}});
   for (const AdmissionEvent &E : Out.Events)
     if (auto Found = Waiting.extract(E.Id))
       Found.mapped()(E.Final);
@@ -100,13 +144,14 @@
 
 AdmissionDecision QuotaLink::acquire(const Tenant &Name, TicketId Id,
                                      Duration MaxWait, Callback Fn) {
+  refresh();
   Instant Now = now();
   QuotaOutput Out;
   AdmissionDecision Decision = Agent.offer(Name, Id, Now + MaxWait, Out, Now);
-  if (Decision.What == AdmissionAction::Wait) {
+  if (Decision.What == AdmissionAction::Wait)
     Waiting.emplace(Id, std::move(Fn));
+  if (Agent.waiting())
     schedule();
-  }
   apply(Out);
   return Decision;
 }
--- a/packages/front/QuotaLink.h
+++ b/packages/front/QuotaLink.h
@@ -53,6 +53,8 @@
   void tick();
   void schedule();
   bool mayGrant() const;
+  void refresh();
+  void receive(const QuotaMessage &M);
   void apply(const QuotaOutput &Out);
 
   EventLoop &Loop;
@@ -64,6 +66,8 @@
   std::unordered_map<TicketId, Callback> Waiting;
   TimerQueue::Key Timer = 0;
   Instant TimerAt;
+  Instant HeardAt;   ///< A message on quotas.
+  Instant CheckedAt; ///< Of mayGrant().
   bool Enforces = false;
   bool ViewIsNew = true;
 };
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -57,6 +57,8 @@
   }
   const Tenant &Caller = J->Run.request().Caller->Name;
   Meter.count("shallot_quota_refused_total", {{"tenant", Caller.str()}});
+  if (V.Code == ResultCode::QuotaUnknown)
+    Meter.count("shallot_quota_unknown_total", {{"tenant", Caller.str()}});
   reject(J, quotaAnswer(V, Caller));
 }
 
--- a/packages/limits/QuotaAgent.cpp
+++ b/packages/limits/QuotaAgent.cpp
@@ -4,6 +4,7 @@
 #include "limits/HandoverGuard.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shallot {
 
@@ -14,6 +15,16 @@
 constexpr Duration StandbyAfter = Millis(20);
 /// Period in which accounts and tokens out of use are removed.
 constexpr Duration CleanupPeriod = Seconds(1);
+/// How long the answer to a claim counts.
+constexpr Duration AgreementLifetime = Seconds(1);
+/// The most claims that a daemon sends in a second; organisations beyond wait
+/// for ViewPropagationTime.
+constexpr std::size_t MaxClaimsPerSecond = 4096;
+/// The daemons that a silent owner asks for a sign of life in each QuotaTick.
+constexpr std::size_t ProbedAtOnce = 3;
+/// Only an account that opens within this time after it could is reported, and
+/// not one that was removed while it was idle.
+constexpr Duration OpeningTime = Seconds(1);
 
 std::uint64_t sequenceOf(Instant At) {
   return static_cast<std::uint64_t>(At.time_since_epoch().count());
@@ -23,6 +34,10 @@
   return Instant(Duration(static_cast<std::int64_t>(Sequence)));
 }
 
+bool isUp(const Member &M) {
+  return M.State != MemberState::Failed && M.State != MemberState::Left;
+}
+
 std::size_t entries(const QuotaMessage &M) {
   return M.Asks.size() + M.Grants.size() + M.Claims.size() + M.Releases.size();
 }
@@ -71,6 +86,8 @@
 /// A daemon that may grant again starts as a new owner: while it was silent
 /// others may have taken its place.
 void QuotaAgent::setMayGrant(bool May, Instant Now) {
+  if (!StartedAt)
+    StartedAt = Now;
   if (May && !MayGrant)
     MayGrantSince = Now;
   MayGrant = May;
@@ -81,6 +98,8 @@
 
 QuotaOutput QuotaAgent::update(const FleetView &View, Instant Now) {
   QuotaOutput Out;
+  if (!StartedAt)
+    StartedAt = Now;
   Members = View.Members;
   if (!Owners.update(View, Now))
     return Out;
@@ -93,6 +112,7 @@
       batchTo(*Owner, To, Now).Releases.push_back(std::move(*Released));
   }
   append(To, Out.Sends);
+  Out.Opened = std::exchange(Opened, {});
   return Out;
 }
 
@@ -110,26 +130,177 @@
     return R;
   Instant Begin = std::max(*Since, MayGrantSince);
   std::optional<Instant> Accepted = Ledger.acceptedAt(Name);
-  R.Released = Accepted && *Accepted >= Begin - ViewPropagationTime;
+  bool Released = Accepted && *Accepted >= Begin - ViewPropagationTime;
   Instant From =
-      R.Released ? std::max(*Accepted, Begin) : Begin + ViewPropagationTime;
+      Released ? std::max(*Accepted, Begin) : Begin + ViewPropagationTime;
   From = std::max(From, Ledger.yieldedUntil(Name));
-  if (From <= Now)
+  if (Released) {
+    R.Evidence = QuotaEvidence::Released;
+    if (Now - *Accepted < ViewPropagationTime)
+      R.Fraction = std::max(R.Fraction, std::min(Ledger.acceptedFraction(Name),
+                                                 Owners.zonesInView()));
+  }
+  std::optional<QuotaLedger::Settlement> Settled = Ledger.settlement(Name);
+  if (Settled && Settled->At >= Begin) {
+    if (!Released)
+      R.Evidence = Settled->Evidence;
+    From = std::min(From, Settled->At);
+    bool AllZones = Settled->Evidence == QuotaEvidence::All;
+    if (AllZones && Now - Settled->At < ViewPropagationTime)
+      R.Fraction = Owners.zonesInView();
+  }
+  if (From <= Now && R.Fraction > 0)
     R.OwnerSince = From;
   return R;
 }
 
+Duration QuotaAgent::uptime(Instant Now) const {
+  return StartedAt ? Now - *StartedAt : Duration(0);
+}
+
+std::optional<Instant> QuotaAgent::ownerSince(const Tenant &Name) const {
+  std::optional<Instant> Since = Owners.ownedSince(Name);
+  if (!Since || !MayGrant)
+    return std::nullopt;
+  return std::max(*Since, MayGrantSince);
+}
+
+/// Asks all that have not agreed lately.
+void QuotaAgent::claim(const Tenant &Name, Batches &Out, Instant Now) {
+  if (Now - ClaimsCountedAt >= Seconds(1)) {
+    ClaimsCountedAt = Now;
+    ClaimsSent = 0;
+  }
+  if (ClaimsSent >= MaxClaimsPerSecond || !Ledger.tryClaim(Name, Now))
+    return;
+  const Member *Standby = Owners.standby(Name);
+  for (const Member &M : Members) {
+    if (M.Id.Host == Self.Host || !isUp(M))
+      continue;
+    if (!Owners.knowsZones() && (!Standby || M.Id != Standby->Id))
+      continue;
+    if (Ledger.agreed(Name, M.Id, Now - AgreementLifetime / 2))
+      continue;
+    batchTo(M, Out, Now).Claims.push_back({Name});
+    ++ClaimsSent;
+  }
+}
+
+/// Any answer to a claim shows that this daemon is not cut off.
+void QuotaAgent::probe(Batches &Out, Instant Now) {
+  if (HeardAt >= Now - OwnerProbeAfter || !MayGrant || Members.size() < 2)
+    return;
+  std::optional<Tenant> Name = Ledger.anyActive();
+  for (std::size_t I = 0; Name && I < ProbedAtOnce; ++I) {
+    const Member &M = Members[NextProbed++ % Members.size()];
+    if (M.Id.Host != Self.Host && isUp(M))
+      batchTo(M, Out, Now).Claims = {{*Name}};
+  }
+}
+
+/// One that acts as the owner, or claims the account itself, yields to a
+/// claimer that ranks higher, also if its view does not show it yet. The others
+/// consent: they do not act as the owner unless the claimer consents to that.
+QuotaRelease QuotaAgent::answer(const QuotaClaim &C, const DaemonId &From,
+                                Instant Now) {
+  const Member *Owner = Owners.owner(C.Name);
+  QuotaRelease R;
+  R.Name = C.Name;
+  R.Idle = true;
+  bool Acts =
+      Ledger.acts(C.Name) || (ownerSince(C.Name) && Ledger.claims(C.Name, Now));
+  if (Acts && !QuotaOwners::outranks(C.Name, From.Host, Self.Host)) {
+    R.Answer = QuotaAnswer::Refused;
+  } else {
+    R = Ledger.yield(C.Name, From, Now);
+    R.Answer = QuotaAnswer::Agreed;
+  }
+  const Member *Rival =
+      Owner && Owner->Id.Host == From.Host ? Owners.standby(C.Name) : Owner;
+  R.Rival = Rival ? hash64(Rival->Id.Host.str()) : 0;
+  R.UptimeMillis = static_cast<std::uint32_t>(
+      std::min<std::int64_t>(toMillis(uptime(Now)), UINT32_MAX));
+  return R;
+}
+
+/// Whether the daemon \p Id runs and is not cut off.
+bool QuotaAgent::mayStillAct(const DaemonId &Id) const {
+  const Member *M = findMember(Id);
+  return M && isUp(*M);
+}
+
+bool QuotaAgent::allAgree(const Tenant &Name, Instant Since,
+                          Instant Now) const {
+  if (!Owners.knowsZones() || Owners.zonesInView() < 1 || !ViewComplete ||
+      uptime(Now) < RestartGuard)
+    return false;
+  std::set<std::uint64_t> Rivals = Ledger.rivals(Name, Since, Now);
+  std::size_t Others = 0;
+  for (const Member &M : Members) {
+    bool IsSelf = M.Id.Host == Self.Host;
+    if (!IsSelf && !isUp(M))
+      continue;
+    const QuotaLedger::Agreement *A = Ledger.agreed(Name, M.Id, Since);
+    if (!IsSelf && (!A || A->CountsAt > Now))
+      return false;
+    Rivals.erase(hash64(M.Id.Host.str()));
+    Others += IsSelf ? 0 : 1;
+  }
+  return Others > 0 && Rivals.empty();
+}
+
+/// The standby would be the owner without this daemon. If this daemon has seen
+/// all changes, no other can have become the owner.
+bool QuotaAgent::standbyAgrees(const Tenant &Name, const DaemonId &From,
+                               Instant Now) const {
+  const Member *Standby = Owners.standby(Name);
+  if (!Standby || Standby->Id != From ||
+      uptime(Now) < 2 * ViewPropagationTime ||
+      Now - MayGrantSince < ViewPropagationTime ||
+      Now < Ledger.yieldedUntil(Name))
+    return false;
+  return std::ranges::none_of(
+      Owners.formerOwners(Name, ViewPropagationTime, Now),
+      [&](const DaemonId &Id) { return mayStillAct(Id); });
+}
+
+void QuotaAgent::heard(const QuotaRelease &R, const DaemonId &From,
+                       Instant SentAt, Instant Now) {
+  if (!R.Idle)
+    Ledger.accept(R, From, Now);
+  std::optional<Instant> Begin = ownerSince(R.Name);
+  if (R.Answer != QuotaAnswer::Agreed || !Begin || SentAt < *Begin ||
+      SentAt <= Ledger.yieldedAt(R.Name) || roleIn(R.Name, Now).OwnerSince)
+    return;
+  if (standbyAgrees(R.Name, From, Now))
+    return Ledger.settle(R.Name, QuotaEvidence::Standby, Now);
+  Instant CountsAt = Now - Millis(R.UptimeMillis) + RestartGuard;
+  Ledger.agree(R.Name, From, {SentAt, CountsAt, R.Rival});
+  settle(R.Name, *Begin, Now);
+}
+
+void QuotaAgent::settle(const Tenant &Name, Instant Begin, Instant Now) {
+  if (allAgree(Name, std::max(Begin, Now - AgreementLifetime), Now))
+    Ledger.settle(Name, QuotaEvidence::All, Now);
+}
+
 QuotaGrant QuotaAgent::grantTo(const DaemonId &From, const QuotaAsk &A,
                                Batches &Out, Instant Now) {
   auto Q = Quotas.find(A.Name);
   if (Q == Quotas.end())
     return {A.Name, A.Spent, {}, {}};
   QuotaRole Role = roleIn(A.Name, Now);
-  const Member *Standby = Owners.standby(A.Name);
-  bool Waits = !Role.OwnerSince && Owners.ownedSince(A.Name);
-  if (Waits && Standby && Ledger.tryClaim(A.Name, Now))
-    batchTo(*Standby, Out, Now).Claims.push_back({A.Name});
-  return Ledger.grant(From, A, Q->second, Role, Now);
+  std::optional<Instant> Begin = ownerSince(A.Name);
+  if (Begin && !Role.OwnerSince) {
+    claim(A.Name, Out, Now);
+    settle(A.Name, *Begin, Now);
+    Role = roleIn(A.Name, Now);
+  }
+  bool Acted = Ledger.acts(A.Name);
+  QuotaGrant G = Ledger.grant(From, A, Q->second, Role, Now);
+  if (!Acted && Role.OwnerSince && Now - *Role.OwnerSince < OpeningTime)
+    Opened.push_back({A.Name, Role.Evidence, Now - *Begin});
+  return G;
 }
 
 QuotaMessage &QuotaAgent::batchTo(const Member &To, Batches &Out,
@@ -146,6 +317,17 @@
   return At != Members.end() && At->Id == Id ? &*At : nullptr;
 }
 
+/// Also of a later incarnation than the view shows.
+std::optional<Member> QuotaAgent::addressOf(const DaemonId &Id) const {
+  auto At = std::ranges::find_if(
+      Members, [&](const Member &M) { return M.Id.Host == Id.Host; });
+  if (At == Members.end() || At->Id.Incarnation > Id.Incarnation)
+    return std::nullopt;
+  Member Found = *At;
+  Found.Id = Id;
+  return Found;
+}
+
 void QuotaAgent::askOne(const Member &Granter, const Tenant &Name,
                         QuotaTokens &T, QuotaNeed Need, Batches &Out,
                         Instant Now) {
@@ -172,6 +354,7 @@
 void QuotaAgent::collect(QuotaTokens &T, AdmissionEvents &Out, Instant Now) {
   AdmissionEvents Some = T.poll(Now);
   Waiters -= Some.size();
+  MustReport = MustReport || T.mustReport();
   Out.insert(Out.end(), Some.begin(), Some.end());
 }
 
@@ -183,6 +366,7 @@
     return AdmissionDecision::start();
   QuotaTokens &T = Held[Name];
   AdmissionDecision Decision = T.offer(Id, Expires, Now);
+  MustReport = MustReport || T.mustReport();
   if (Decision.What != AdmissionAction::Wait)
     return Decision;
   ++Waiters;
@@ -218,19 +402,19 @@
 QuotaOutput QuotaAgent::receive(const QuotaMessage &M, Instant Now) {
   QuotaOutput Out;
   Batches To;
-  const Member *From = findMember(M.From);
-  if (From && MayGrant) {
+  if (std::optional<Member> From = addressOf(M.From)) {
     // The reply repeats the sequence number, so it has no other entries.
     QuotaSend Reply{*From, {Self, M.Sequence, {}, {}, {}, {}}};
-    for (const QuotaAsk &A : M.Asks)
-      Reply.Message.Grants.push_back(grantTo(M.From, A, To, Now));
+    if (MayGrant && findMember(M.From))
+      for (const QuotaAsk &A : M.Asks)
+        Reply.Message.Grants.push_back(grantTo(M.From, A, To, Now));
     for (const QuotaClaim &C : M.Claims)
-      Reply.Message.Releases.push_back(Ledger.yield(C.Name, Now));
+      Reply.Message.Releases.push_back(answer(C, M.From, Now));
     appendParts(Reply, Out.Sends);
   }
-  for (const QuotaRelease &R : M.Releases)
-    Ledger.accept(R, Now);
   Instant SentAt = std::min(Now, timeOf(M.Sequence));
+  for (const QuotaRelease &R : M.Releases)
+    heard(R, M.From, SentAt, Now);
   for (const QuotaGrant &G : M.Grants) {
     auto At = Held.find(G.Name);
     if (At == Held.end())
@@ -241,12 +425,14 @@
       askFor(G.Name, At->second, To, Now);
   }
   append(To, Out.Sends);
+  Out.Opened = std::exchange(Opened, {});
   return Out;
 }
 
 QuotaOutput QuotaAgent::tick(Instant Now) {
   QuotaOutput Out;
   Batches To;
+  MustReport = false;
   for (auto &[Name, T] : Held) {
     if (T.mustAsk(Now))
       askFor(Name, T, To, Now);
@@ -262,6 +448,7 @@
     }
     collect(T, Out.Events, Now);
   }
+  probe(To, Now);
   if (Now >= NextCleanup) {
     NextCleanup = Now + CleanupPeriod;
     std::erase_if(Held,
@@ -269,6 +456,7 @@
     Ledger.removeIdle(Now);
   }
   append(To, Out.Sends);
+  Out.Opened = std::exchange(Opened, {});
   return Out;
 }
 
--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -16,6 +16,18 @@
 //                            v
 //                           ask the standby as well
 //
+// A new owner starts without a wait when it has proof that no other daemon acts
+// as the owner. It claims the account, and
+//
+//   - the one that acts as the owner releases it; or
+//   - each live daemon in the view answers that it knows of no owner that ranks
+//     higher, and does not act as one; so does the daemon that any of these
+//     would take for the owner otherwise. This needs a live daemon in each
+//     zone, and that all have run for RestartGuard, after which one that is cut
+//     off and not in the view has stopped to grant; or
+//   - the standby answers that it does not act as the owner, and this daemon
+//     has seen all former owners of the last ViewPropagationTime end.
+//
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_QUOTAAGENT_H
 #define SHALLOTSHIFT_LIMITS_QUOTAAGENT_H
@@ -33,11 +45,27 @@
   QuotaMessage Message;
 };
 
+/// An account that this daemon begins to grant from.
+struct QuotaOpening {
+  Tenant Name;
+  QuotaEvidence Evidence = QuotaEvidence::Waited;
+  Duration After{}; ///< Since it became the owner in its view.
+};
+
 struct QuotaOutput {
   std::vector<QuotaSend> Sends;
   AdmissionEvents Events; ///< Of requests that waited.
+  std::vector<QuotaOpening> Opened;
 };
 
+/// The driver must not let a daemon grant that has heard from no other for this
+/// long. An owner asks others for a sign of life before (OwnerProbeAfter).
+inline constexpr Duration MaxOwnerSilence = Millis(500);
+inline constexpr Duration OwnerProbeAfter = Millis(200);
+/// After all daemons of a view have run for this long, one that is cut off and
+/// not in the view has stopped to grant.
+inline constexpr Duration RestartGuard = MaxOwnerSilence + Millis(100);
+
 class QuotaAgent {
 public:
   QuotaAgent(const DaemonId &Self, QuotaTolerance Tolerated);
@@ -47,11 +75,21 @@
   void setSelf(const DaemonId &Id) { Self = Id; }
   /// Replaces the quotas; organisations without one are not limited.
   void setQuotas(std::unordered_map<Tenant, Quota> All);
+  /// Sets the zones of the deployment. Without them, a daemon that restarted
+  /// does not start on the word of the others. Requires that the driver keeps
+  /// to MaxOwnerSilence.
+  void setZones(std::set<AvailabilityZone> All) {
+    Owners.setZones(std::move(All));
+  }
+  /// Whether the view holds all members that ran when this daemon started.
+  void setViewComplete(bool Is) { ViewComplete = Is; }
   /// Applies a change of the fleet.
   QuotaOutput update(const FleetView &View, Instant Now);
   /// Whether this daemon may act as an owner or a standby: it must not while it
   /// may be partitioned from the rest of the fleet.
   void setMayGrant(bool May, Instant Now);
+  /// When the driver last heard from another daemon.
+  void setHeardAt(Instant At) { HeardAt = At; }
 
   /// Start, Wait, or Refuse with QuotaExceeded and the time to return. A
   /// request that waits can start until \p Expires. Adds what there is to send
@@ -65,7 +103,7 @@
   QuotaOutput receive(const QuotaMessage &M, Instant Now);
   /// Call it every QuotaTick, and every QuotaWaitTick while waiting().
   QuotaOutput tick(Instant Now);
-  bool waiting() const { return Waiters > 0; }
+  bool waiting() const { return Waiters > 0 || MustReport; }
 
   /// The quota in force; without a limit if there is none.
   Quota quotaOf(const Tenant &Name) const;
@@ -76,7 +114,19 @@
 private:
   using Batches = std::map<HostId, QuotaSend>;
 
+  Duration uptime(Instant Now) const;
+  std::optional<Instant> ownerSince(const Tenant &Name) const;
   QuotaRole roleIn(const Tenant &Name, Instant Now) const;
+  void claim(const Tenant &Name, Batches &Out, Instant Now);
+  void probe(Batches &Out, Instant Now);
+  QuotaRelease answer(const QuotaClaim &C, const DaemonId &From, Instant Now);
+  void heard(const QuotaRelease &R, const DaemonId &From, Instant SentAt,
+             Instant Now);
+  bool allAgree(const Tenant &Name, Instant Since, Instant Now) const;
+  bool standbyAgrees(const Tenant &Name, const DaemonId &From,
+                     Instant Now) const;
+  void settle(const Tenant &Name, Instant Begin, Instant Now);
+  bool mayStillAct(const DaemonId &Id) const;
   QuotaGrant grantTo(const DaemonId &From, const QuotaAsk &A, Batches &Out,
                      Instant Now);
   void askFor(const Tenant &Name, QuotaTokens &T, Batches &Out, Instant Now);
@@ -85,6 +135,7 @@
   QuotaMessage &batchTo(const Member &To, Batches &Out, Instant Now) const;
   void collect(QuotaTokens &T, AdmissionEvents &Out, Instant Now);
   const Member *findMember(const DaemonId &Id) const;
+  std::optional<Member> addressOf(const DaemonId &Id) const;
 
   DaemonId Self;
   QuotaOwners Owners;
@@ -94,7 +145,15 @@
   std::vector<Member> Members; ///< By id.
   bool MayGrant = false;
   Instant MayGrantSince;
+  Instant HeardAt = Instant::max();
+  std::size_t NextProbed = 0;
+  bool ViewComplete = true;
+  std::optional<Instant> StartedAt;
+  Instant ClaimsCountedAt;
+  std::size_t ClaimsSent = 0; ///< Since ClaimsCountedAt.
+  std::vector<QuotaOpening> Opened;
   std::size_t Waiters = 0;
+  bool MustReport = false;
   Instant NextCleanup;
 };
 
--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -12,10 +12,11 @@
 
 /// Tokens are granted in advance only while more than this fraction of the
 /// capacity is left: the last ones are for requests that are waiting.
-constexpr double AdvanceFraction = 0.5;
-/// A claim is sent again after this time: more than two round trips between
-/// regions.
+constexpr double AdvanceFraction = 0.3;
+/// A claim is sent again after this time, which doubles up to the longest: more
+/// than two round trips between regions.
 constexpr Duration ClaimPeriod = Millis(40);
+constexpr Duration MaxClaimPeriod = Millis(80);
 
 double secondsOf(Duration D) { return toMillisF(D) / 1000; }
 
@@ -43,7 +44,8 @@
 }
 
 double QuotaLedger::outstanding(const Account &A, Instant Now) {
-  double Sum = Now < A.ReservedUntil ? A.Reserved : 0;
+  double Sum = (Now < A.ReservedUntil ? A.Reserved : 0) +
+               (Now < A.WithheldUntil ? A.Withheld : 0);
   for (const auto &[Who, L] : A.Leases)
     Sum += double(L.outstanding());
   return Sum;
@@ -51,6 +53,7 @@
 
 void QuotaLedger::activate(Account &A, const Quota &Q, const QuotaRole &Role,
                            Instant Now) const {
+  A.Fraction = Role.Fraction;
   A.Rate = Q.Rate * Role.Fraction;
   A.Capacity = std::max(
       1.0, Role.Fraction * (Q.Burst + OwnerExcessShare * Tolerated.excess(Q)));
@@ -58,14 +61,26 @@
     A.Active = false;
     return;
   }
-  if (!A.Active) {
-    A.Level = Role.Released ? A.Level : 0;
-    A.FilledAt = *Role.OwnerSince;
-    A.Active = true;
-  }
+  if (!A.Active)
+    open(A, Q, Role);
   fill(A, Now);
 }
 
+void QuotaLedger::open(Account &A, const Quota &Q,
+                       const QuotaRole &Role) const {
+  A.Active = true;
+  A.FilledAt = *Role.OwnerSince;
+  bool Told = Role.Evidence == QuotaEvidence::Released && !A.AcceptedSeveral;
+  if (!Told)
+    A.Level = 0;
+  if (Told || Role.Evidence == QuotaEvidence::Waited)
+    return;
+  double Usable =
+      std::max(1.0, Role.Fraction * EarlyExcessShare * Tolerated.excess(Q));
+  A.Withheld = std::max(0.0, A.Capacity - Usable);
+  A.WithheldUntil = *Role.OwnerSince + TokenLifetime;
+}
+
 void QuotaLedger::fill(Account &A, Instant Now) {
   std::erase_if(A.Leases, [&](const auto &Item) {
     return Item.second.HeardAt + LeaseTime < Now;
@@ -80,6 +95,8 @@
                               Instant Now) const {
   // A bucket that holds half of the share and fills with the other half in one
   // window grants at most the share in any window.
+  if (Role.Fraction == 0)
+    return;
   double Half = Role.Fraction * StandbyExcessShare * Tolerated.excess(Q) / 2;
   double Passed = std::max(0.0, secondsOf(Now - A.StandbyAt));
   if (A.StandbyAt == Instant())
@@ -90,7 +107,7 @@
 }
 
 void QuotaLedger::grantAsOwner(Account &A, Lease &L, const QuotaAsk &Ask,
-                               QuotaGrant &G) {
+                               QuotaGrant &G, Instant Now) {
   auto Held = L.outstanding();
   auto Missing = Ask.Needed > Held ? Ask.Needed - Held : 0;
   auto Given = std::min<std::uint64_t>(Missing, std::uint64_t(A.Level));
@@ -101,6 +118,7 @@
     Given += std::min(Advance, std::uint64_t(Spare));
   L.Granted += Given;
   A.Level -= double(Given);
+  G.Prompt = Now < A.WithheldUntil && A.Withheld > 0;
   G.Interval =
       timeFor(double(std::max<std::size_t>(1, A.Leases.size())), A.Rate);
   if (Given < Missing)
@@ -125,7 +143,7 @@
   G.Name = Ask.Name;
   if (A.Active) {
     fill(A, Now);
-    grantAsOwner(A, L, Ask, G);
+    grantAsOwner(A, L, Ask, G, Now);
   } else if (Role.Standby) {
     fillStandby(A, Q, Role, Now);
     grantAsStandby(A, L, Ask);
@@ -134,16 +152,70 @@
   return G;
 }
 
-void QuotaLedger::accept(const QuotaRelease &R, Instant Now) {
+void QuotaLedger::accept(const QuotaRelease &R, const DaemonId &From,
+                         Instant Now) {
   Account &A = Accounts[R.Name];
   if (A.Active)
     return;
+  if (!A.AcceptedAt || *A.AcceptedAt + LeaseTime < Now)
+    A.AcceptedSeveral = false;
+  else if (A.AcceptedFrom != From)
+    A.AcceptedSeveral = true;
+  A.AcceptedFrom = From;
+  A.AcceptedFraction = R.Fraction;
   A.Level = R.Level;
   A.Reserved = R.Outstanding;
   A.ReservedUntil = Now + TokenLifetime;
+  A.Withheld = R.Withheld;
+  A.WithheldUntil = Now + std::min<Duration>(R.WithheldFor, TokenLifetime);
   A.AcceptedAt = Now;
 }
 
+void QuotaLedger::agree(const Tenant &Name, const DaemonId &From,
+                        const Agreement &A) {
+  Agreement &Last = Accounts[Name].Agreed[From];
+  if (A.SentAt >= Last.SentAt)
+    Last = A;
+}
+
+const QuotaLedger::Agreement *QuotaLedger::agreed(const Tenant &Name,
+                                                  const DaemonId &From,
+                                                  Instant Since) const {
+  auto At = Accounts.find(Name);
+  if (At == Accounts.end())
+    return nullptr;
+  auto By = At->second.Agreed.find(From);
+  bool Is = By != At->second.Agreed.end() && By->second.SentAt >= Since;
+  return Is ? &By->second : nullptr;
+}
+
+std::set<std::uint64_t> QuotaLedger::rivals(const Tenant &Name, Instant Since,
+                                            Instant Now) const {
+  std::set<std::uint64_t> Found;
+  auto At = Accounts.find(Name);
+  if (At == Accounts.end())
+    return Found;
+  if (Now < At->second.YieldedUntil)
+    Found = At->second.YieldedTo;
+  for (const auto &[Who, A] : At->second.Agreed)
+    if (A.SentAt >= Since && A.Rival != 0)
+      Found.insert(A.Rival);
+  return Found;
+}
+
+void QuotaLedger::settle(const Tenant &Name, QuotaEvidence Evidence,
+                         Instant Now) {
+  Account &A = Accounts[Name];
+  A.Settled = {Now, Evidence};
+  A.Agreed.clear();
+}
+
+std::optional<QuotaLedger::Settlement>
+QuotaLedger::settlement(const Tenant &Name) const {
+  auto At = Accounts.find(Name);
+  return At == Accounts.end() ? std::nullopt : At->second.Settled;
+}
+
 std::optional<QuotaRelease> QuotaLedger::release(const Tenant &Name,
                                                  Instant Now) {
   auto At = Accounts.find(Name);
@@ -151,15 +223,35 @@
     return std::nullopt;
   Account &A = At->second;
   A.AcceptedAt.reset();
+  A.Agreed.clear();
+  A.Settled.reset();
+  A.ClaimWait = {};
   if (!std::exchange(A.Active, false))
     return std::nullopt;
   fill(A, Now);
-  return QuotaRelease{Name, std::exchange(A.Level, 0), outstanding(A, Now)};
+  QuotaRelease R;
+  R.Name = Name;
+  R.Level = std::exchange(A.Level, 0);
+  R.Outstanding = outstanding(A, Now);
+  if (Now < A.WithheldUntil) {
+    R.Outstanding -= A.Withheld;
+    R.Withheld = A.Withheld;
+    R.WithheldFor = A.WithheldUntil - Now;
+  }
+  R.Fraction = A.Fraction;
+  return R;
 }
 
-QuotaRelease QuotaLedger::yield(const Tenant &Name, Instant Now) {
-  Accounts[Name].YieldedUntil = Now + ViewPropagationTime;
-  return release(Name, Now).value_or(QuotaRelease{Name});
+QuotaRelease QuotaLedger::yield(const Tenant &Name, const DaemonId &To,
+                                Instant Now) {
+  Account &A = Accounts[Name];
+  if (A.YieldedUntil <= Now)
+    A.YieldedTo.clear();
+  A.YieldedTo.insert(hash64(To.Host.str()));
+  A.YieldedUntil = Now + ViewPropagationTime;
+  QuotaRelease None{Name};
+  None.Idle = true;
+  return release(Name, Now).value_or(None);
 }
 
 Instant QuotaLedger::yieldedUntil(const Tenant &Name) const {
@@ -167,14 +259,39 @@
   return At == Accounts.end() ? Instant() : At->second.YieldedUntil;
 }
 
+Instant QuotaLedger::yieldedAt(const Tenant &Name) const {
+  auto At = Accounts.find(Name);
+  return At == Accounts.end() || At->second.YieldedUntil == Instant()
+             ? Instant::min()
+             : At->second.YieldedUntil - ViewPropagationTime;
+}
+
+bool QuotaLedger::acts(const Tenant &Name) const {
+  auto At = Accounts.find(Name);
+  return At != Accounts.end() && At->second.Active;
+}
+
+std::optional<Tenant> QuotaLedger::anyActive() const {
+  auto At = std::ranges::find_if(
+      Accounts, [](const auto &Item) { return Item.second.Active; });
+  return At == Accounts.end() ? std::nullopt : std::optional(At->first);
+}
+
 bool QuotaLedger::tryClaim(const Tenant &Name, Instant Now) {
   Account &A = Accounts[Name];
-  if (Now - A.ClaimedAt < ClaimPeriod)
+  if (Now - A.ClaimedAt < A.ClaimWait)
     return false;
   A.ClaimedAt = Now;
+  A.ClaimWait = std::clamp(2 * A.ClaimWait, ClaimPeriod, MaxClaimPeriod);
   return true;
 }
 
+bool QuotaLedger::claims(const Tenant &Name, Instant Now) const {
+  auto At = Accounts.find(Name);
+  return At != Accounts.end() &&
+         Now - At->second.ClaimedAt < 2 * MaxClaimPeriod;
+}
+
 std::vector<Tenant> QuotaLedger::names() const {
   std::vector<Tenant> Found;
   for (const auto &[Name, A] : Accounts)
@@ -187,6 +304,13 @@
   return At == Accounts.end() ? std::nullopt : At->second.AcceptedAt;
 }
 
+double QuotaLedger::acceptedFraction(const Tenant &Name) const {
+  auto At = Accounts.find(Name);
+  return At == Accounts.end() || At->second.AcceptedSeveral
+             ? 0
+             : At->second.AcceptedFraction;
+}
+
 void QuotaLedger::removeIdle(Instant Now) {
   for (auto &[Name, A] : Accounts)
     if (A.Active)
@@ -194,7 +318,8 @@
   std::erase_if(Accounts, [&](const auto &Item) {
     const Account &A = Item.second;
     bool Used = !A.Leases.empty() || Now < A.ReservedUntil ||
-                Now < A.YieldedUntil || A.AcceptedAt ||
+                Now < A.WithheldUntil || Now < A.YieldedUntil || A.AcceptedAt ||
+                (A.Settled && Now - A.Settled->At < ViewPropagationTime) ||
                 Now - A.StandbyAt < Tolerated.Window;
     return !Used && (!A.Active || A.Level >= A.Capacity);
   });
--- a/packages/limits/QuotaLedger.h
+++ b/packages/limits/QuotaLedger.h
@@ -13,11 +13,14 @@
 //   - A daemon that says nothing for LeaseTime loses its tokens; they count as
 //     spent. It has stopped to use them before that (TokenLifetime).
 //   - A new owner starts with an empty bucket, and only when no other daemon
-//     acts as the owner: after ViewPropagationTime, or when the former owner
-//     has released the account.
-//   - Until then, and as the standby of an owner that does not answer, a daemon
-//     grants at most StandbyExcessShare in a window. Two of them, in different
-//     views, stay within the bound.
+//     acts as the owner: after ViewPropagationTime, when the former owner has
+//     released the account, or when the others agree (QuotaAgent.h).
+//   - Those that agree do not tell which tokens of a former owner are still at
+//     daemons. Until they have expired, tokens in the bucket and at daemons
+//     together are at most EarlyExcessShare.
+//   - Until it starts, and as the standby of an owner that does not answer, a
+//     daemon grants at most StandbyExcessShare in a window. Two of them, in
+//     different views, stay within the bound.
 //   - On the side of a partition that sees a part of the zones, rate and burst
 //     are that part of the quota's.
 //
@@ -30,6 +33,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace shallot {
@@ -42,17 +46,26 @@
 
 /// Fractions of QuotaTolerance::excess(). The owner's lets daemons hold tokens
 /// of organisations whose burst is smaller than the number of daemons.
-inline constexpr double OwnerExcessShare = 0.25;
+inline constexpr double OwnerExcessShare = 0.125;
+inline constexpr double EarlyExcessShare = 0.125;
 inline constexpr double StandbyExcessShare = 0.375;
-static_assert(OwnerExcessShare + 2 * StandbyExcessShare <= 1);
+static_assert(OwnerExcessShare + EarlyExcessShare + 2 * StandbyExcessShare <=
+              1);
+
+/// Why a new owner may start.
+enum class QuotaEvidence : std::uint8_t {
+  Waited,   ///< ViewPropagationTime has passed.
+  Released, ///< The former owner has released the account.
+  Standby,  ///< The former owners are gone, and the standby agrees.
+  All,      ///< All daemons in the view agree.
+};
 
 /// This daemon's part in the account of one organisation.
 struct QuotaRole {
   /// Since when it may grant as the owner; nothing if it is not the owner or
   /// another daemon may still act as one.
   std::optional<Instant> OwnerSince;
-  /// The former owner has released the account to it.
-  bool Released = false;
+  QuotaEvidence Evidence = QuotaEvidence::Waited;
   /// It may grant while there is no such owner.
   bool Standby = false;
   double Fraction = 1; ///< QuotaOwners::zonesInReach().
@@ -65,22 +78,53 @@
   /// Handles an ask of \p From about an organisation with the quota \p Q.
   QuotaGrant grant(const DaemonId &From, const QuotaAsk &A, const Quota &Q,
                    const QuotaRole &Role, Instant Now);
-  /// Applies what the former owner has released.
-  void accept(const QuotaRelease &R, Instant Now);
+  /// Applies what the former owner \p From has released.
+  void accept(const QuotaRelease &R, const DaemonId &From, Instant Now);
+  struct Agreement {
+    Instant SentAt;          ///< The claim.
+    Instant CountsAt;        ///< When it can serve as proof.
+    std::uint64_t Rival = 0; ///< As QuotaRelease::Rival.
+  };
+  /// \p From agreed to a claim.
+  void agree(const Tenant &Name, const DaemonId &From, const Agreement &A);
+  /// Its last agreement to a claim that was sent at \p Since or later, or null.
+  const Agreement *agreed(const Tenant &Name, const DaemonId &From,
+                          Instant Since) const;
+  /// The rivals of all agreements since \p Since, and the hosts that this
+  /// daemon has yielded to.
+  std::set<std::uint64_t> rivals(const Tenant &Name, Instant Since,
+                                 Instant Now) const;
+  /// Enough daemons agree that this one is the owner from \p Now on.
+  void settle(const Tenant &Name, QuotaEvidence Evidence, Instant Now);
+  struct Settlement {
+    Instant At;
+    QuotaEvidence Evidence = QuotaEvidence::All;
+  };
+  std::optional<Settlement> settlement(const Tenant &Name) const;
   /// Ends the account of an organisation that this daemon no longer owns;
   /// nothing if it does not act as the owner.
   std::optional<QuotaRelease> release(const Tenant &Name, Instant Now);
   /// Releases the account, if there is one, to a daemon that claims it. This
   /// daemon does not act as the owner before yieldedUntil(): its view may not
   /// show the other one yet.
-  QuotaRelease yield(const Tenant &Name, Instant Now);
+  QuotaRelease yield(const Tenant &Name, const DaemonId &To, Instant Now);
   Instant yieldedUntil(const Tenant &Name) const;
+  /// When it last did; the earliest instant if it did not.
+  Instant yieldedAt(const Tenant &Name) const;
+  /// Whether this daemon acts as the owner.
+  bool acts(const Tenant &Name) const;
+  /// An organisation that it acts for, if any.
+  std::optional<Tenant> anyActive() const;
   /// Whether the owner in waiting may send another claim now.
   bool tryClaim(const Tenant &Name, Instant Now);
+  /// Whether it has sent claims lately.
+  bool claims(const Tenant &Name, Instant Now) const;
   /// The organisations with an account.
   std::vector<Tenant> names() const;
   /// When a former owner last released the account to this daemon, if one did.
   std::optional<Instant> acceptedAt(const Tenant &Name) const;
+  /// The fraction of rate and burst that it granted; 0 if several did.
+  double acceptedFraction(const Tenant &Name) const;
   /// Removes accounts that are full and that no daemon uses.
   void removeIdle(Instant Now);
 
@@ -96,15 +140,27 @@
   struct Account {
     bool Active = false; ///< Acts as the owner.
     double Level = 0;    ///< Tokens that are left.
+    double Fraction = 0; ///< Of rate and burst.
     double Rate = 0;     ///< Of this daemon's part of the quota.
     double Capacity = 0;
     Instant FilledAt;
     /// Tokens at daemons that a former owner granted, until ReservedUntil.
     double Reserved = 0;
     Instant ReservedUntil;
+    /// The same, not known in number, of owners before that one.
+    double Withheld = 0;
+    Instant WithheldUntil;
     std::optional<Instant> AcceptedAt;
+    DaemonId AcceptedFrom;
+    double AcceptedFraction = 0;
+    /// Several daemons have released the account: the sides of a partition.
+    bool AcceptedSeveral = false;
+    std::map<DaemonId, Agreement> Agreed;
+    std::optional<Settlement> Settled;
     Instant YieldedUntil;
+    std::set<std::uint64_t> YieldedTo; ///< As QuotaRelease::Rival.
     Instant ClaimedAt;
+    Duration ClaimWait{};
     double StandbyLevel = 0; ///< Tokens to grant while not the owner.
     Instant StandbyAt;
     std::map<DaemonId, Lease> Leases;
@@ -115,11 +171,12 @@
   static double outstanding(const Account &A, Instant Now);
   void activate(Account &A, const Quota &Q, const QuotaRole &Role,
                 Instant Now) const;
+  void open(Account &A, const Quota &Q, const QuotaRole &Role) const;
   static void fill(Account &A, Instant Now);
   void fillStandby(Account &A, const Quota &Q, const QuotaRole &Role,
                    Instant Now) const;
   static void grantAsOwner(Account &A, Lease &L, const QuotaAsk &Ask,
-                           QuotaGrant &G);
+                           QuotaGrant &G, Instant Now);
   static void grantAsStandby(Account &A, Lease &L, const QuotaAsk &Ask);
 
   QuotaTolerance Tolerated;
--- a/packages/limits/QuotaMessages.h
+++ b/packages/limits/QuotaMessages.h
@@ -34,24 +34,45 @@
   /// The usual time between two tokens for the receiver while all daemons that
   /// hold tokens need more.
   Duration Interval{};
+  /// Few tokens may be out at a time, so used ones are to be reported at once.
+  bool Prompt = false;
 
   friend bool operator==(const QuotaGrant &, const QuotaGrant &) = default;
 };
 
-/// From a new owner to the daemon that would be the owner without it, and may
-/// not know of it yet. Answered by QuotaRelease.
+/// From a new owner that needs proof that no other daemon acts as the owner.
+/// Answered by QuotaRelease.
 struct QuotaClaim {
   Tenant Name;
 
   friend bool operator==(const QuotaClaim &, const QuotaClaim &) = default;
 };
 
-/// To a new owner, which need not wait any longer: the sender does not act as
-/// the owner any more.
+/// What a daemon answers to a claim.
+enum class QuotaAnswer : std::uint8_t {
+  Unasked, ///< No answer.
+  Refused, ///< The sender acts as the owner, or claims, and ranks higher.
+  Agreed,  ///< It does not act as the owner before the receiver agrees.
+};
+
+/// To a new owner: the sender does not act as the owner any more, or what it
+/// knows of the claim.
 struct QuotaRelease {
   Tenant Name;
   double Level = 0;       ///< Tokens that are left.
   double Outstanding = 0; ///< Tokens granted and not yet reported as spent.
+  /// Tokens of owners before the sender, that may be used for WithheldFor.
+  double Withheld = 0;
+  Duration WithheldFor{};
+  /// The sender did not act as the owner, so it has released nothing.
+  bool Idle = false;
+  /// Of rate and burst, that the sender granted as the owner.
+  double Fraction = 0;
+  QuotaAnswer Answer = QuotaAnswer::Unasked;
+  std::uint32_t UptimeMillis = 0; ///< Of the sender's process.
+  /// hash64() of the host that is the owner in the sender's view if the
+  /// receiver is left out; 0: none.
+  std::uint64_t Rival = 0;
 
   friend bool operator==(const QuotaRelease &, const QuotaRelease &) = default;
 };
--- a/packages/limits/QuotaOwners.cpp
+++ b/packages/limits/QuotaOwners.cpp
@@ -14,18 +14,7 @@
 constexpr std::size_t MaxPeriods = 64;
 
 bool isLive(const Member &M) {
-  return takesNewWork(M) || M.State == MemberState::Leaving;
-}
-
-double liveZones(const FleetView &View) {
-  std::set<AvailabilityZone> Known;
-  std::set<AvailabilityZone> Live;
-  for (const Member &M : View.Members) {
-    Known.insert(M.Zone);
-    if (isLive(M))
-      Live.insert(M.Zone);
-  }
-  return Known.empty() ? 1 : double(Live.size()) / double(Known.size());
+  return M.State != MemberState::Failed && M.State != MemberState::Left;
 }
 
 bool sameHosts(const std::vector<Member> &A, const std::vector<Member> &B) {
@@ -54,8 +43,20 @@
   return Out;
 }
 
+double QuotaOwners::liveZones(const FleetView &View) const {
+  std::set<AvailabilityZone> Known = Zones;
+  std::set<AvailabilityZone> Live;
+  for (const Member &M : View.Members) {
+    Known.insert(M.Zone);
+    if (isLive(M))
+      Live.insert(M.Zone);
+  }
+  return Known.empty() ? 1 : double(Live.size()) / double(Known.size());
+}
+
 bool QuotaOwners::update(const FleetView &View, Instant Now) {
-  ZonesInReach.grant(liveZones(View), Now);
+  ZonesInView = liveZones(View);
+  ZonesInReach.grant(ZonesInView, Now);
   Hosts Next = candidates(View);
   if (!Periods.empty() && sameHosts(Periods.back().Candidates, Next)) {
     Periods.back().Candidates = std::move(Next);
@@ -93,11 +94,31 @@
   return best(Now, Name, best(Now, Name));
 }
 
+bool QuotaOwners::outranks(const Tenant &Name, const HostId &A,
+                           const HostId &B) {
+  return rendezvousWeight(Name.str(), A.str()) >
+         rendezvousWeight(Name.str(), B.str());
+}
+
 bool QuotaOwners::isOwner(const Hosts &From, const Tenant &Name) const {
   const Member *Owner = best(From, Name);
   return Owner && Owner->Id.Host == Self;
 }
 
+std::vector<DaemonId> QuotaOwners::formerOwners(const Tenant &Name,
+                                                Duration Span,
+                                                Instant Now) const {
+  std::vector<DaemonId> Found;
+  for (auto P = Periods.rbegin(); P != Periods.rend(); ++P) {
+    const Member *Owner = best(P->Candidates, Name);
+    if (Owner && Owner->Id.Host != Self)
+      Found.push_back(Owner->Id);
+    if (P->From <= Now - Span)
+      break;
+  }
+  return Found;
+}
+
 std::optional<Instant> QuotaOwners::ownedSince(const Tenant &Name) const {
   std::optional<Instant> Since;
   for (auto P = Periods.rbegin();
--- a/packages/limits/QuotaOwners.h
+++ b/packages/limits/QuotaOwners.h
@@ -9,7 +9,7 @@
 //
 // Daemons see a change at different times. A new owner is therefore settled
 // only after ViewPropagationTime, when every other daemon has stopped to act as
-// the owner, or when the one that was before it has released the account.
+// the owner, or when there is proof that none does (QuotaAgent.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_QUOTAOWNERS_H
@@ -21,6 +21,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace shallot {
@@ -33,6 +34,9 @@
 public:
   explicit QuotaOwners(HostId Self) : Self(std::move(Self)) {}
 
+  /// The zones of the deployment; a view may lack the members of some.
+  void setZones(std::set<AvailabilityZone> All) { Zones = std::move(All); }
+  bool knowsZones() const { return !Zones.empty(); }
   /// Applies the view in force from \p Now on. Returns true if the hosts that
   /// may be owners have changed.
   bool update(const FleetView &View, Instant Now);
@@ -41,6 +45,8 @@
   const Member *owner(const Tenant &Name) const;
   /// Null if there is no second host.
   const Member *standby(const Tenant &Name) const;
+  /// Whether \p A is the owner if only \p A and \p B can be.
+  static bool outranks(const Tenant &Name, const HostId &A, const HostId &B);
   /// Since when this daemon has been the owner without interruption; nothing if
   /// it is not the owner.
   std::optional<Instant> ownedSince(const Tenant &Name) const;
@@ -49,6 +55,12 @@
   /// zones, and these parts add up to one; when a partition ends, one side may
   /// not yet know of it.
   double zonesInReach(Instant Now) const { return ZonesInReach.usable(Now); }
+  /// The same fraction in the view in force.
+  double zonesInView() const { return ZonesInView; }
+  /// The daemons other than this one that were the owner in a view of the last
+  /// \p Span.
+  std::vector<DaemonId> formerOwners(const Tenant &Name, Duration Span,
+                                     Instant Now) const;
 
 private:
   using Hosts = std::vector<Member>;
@@ -60,9 +72,12 @@
   static Hosts candidates(const FleetView &View);
   static const Member *best(const Hosts &From, const Tenant &Name,
                             const Member *Except = nullptr);
+  double liveZones(const FleetView &View) const;
   bool isOwner(const Hosts &From, const Tenant &Name) const;
 
   HostId Self;
+  std::set<AvailabilityZone> Zones;
+  double ZonesInView = 0;
   std::deque<Period> Periods; ///< The last is in force.
   GrantedShare ZonesInReach{ViewPropagationTime, 0};
 };
--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -121,6 +121,7 @@
   L.ConfirmedAt = std::max(L.ConfirmedAt, SentAt);
   L.UnansweredSince = Instant::max();
   L.Granted = std::max(L.Granted, G.Granted);
+  L.Prompt = G.Prompt;
   if (G.Interval == Duration(0))
     return; // Not from the owner.
   Interval = G.Interval;
@@ -155,6 +156,12 @@
   return Out;
 }
 
+bool QuotaTokens::mustReport() const {
+  return std::ranges::any_of(Lines, [](const auto &Item) {
+    return Item.second.Prompt && Item.second.Spent != Item.second.Reported;
+  });
+}
+
 Duration QuotaTokens::silence(const DaemonId &Granter, Instant Now) const {
   auto At = Lines.find(Granter);
   return At == Lines.end() || At->second.UnansweredSince > Now
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -47,6 +47,8 @@
   AdmissionEvents poll(Instant Now);
 
   bool waiting() const { return !Waiting.empty(); }
+  /// Whether used tokens are to be reported at once.
+  bool mustReport() const;
   /// How long \p Granter has not answered the asks of this daemon.
   Duration silence(const DaemonId &Granter, Instant Now) const;
   /// True if waiting requests need an ask now: none is on its way, and the
@@ -65,7 +67,8 @@
     std::uint64_t Spent = 0;
     std::uint64_t Returned = 0;
     std::uint64_t Reported = 0; ///< Spent in the last ask.
-    Instant ConfirmedAt;        ///< When the last answered ask was sent.
+    bool Prompt = false;
+    Instant ConfirmedAt; ///< When the last answered ask was sent.
     Instant AskedAt;
     /// The first ask since the last reply; the latest instant: all answered.
     Instant UnansweredSince = Instant::max();
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -141,12 +141,20 @@
   granted @1 :UInt64;
   waitMicros @2 :UInt32;
   intervalMicros @3 :UInt32;
+  prompt @4 :Bool;
 }
 
 struct QuotaRelease {
   name @0 :Text;
   level @1 :Float64;
   outstanding @2 :Float64;
+  idle @3 :Bool;
+  answer @4 :UInt8;
+  uptimeMillis @5 :UInt32;
+  fraction @6 :Float64;
+  withheld @7 :Float64;
+  withheldMicros @8 :UInt32;
+  rival @9 :UInt64;
 }
 
 struct Quotas {
--- a/packages/peer/QuotaCodec.cpp
+++ b/packages/peer/QuotaCodec.cpp
@@ -33,6 +33,17 @@
   return Value;
 }
 
+double fraction(double Value) {
+  KJ_REQUIRE(std::isfinite(Value) && Value >= 0 && Value <= 1, "bad fraction");
+  return Value;
+}
+
+QuotaAnswer readAnswer(std::uint8_t Value) {
+  KJ_REQUIRE(Value <= static_cast<std::uint8_t>(QuotaAnswer::Agreed),
+             "unknown answer to a claim");
+  return static_cast<QuotaAnswer>(Value);
+}
+
 void put(const QuotaAsk &A, wire::QuotaAsk::Builder To) {
   To.setName(textOf(A.Name.str()));
   To.setSpent(A.Spent);
@@ -46,12 +57,20 @@
   To.setGranted(G.Granted);
   To.setWaitMicros(micros(G.Wait));
   To.setIntervalMicros(micros(G.Interval));
+  To.setPrompt(G.Prompt);
 }
 
 void put(const QuotaRelease &R, wire::QuotaRelease::Builder To) {
   To.setName(textOf(R.Name.str()));
   To.setLevel(R.Level);
   To.setOutstanding(R.Outstanding);
+  To.setIdle(R.Idle);
+  To.setWithheld(R.Withheld);
+  To.setWithheldMicros(micros(R.WithheldFor));
+  To.setFraction(R.Fraction);
+  To.setRival(R.Rival);
+  To.setAnswer(static_cast<std::uint8_t>(R.Answer));
+  To.setUptimeMillis(R.UptimeMillis);
 }
 
 template <typename Item, typename List>
@@ -67,12 +86,16 @@
 
 QuotaGrant take(wire::QuotaGrant::Reader From) {
   return {readOrganisation(From.getName()), From.getGranted(),
-          Micros(From.getWaitMicros()), Micros(From.getIntervalMicros())};
+          Micros(From.getWaitMicros()), Micros(From.getIntervalMicros()),
+          From.getPrompt()};
 }
 
 QuotaRelease take(wire::QuotaRelease::Reader From) {
   return {readOrganisation(From.getName()), tokens(From.getLevel()),
-          tokens(From.getOutstanding())};
+          tokens(From.getOutstanding()),    tokens(From.getWithheld()),
+          Micros(From.getWithheldMicros()), From.getIdle(),
+          fraction(From.getFraction()),     readAnswer(From.getAnswer()),
+          From.getUptimeMillis(),           From.getRival()};
 }
 
 QuotaMessage takeMessage(wire::Quotas::Reader From) {
--- a/tests/QuotaFleet.cpp
+++ b/tests/QuotaFleet.cpp
@@ -11,12 +11,19 @@
 constexpr Duration Step = Millis(5);
 constexpr Duration InRegion = Millis(1);
 constexpr Duration BetweenRegions = Millis(8);
-/// Silence after which the others take a daemon for failed, and it itself stops
-/// to grant tokens.
+/// Silence after which the others take a daemon for failed.
 constexpr Duration FailureDetection = Millis(2400);
-constexpr Duration MaxSilence = Seconds(2);
 /// After this a daemon that started knows the others.
 constexpr Duration JoinTime = Millis(600);
+/// Hosts that regain power are up within this time.
+constexpr Duration PowerUpTime = Millis(400);
+/// Time from the start of a daemon of such a host to its configuration.
+constexpr Duration MinConfiguration = Millis(800);
+constexpr Duration MaxConfiguration = Millis(1300);
+
+AvailabilityZone zoneOf(std::size_t Region) {
+  return AvailabilityZone(fmt::format("z{}", Region));
+}
 
 } // namespace
 
@@ -40,11 +47,13 @@
   const Daemon &D = Daemons[N];
   Member M;
   M.Id = idOf(N);
-  M.Zone = AvailabilityZone(fmt::format("z{}", N % O.Regions));
+  M.Zone = zoneOf(N % O.Regions);
   M.Reg = Region(fmt::format("r{}", N % O.Regions));
   M.Gossip = {fmt::format("10.0.0.{}", N), 7740};
   bool Reached = D.Agent && D.Side == Daemons[Observer].Side;
-  M.State = Reached ? MemberState::Alive : MemberState::Failed;
+  M.State = !Reached       ? MemberState::Failed
+            : D.Configured ? MemberState::Alive
+                           : MemberState::Starting;
   M.Capacity = 500;
   return M;
 }
@@ -67,6 +76,12 @@
       std::size_t Who = D.Pending.begin()->second;
       D.Pending.erase(D.Pending.begin());
       Member M = seen(N, Who);
+      // A daemon that started does not learn of those that failed before.
+      bool Known = std::ranges::any_of(D.View.Members, [&](const Member &Old) {
+        return Old.Id.Host == M.Id.Host;
+      });
+      if (!Known && M.State == MemberState::Failed)
+        continue;
       std::erase_if(D.View.Members, [&](const Member &Old) {
         return Old.Id.Host == M.Id.Host;
       });
@@ -81,20 +96,60 @@
   }
 }
 
-void QuotaFleet::start(std::size_t N) {
+void QuotaFleet::start(std::size_t N, Duration Configuration) {
   Daemon &D = Daemons[N];
   ++D.Incarnation;
   D.Agent.emplace(idOf(N), O.Tolerated);
-  D.Agent->setQuotas({{name(), O.Limit}});
-  D.StartedAt = Now;
+  std::set<AvailabilityZone> Zones;
+  for (std::size_t R = 0; R < O.Regions; ++R)
+    Zones.insert(zoneOf(R));
+  D.Agent->setZones(std::move(Zones));
+  D.StartsAt = Instant::max();
+  D.Configured = false;
+  D.StartedAt = D.HeardAt = Now;
+  D.ConfiguredAt = Now + Configuration;
   D.View = {};
   D.Pending.clear();
+  updateRuns(N);
   announce(N, Duration(0));
   for (std::size_t Other = 0; Other < Daemons.size(); ++Other)
     D.Pending.emplace(Now + fromMillisF(toMillisF(JoinTime) * uniform01(Rng)),
                       Other);
 }
 
+/// Starts the daemon and gives it its configuration when these are due.
+void QuotaFleet::updateRuns(std::size_t N) {
+  Daemon &D = Daemons[N];
+  if (D.StartsAt <= Now)
+    start(N, D.ConfiguredAt - D.StartsAt);
+  if (!D.Agent || D.Configured || D.ConfiguredAt > Now)
+    return;
+  D.Configured = true;
+  D.Agent->setQuotas({{name(), O.Limit}});
+  if (D.StartedAt != Now)
+    announce(N, Duration(0));
+}
+
+void QuotaFleet::killAllBut(const std::vector<std::size_t> &Left) {
+  for (std::size_t N = 0; N < Daemons.size(); ++N)
+    if (std::ranges::find(Left, N) == Left.end())
+      kill(N);
+}
+
+void QuotaFleet::startAll() {
+  ConfiguredAt = Instant::max();
+  for (Daemon &D : Daemons) {
+    if (D.Agent)
+      continue;
+    D.StartsAt = Now + fromMillisF(toMillisF(PowerUpTime) * uniform01(Rng));
+    D.ConfiguredAt =
+        D.StartsAt + MinConfiguration +
+        fromMillisF(toMillisF(MaxConfiguration - MinConfiguration) *
+                    uniform01(Rng));
+    ConfiguredAt = std::min(ConfiguredAt, D.ConfiguredAt);
+  }
+}
+
 void QuotaFleet::rejoin(std::size_t N) {
   ++Daemons[N].Incarnation;
   Daemons[N].Agent->setSelf(idOf(N));
@@ -109,10 +164,8 @@
 void QuotaFleet::cutOff(const std::vector<std::size_t> &Cut) {
   static int LastSide = 0;
   int Side = ++LastSide;
-  for (std::size_t N : Cut) {
+  for (std::size_t N : Cut)
     Daemons[N].Side = Side;
-    Daemons[N].SideSince = Now;
-  }
   for (std::size_t N = 0; N < Daemons.size(); ++N)
     announce(N, FailureDetection);
 }
@@ -129,13 +182,17 @@
   return std::stoul(M->Id.Host.str().substr(1));
 }
 
+void QuotaFleet::hearOthers() {
+  std::map<int, std::size_t> Running;
+  for (const Daemon &D : Daemons)
+    Running[D.Side] += D.Agent.has_value();
+  for (Daemon &D : Daemons)
+    if (Running[D.Side] > 1 || Daemons.size() == 1)
+      D.HeardAt = Now;
+}
+
 bool QuotaFleet::mayGrant(const Daemon &D) const {
-  if (Now - D.StartedAt < JoinTime)
-    return false;
-  bool Alone = std::ranges::count_if(Daemons, [&](const Daemon &Other) {
-                 return Other.Agent && Other.Side == D.Side;
-               }) == 1;
-  return D.Side == 0 || !Alone || Now - D.SideSince < MaxSilence;
+  return Now - D.StartedAt >= JoinTime && Now - D.HeardAt < MaxOwnerSilence;
 }
 
 void QuotaFleet::perform(std::size_t From, const QuotaOutput &Out) {
@@ -167,9 +224,9 @@
 
 void QuotaFleet::request(std::size_t At) {
   Daemon &D = Daemons[At];
-  if (!D.Agent)
+  if (!D.Agent || !D.Configured)
     return;
-  ++Offered;
+  Offers.push_back(Now);
   QuotaOutput Out;
   decided(D.Agent->offer(name(), ++LastTicket, Now + O.MaxWait, Out, Now));
   perform(At, Out);
@@ -180,6 +237,9 @@
   Instant End = Now + For;
   while (Now < End) {
     Now += Step;
+    for (std::size_t N = 0; N < Daemons.size(); ++N)
+      updateRuns(N);
+    hearOthers();
     updateViews();
     while (!Flights.empty() && Flights.begin()->first <= Now) {
       Flight F = std::move(Flights.begin()->second);
@@ -202,6 +262,24 @@
   }
 }
 
+namespace {
+
+std::size_t countIn(const std::vector<Instant> &Times, Instant From,
+                    Duration For) {
+  return std::size_t(std::ranges::lower_bound(Times, From + For) -
+                     std::ranges::lower_bound(Times, From));
+}
+
+} // namespace
+
+std::size_t QuotaFleet::offeredIn(Instant From, Duration For) const {
+  return countIn(Offers, From, For);
+}
+
+std::size_t QuotaFleet::startedIn(Instant From, Duration For) const {
+  return countIn(Starts, From, For);
+}
+
 std::size_t QuotaFleet::mostInWindow() const {
   std::size_t Most = 0;
   std::size_t First = 0;
@@ -220,7 +298,8 @@
 
 void QuotaFleet::resetCounts() {
   Starts.clear();
-  Offered = Refused = Unknown = Sent = SentBytes = 0;
+  Offers.clear();
+  Refused = Unknown = Sent = SentBytes = 0;
 }
 
 } // namespace shallot::test
--- a/tests/QuotaFleet.h
+++ b/tests/QuotaFleet.h
@@ -41,7 +41,14 @@
   /// \p At, chosen at random.
   void run(Duration For, double Rate, const std::vector<std::size_t> &At);
   void kill(std::size_t Daemon);
-  void start(std::size_t Daemon);
+  /// The daemon has a configuration \p Configuration after its start, and gets
+  /// no requests before that.
+  void start(std::size_t Daemon, Duration Configuration = Duration(0));
+  /// All but \p Left lose power.
+  void killAllBut(const std::vector<std::size_t> &Left);
+  /// All that do not run start within 400 ms and have a configuration 800 to
+  /// 1,300 ms after that.
+  void startAll();
   /// The daemon gets a later incarnation without a restart.
   void rejoin(std::size_t Daemon);
   /// Cuts \p Daemons off from the others.
@@ -50,11 +57,17 @@
   /// The daemon that owns the organisation in the view of \p Daemon.
   std::size_t ownerSeenBy(std::size_t Daemon) const;
 
-  std::size_t offered() const { return Offered; }
+  std::size_t offered() const { return Offers.size(); }
   std::size_t started() const { return Starts.size(); }
   std::size_t refused() const { return Refused; }
   /// Refusals without an answer of an owner.
   std::size_t unknown() const { return Unknown; }
+  /// When a daemon first had its configuration after the last startAll().
+  Instant configuredAt() const { return ConfiguredAt; }
+  /// Requests that arrived, and that started, in the time \p For after
+  /// \p From.
+  std::size_t offeredIn(Instant From, Duration For) const;
+  std::size_t startedIn(Instant From, Duration For) const;
   /// The most starts in any window.
   std::size_t mostInWindow() const;
   /// The most that the quota allows there.
@@ -71,8 +84,11 @@
     std::optional<QuotaAgent> Agent;
     std::uint64_t Incarnation = 0;
     int Side = 0;
-    Instant SideSince;
+    Instant HeardAt; ///< From another daemon.
     Instant StartedAt;
+    Instant ConfiguredAt;
+    Instant StartsAt = Instant::max();
+    bool Configured = false;
     FleetView View;
     std::multimap<Instant, std::size_t> Pending; ///< Daemons to look at again.
   };
@@ -87,6 +103,8 @@
   Member seen(std::size_t Observer, std::size_t N) const;
   void announce(std::size_t Changed, Duration Least);
   void updateViews();
+  void updateRuns(std::size_t N);
+  void hearOthers();
   void perform(std::size_t From, const QuotaOutput &Out);
   void request(std::size_t At);
   void decided(const AdmissionDecision &Decision);
@@ -97,8 +115,9 @@
   Instant Now;
   std::vector<Daemon> Daemons;
   std::multimap<Instant, Flight> Flights;
+  Instant ConfiguredAt;
+  std::vector<Instant> Offers;
   std::vector<Instant> Starts;
-  std::size_t Offered = 0;
   std::size_t Refused = 0;
   std::size_t Unknown = 0;
   std::size_t Sent = 0;
--- a/tests/error/HostileQuotaMessages.cpp
+++ b/tests/error/HostileQuotaMessages.cpp
@@ -15,9 +15,10 @@
   M.From = {HostId(std::string(NameBytes, 'h')), 7};
   M.Sequence = 42;
   M.Asks = {{Name, 10, 2, 3, 4}, {Name, 1, 0, 0, 0}};
-  M.Grants = {{Name, 12, Millis(20), Micros(1)}, {Name, 1, {}, {}}};
+  M.Grants = {{Name, 12, Millis(20), Micros(1), true}, {Name, 1, {}, {}}};
   M.Claims = {{Name}};
-  M.Releases = {{Name, 2.5, 1}};
+  M.Releases = {
+      {Name, 2.5, 1, 7.5, Millis(3), true, 0.5, QuotaAnswer::Agreed, 800, 9}};
   return M;
 }
 
@@ -50,6 +51,12 @@
   QuotaMessage Negative = fullMessage(9);
   Negative.Releases[0].Level = -1;
   CHECK(refused(Negative));
+  QuotaMessage Whole = fullMessage(9);
+  Whole.Releases[0].Fraction = 1.5;
+  CHECK(refused(Whole));
+  QuotaMessage Unknown = fullMessage(9);
+  Unknown.Releases[0].Answer = QuotaAnswer(3);
+  CHECK(refused(Unknown));
   QuotaMessage BadName = fullMessage(9);
   BadName.From.Host = HostId("a b");
   CHECK(refused(BadName));
