--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -140,6 +140,7 @@
   if (G.Granted > L.Granted || (FromOwner && G.Granted == L.Granted))
     L.RenewedAt = std::max(L.RenewedAt, SentAt);
   L.Granted = std::max(L.Granted, G.Granted);
+  L.Prompt = G.Prompt;
   if (!FromOwner)
     return;
   Interval = G.Interval;
@@ -174,6 +175,12 @@
   return Out;
 }
 
+bool QuotaTokens::mustReport() const {
+  return std::ranges::any_of(Lines, [](const auto &Item) {
+    return Item.second.Prompt && Item.second.Spent != Item.second.Reported;
+  });
+}
+
 Duration QuotaTokens::silence(const DaemonId &Granter, Instant Now) const {
   auto At = Lines.find(Granter);
   return At == Lines.end() || At->second.UnansweredSince > Now
--- a/tests/QuotaWorld.cpp
+++ b/tests/QuotaWorld.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace shallot::test {
 
@@ -14,7 +15,7 @@
 constexpr unsigned RoundsInStep = 4;
 /// Silence after which a daemon stops to grant, and after which the others take
 /// it for failed.
-constexpr Duration MaxSilence = Seconds(2);
+constexpr Duration MaxSilence = MaxOwnerSilence;
 constexpr Duration FailureDetection = Millis(2250);
 /// The most by which the views of two daemons that reach each other differ.
 constexpr Duration ViewLag = Millis(2250);
@@ -88,6 +89,10 @@
   ++D.Incarnation;
   D.Agent.emplace(idOf(N), O.Tolerated, O.Safeguards.Policy);
   D.Agent->setQuotas({{name(), O.Limit}});
+  std::set<AvailabilityZone> Zones;
+  for (std::size_t Z = 0; Z < O.Zones; ++Z)
+    Zones.insert(AvailabilityZone(fmt::format("z{}", Z)));
+  D.Agent->setZones(std::move(Zones));
   D.StartedAt = D.HeardAt = Now;
   D.View = {};
   D.Pending.clear();
@@ -253,6 +258,8 @@
         Daemons[N].HeardAt = Now;
   for (std::size_t N = 0; N < Daemons.size(); ++N)
     if (Daemons[N].Agent) {
+      Daemons[N].Agent->setHeardAt(Daemons[N].HeardAt);
+      Daemons[N].Agent->setViewComplete(true);
       Daemons[N].Agent->setMayGrant(mayGrant(N), Now);
       learn(N);
     }
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -14,6 +14,8 @@
           performance/SharesUnderOverload.cpp)
 shallot_test(quota_failure PACKAGES limits store peer LABELS failure
   SOURCES QuotaFleet.cpp failure/QuotasHoldInEveryWindow.cpp)
+shallot_test(quota_return PACKAGES limits store peer LABELS failure
+  SOURCES QuotaFleet.cpp failure/QuotasReturn.cpp)
 
 shallot_test(quota_model_check PACKAGES limits LABELS correctness
   SOURCES QuotaWorld.cpp correctness/QuotaModelCheck.cpp)
