tests: a return of 81 daemons is held to the stated target, and is red

The case had been held to 0.70 of the requests in the second after the first 0.3 s at 81 daemons, which was the measured figure, and to nothing in the first 0.3 s. The target is 0.95 and a first request within 0.3 s, as at 12 daemons.

--- a/tests/failure/QuotasReturn.cpp
+++ b/tests/failure/QuotasReturn.cpp
@@ -42,33 +42,44 @@
 
 } // namespace
 
-TEST_CASE("requests within the quota are served right after a return of all") {
-  for (std::size_t Daemons : {12, 81}) {
-    Served First, Early, Later;
-    for (std::uint64_t Seed = 1; Seed <= (Daemons > 12 ? 5 : Seeds); ++Seed) {
-      QuotaFleetOptions O = withSeed(Seed, Millis(300));
-      O.Daemons = Daemons;
-      QuotaFleet F(O);
-      F.run(Seconds(4), 28, all(Daemons));
-      F.killAllBut({});
-      F.run(Outage, 28, all(Daemons));
-      F.startAll();
-      F.run(ReturnTime + Seconds(5), 28, all(Daemons));
-      CAPTURE(Seed);
-      CHECK(F.mostInWindow() <= F.bound());
-      First.add(F, Duration(0), Millis(300));
-      Early.add(F, Millis(300), Seconds(1));
-      Later.add(F, Millis(1300), Seconds(3));
-    }
-    CAPTURE(Daemons);
-    MESSAGE("daemons " << Daemons << ": served in the first 300 ms "
-                       << First.share() << ", in the second after that "
-                       << Early.share() << ", later " << Later.share());
-    // Views of many daemons agree later about who is the owner.
-    CHECK((Daemons > 12 || First.Started > 0));
-    CHECK(Early.share() >= (Daemons > 12 ? 0.7 : 0.95));
-    CHECK(Later.share() >= 0.99);
+namespace {
+
+/// All daemons of a fleet lose power and return.
+void checkReturnOfAll(std::size_t Daemons, std::uint64_t LastSeed) {
+  Served First, Early, Later;
+  for (std::uint64_t Seed = 1; Seed <= LastSeed; ++Seed) {
+    QuotaFleetOptions O = withSeed(Seed, Millis(300));
+    O.Daemons = Daemons;
+    QuotaFleet F(O);
+    F.run(Seconds(4), 28, all(Daemons));
+    F.killAllBut({});
+    F.run(Outage, 28, all(Daemons));
+    F.startAll();
+    F.run(ReturnTime + Seconds(5), 28, all(Daemons));
+    CAPTURE(Seed);
+    CHECK(F.mostInWindow() <= F.bound());
+    First.add(F, Duration(0), Millis(300));
+    Early.add(F, Millis(300), Seconds(1));
+    Later.add(F, Millis(1300), Seconds(3));
   }
+  MESSAGE("daemons " << Daemons << ": served in the first 300 ms "
+                     << First.share() << ", in the second after that "
+                     << Early.share() << ", later " << Later.share());
+  CHECK(First.Started > 0);
+  CHECK(Early.share() >= 0.95);
+  CHECK(Later.share() >= 0.99);
+}
+
+} // namespace
+
+TEST_CASE("requests within the quota are served right after a return of all") {
+  checkReturnOfAll(12, Seeds);
+}
+
+TEST_CASE("81 daemons serve requests within the quota right after a return of "
+          "all" *
+          doctest::skip()) {
+  checkReturnOfAll(81, 5);
 }
 
 TEST_CASE("the bound holds and the quota is used after a return of all under "
--- a/tests/limits.cmake
+++ b/tests/limits.cmake
@@ -16,6 +16,10 @@
   SOURCES QuotaFleet.cpp failure/QuotasHoldInEveryWindow.cpp)
 shallot_test(quota_return PACKAGES limits store peer LABELS failure
   SOURCES QuotaFleet.cpp failure/QuotasReturn.cpp)
+add_test(NAME quota_return_large COMMAND quota_return --no-skip
+         "--test-case=81 daemons*")
+set_tests_properties(quota_return_large PROPERTIES LABELS failure
+                     TIMEOUT ${SHALLOT_TEST_SECONDS})
 
 shallot_test(quota_model_check PACKAGES limits LABELS correctness
   SOURCES QuotaWorld.cpp correctness/QuotaModelCheck.cpp)
