limits, forward: organisations have a weight and no guarantee

A guaranteed rate was checked and had no effect, and the types of reports of use were not used. Both are left out until the fleet divides capacity; the comment of ForwardRun::load() stands at its function again. The test of the weight's errors keeps each of its cases.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -312,9 +312,6 @@
   return Spare;
 }
 
-/// A shard that lost its replicas is full at any load. As many of the worst
-/// parts as an answer may lack are left out of the sample, since they do not
-/// tell how many requests may start.
 FairClaim ForwardRequest::claim(Duration ServiceTime) const {
   FairClaim C;
   if (Config->callers().empty())
@@ -332,6 +329,9 @@
   return C;
 }
 
+/// A shard that lost its replicas is full at any load. As many of the worst
+/// parts as an answer may lack are left out of the sample, since they do not
+/// tell how many requests may start.
 LoadSample ForwardRun::load(Instant Now) const {
   std::vector<Duration> Queues;
   std::size_t LostToFull = 0;
--- a/packages/forward/Organisation.cpp
+++ b/packages/forward/Organisation.cpp
@@ -28,9 +28,6 @@
   if (!(O.Share.Weight > 0 && O.Share.Weight <= MaxOrganisationWeight))
     return Bad(fmt::format("weight {} must be above 0 and at most {}",
                            O.Share.Weight, MaxOrganisationWeight));
-  if (!(O.Share.GuaranteedRate >= 0))
-    return Bad(fmt::format("guaranteed rate {} must not be below 0",
-                           O.Share.GuaranteedRate));
   if (std::ranges::any_of(O.Keys, &std::string::empty))
     return Bad("a key is empty");
   return {};
--- a/packages/forward/Organisation.h
+++ b/packages/forward/Organisation.h
@@ -41,9 +41,8 @@
   Organisations() = default;
   /// Fails with ConfigInvalid, naming the organisation, if its name is not
   /// unique or not 1 to MaxNameBytes of printable ASCII, if a key is empty or
-  /// held by another organisation, if the rate, the burst or the guaranteed
-  /// rate is below 0, or if the weight is not above 0 and at most
-  /// MaxOrganisationWeight.
+  /// held by another organisation, if the rate or the burst is below 0, or if
+  /// the weight is not above 0 and at most MaxOrganisationWeight.
   static Result<Organisations> make(std::vector<Organisation> All);
 
   bool empty() const { return All.empty(); }
--- a/packages/limits/FairQueue.h
+++ b/packages/limits/FairQueue.h
@@ -22,7 +22,7 @@
 #define SHALLOTSHIFT_LIMITS_FAIRQUEUE_H
 
 #include "limits/AdmissionDecision.h"
-#include "limits/OrganisationUse.h"
+#include "limits/OrganisationWeight.h"
 #include "limits/StartRate.h"
 
 #include <map>
--- a/packages/limits/include/shallotshift/limits.h
+++ b/packages/limits/include/shallotshift/limits.h
@@ -31,7 +31,7 @@
 #include "limits/GrantedShare.h"
 #include "limits/HandoverGuard.h"
 #include "limits/OrganisationTally.h"
-#include "limits/OrganisationUse.h"
+#include "limits/OrganisationWeight.h"
 #include "limits/Quota.h"
 #include "limits/QuotaAgent.h"
 #include "limits/SlotAllocation.h"
