--- a/tests/failure/FeedFindsReader.cpp
+++ b/tests/failure/FeedFindsReader.cpp
@@ -20,7 +20,7 @@
 
 /// The time a change takes to reach all daemons when it is written \p Before
 /// after the store stops to answer \p Who. The worst of some seeds.
-Duration worstChange(std::function<bool(std::size_t)> Who, StoreSays How,
+Duration worstChange(const std::function<bool(std::size_t)> &Who, StoreSays How,
                      Duration Before) {
   Duration Worst{};
   for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
