--- a/tests/error/HostileReplicaReports.cpp
+++ b/tests/error/HostileReplicaReports.cpp
@@ -1,5 +1,4 @@
-// Checks that reports of slow replicas survive encoding, keep their size and
-// are refused if they are damaged.
+// Guards against damaged and oversized reports of slow replicas.
 #include "shallotshift/fleet.h"
 #include "shallotshift/peer.h"
 
--- a/tests/failure/FeedCallsAreBounded.cpp
+++ b/tests/failure/FeedCallsAreBounded.cpp
@@ -1,5 +1,4 @@
-// Guards against calls to a store that is down that grow with the fleet, and
-// against a store that returns and is not found.
+// Guards against calls to a store that is down that grow with the fleet.
 #include "FeedFleet.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/FeedFindsReader.cpp
+++ b/tests/failure/FeedFindsReader.cpp
@@ -1,5 +1,4 @@
-// Guards against changes that stay unknown while the store turns away some
-// hosts and answers others, and against calls to a store that is down.
+// Guards against unknown changes while the store turns away some hosts.
 #include "FeedFleet.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/OrganisationsShareCapacity.cpp
+++ b/tests/failure/OrganisationsShareCapacity.cpp
@@ -1,5 +1,4 @@
-// Guards against an organisation that takes the capacity of a group of routes
-// from others that ask for less than their share.
+// Guards against an organisation that takes the capacity of others.
 #include "ForwardFixture.h"
 
 #include <deque>
--- a/tests/failure/QuotasReturn.cpp
+++ b/tests/failure/QuotasReturn.cpp
@@ -1,5 +1,4 @@
-// Guards against a fleet that refuses what lies within a quota after many
-// daemons restarted, or exceeds the quota then.
+// Guards against needless refusals and broken quotas after many restarts.
 #include "QuotaFleet.h"
 
 #include <doctest/doctest.h>
--- a/tests/failure/ReplicaReportsReachPeers.cpp
+++ b/tests/failure/ReplicaReportsReachPeers.cpp
@@ -1,5 +1,4 @@
-// Checks over real sockets that reports of slow replicas reach the daemons of
-// the region and no others, and that strangers and garbage change nothing.
+// Guards against reports of slow replicas from strangers and other regions.
 #include "NetFixture.h"
 #include "shallotshift/front.h"
 
--- a/tests/failure/SlowReplicasAreToldOf.cpp
+++ b/tests/failure/SlowReplicasAreToldOf.cpp
@@ -1,5 +1,4 @@
-// Checks what a daemon makes of reports of slow replicas: what it believes, how
-// long, and that wrong reports cost at most a detour.
+// Guards against reports that are believed too easily or for too long.
 #include "shallotshift/forward.h"
 
 #include <array>
--- a/tests/failure/StoreTrialsAreRare.cpp
+++ b/tests/failure/StoreTrialsAreRare.cpp
@@ -1,5 +1,4 @@
-// Guards against trials that a calm daemon does not need, and against a daemon
-// that takes the feed of its region back again and again.
+// Guards against needless trials of the store and a watcher that flaps.
 #include "shallotshift/front.h"
 
 #include <doctest/doctest.h>
