front, net: calls without a reply and trials of the store are logged

After a change that was late on a small fleet the logs could not tell whether a daemon's call had hung on a connection that fell silent, or whether a trial of the store had been given such a connection: only calls whose reply had begun were logged, and trials were only counted.

No decision changes.

--- a/packages/front/FeedReport.cpp
+++ b/packages/front/FeedReport.cpp
@@ -1,6 +1,8 @@
 //===- FeedReport.cpp -----------------------------------------------------===//
 #include "front/FeedReport.h"
 
+#include "front/CatchUp.h"
+
 namespace shallot {
 
 namespace {
@@ -33,6 +35,8 @@
   return T.Access.Refused != 0 ? "another_reads" : "larger_host";
 }
 
+const char *connectionName(bool New) { return New ? "new" : "kept"; }
+
 } // namespace
 
 void reportReply(Metrics &Meter, const FeedCallName &Call, const HttpReply &R) {
@@ -41,6 +45,13 @@
               {{"kind", Call.Kind}, {"how", How}});
   Meter.count("shallot_feed_bytes_total", {{"kind", Call.Kind}},
               double(R.ReceivedBytes));
+  if (!R.arrived())
+    logEvent(LogLevel::Info, "feed_call_failed",
+             {{"kind", Call.Kind},
+              {"from", Call.From},
+              {"why", codeLabel(R.Failure)},
+              {"ms", std::to_string(toMillis(R.Took))},
+              {"connection", connectionName(R.NewConnection)}});
   if (R.Body.size() >= LargeAnswer)
     logEvent(LogLevel::Info, "feed_answer",
              {{"kind", Call.Kind},
@@ -56,13 +67,14 @@
   Meter.count("shallot_feed_replaced_total", {{"kind", Call.Kind}});
   Meter.count("shallot_feed_replaced_bytes_total", {{"kind", Call.Kind}},
               double(P.Bytes));
-  if (P.Bytes != 0)
+  if (P.Bytes != 0 || P.Age > CatchUpTimeout)
     logEvent(LogLevel::Info, "feed_call_replaced",
              {{"kind", Call.Kind},
               {"from", Call.From},
               {"bytes", std::to_string(P.Bytes)},
               {"ms", std::to_string(toMillis(P.Age))},
-              {"silent_ms", std::to_string(toMillis(P.Silent))}});
+              {"silent_ms", std::to_string(toMillis(P.Silent))},
+              {"connection", connectionName(P.NewConnection)}});
 }
 
 void reportRestore(Metrics &Meter, const char *Watch, const RestoreReport &R) {
@@ -81,9 +93,12 @@
            {{"watch", Watch}, {"listed", Listed.str()}, {"read", Read.str()}});
 }
 
-void reportTrial(Metrics &Meter, bool Answered) {
-  Meter.count("shallot_store_trials_total",
-              {{"how", Answered ? "answered" : "failed"}});
+void reportTrial(Metrics &Meter, const TrialReport &R) {
+  const char *How = R.Answered ? "answered" : "failed";
+  Meter.count("shallot_store_trials_total", {{"how", How}});
+  logEvent(
+      LogLevel::Info, "store_trial",
+      {{"how", How}, {"ms", std::to_string(toMillis(R.Took))}, {"why", R.Why}});
 }
 
 void reportAccess(Metrics &Meter, StoreAccess Now, const FeedTree &T) {
--- a/packages/front/FeedReport.h
+++ b/packages/front/FeedReport.h
@@ -1,10 +1,10 @@
 //===- FeedReport.h - Logs and metrics of feed calls ------------*- C++ -*-===//
 //
 // Log lines and counters that show, after a late change, whether replies were
-// cancelled while they arrived, arrived slowly or never began, and what daemons
-// made of a restore of the store. Only large
-// replies and calls that were cancelled during their reply are logged, to keep
-// the lines few.
+// cancelled while they arrived, arrived slowly or never began, how trials of
+// the store ended, and what daemons made of a restore of the store. Of the
+// calls that end as usual only those with large replies are logged, to keep the
+// lines few.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FEEDREPORT_H
@@ -29,7 +29,8 @@
 void reportReply(Metrics &Meter, const FeedCallName &Call, const HttpReply &R);
 
 /// Records that \p Call was replaced by another one when its reply had arrived
-/// as far as \p P.
+/// as far as \p P. Logs it if part of the reply had arrived, or if the call had
+/// been without a reply for longer than CatchUpTimeout.
 void reportCancelled(Metrics &Meter, const FeedCallName &Call,
                      const TransferProgress &P);
 
@@ -40,8 +41,14 @@
 void reportOutdatedList(const char *Watch, StoreRevision Listed,
                         StoreRevision Read);
 
-/// Records a trial of the access to the store (StoreTrials.h).
-void reportTrial(Metrics &Meter, bool Answered);
+/// A trial of the access to the store (StoreTrials.h).
+struct TrialReport {
+  bool Answered = false;
+  Duration Took{};
+  /// Why it failed; empty if the store answered.
+  std::string Why;
+};
+void reportTrial(Metrics &Meter, const TrialReport &R);
 
 /// Records that this daemon announces \p Now. \p T is its place in the fleet.
 void reportAccess(Metrics &Meter, StoreAccess Now, const FeedTree &T);
--- a/packages/front/StoreAccessLink.h
+++ b/packages/front/StoreAccessLink.h
@@ -84,19 +84,23 @@
 
   void startTrial() {
     Trials.started(Loop.now());
+    TrialBegan = Loop.now();
     Call = S.list(Kind, AfterLastName, [this](const Attempt<KindPage> &P) {
       Timeout.cancel();
       bool Throttled = !P && P.error().Code == ResultCode::PlatformThrottled;
-      finishTrial(P || Throttled);
+      finishTrial(P || Throttled, P ? std::string() : P.error().Detail);
     });
     Timeout = Loop.after(TrialTimeout, [this] {
+      std::optional<TransferProgress> P = S.progress(Call);
+      bool Kept = P && !P->NewConnection;
       S.cancel(Call);
-      finishTrial(false);
+      finishTrial(false, Kept ? "no reply on a kept connection" : "no reply");
     });
   }
 
-  void finishTrial(bool Answered) {
-    reportTrial(D.metrics(), Answered);
+  void finishTrial(bool Answered, std::string Why) {
+    reportTrial(D.metrics(),
+                {Answered, Loop.now() - TrialBegan, std::move(Why)});
     if (Answered)
       Trials.trialAnswered(Loop.now());
     else
@@ -130,6 +134,7 @@
   FeedTree Tree;
   StoreTrials Trials;
   HttpClient::TransferId Call = 0;
+  Instant TrialBegan;
   TimerHandle Timeout;
   TimerHandle NextTrial;
   std::optional<Instant> ArmedFor; ///< The time of NextTrial.
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -62,6 +62,10 @@
   return Value;
 }
 
+bool openedConnection(CURL *Easy) {
+  return infoLong(Easy, CURLINFO_NUM_CONNECTS) > 0;
+}
+
 /// The header lines of one request as the list that libcurl reads. The lines
 /// keep their memory from one transfer to the next.
 class HeaderList {
@@ -334,7 +338,7 @@
 void HttpClient::Impl::fillReply(Transfer &T, CURLcode Code) {
   T.Reply.Failure = failureOf(T.Easy, Code);
   T.Reply.Status = static_cast<int>(infoLong(T.Easy, CURLINFO_RESPONSE_CODE));
-  T.Reply.NewConnection = infoLong(T.Easy, CURLINFO_NUM_CONNECTS) > 0;
+  T.Reply.NewConnection = openedConnection(T.Easy);
   T.Reply.Took = Loop.now() - T.Started;
   T.Reply.ReceivedBytes = bodyBytesReceived(T.Easy);
 }
@@ -431,7 +435,8 @@
   if (!T)
     return std::nullopt;
   Instant Now = I->Loop.now();
-  return TransferProgress{T->Bytes, Now - T->Started, Now - T->LastByte};
+  return TransferProgress{T->Bytes, Now - T->Started, Now - T->LastByte,
+                          openedConnection(T->Easy)};
 }
 
 void HttpClient::forget(const Endpoint &To) {
--- a/packages/net/HttpClient.h
+++ b/packages/net/HttpClient.h
@@ -36,9 +36,10 @@
 
 /// How far the reply to a transfer has come.
 struct TransferProgress {
-  std::size_t Bytes = 0; ///< Headers and body, not deflated.
-  Duration Age{};        ///< Since the request was given to the client.
-  Duration Silent{};     ///< Since the last byte of the reply, or as Age.
+  std::size_t Bytes = 0;      ///< Headers and body, not deflated.
+  Duration Age{};             ///< Since the request was given to the client.
+  Duration Silent{};          ///< Since the last byte of the reply, or as Age.
+  bool NewConnection = false; ///< As in HttpReply.
 
   friend bool operator==(const TransferProgress &,
                          const TransferProgress &) = default;
