tests: a throttled daemon keeps leading the feed (red)

A store may answer 429 to some hosts and serve the others and the operator. A daemon that gets 429 must announce that it cannot read, so that one that can takes over; and a trial that gets 429 is no proof that the store serves it.

The stand-in of the store learns the mode "throttled".

--- a/standins/KindService.cpp
+++ b/standins/KindService.cpp
@@ -16,16 +16,19 @@
   std::string_view Text;
   StoreMode Mode;
 };
-constexpr std::array<ModeName, 4> ModeNames = {{{"serving", StoreMode::Serving},
-                                                {"busy", StoreMode::Busy},
-                                                {"silent", StoreMode::Silent},
-                                                {"reset", StoreMode::Reset}}};
+constexpr std::array<ModeName, 5> ModeNames = {
+    {{"serving", StoreMode::Serving},
+     {"busy", StoreMode::Busy},
+     {"throttled", StoreMode::Throttled},
+     {"silent", StoreMode::Silent},
+     {"reset", StoreMode::Reset}}};
 
 Result<StoreMode> modeOf(std::string_view Text) {
   for (const ModeName &N : ModeNames)
     if (N.Text == Text)
       return N.Mode;
-  return fail(ResultCode::OutOfRange, "mode: serving, busy, silent or reset");
+  return fail(ResultCode::OutOfRange,
+              "mode: serving, busy, throttled, silent or reset");
 }
 
 std::string_view textOf(StoreMode Mode) {
@@ -165,6 +168,9 @@
   case StoreMode::Busy:
     reply(C, 503, {{"error", "busy"}});
     return true;
+  case StoreMode::Throttled:
+    reply(C, 429, {{"error", "over the rate"}});
+    return true;
   case StoreMode::Silent:
     C->silence();
     return true;
--- a/standins/KindService.h
+++ b/standins/KindService.h
@@ -22,9 +22,10 @@
 
 enum class StoreMode : std::uint8_t {
   Serving,
-  Busy,   ///< Every call is answered 503.
-  Silent, ///< Calls are read and never answered, on connections for good.
-  Reset,  ///< Connections are closed at once.
+  Busy,      ///< Every call is answered 503.
+  Throttled, ///< Every call is answered 429.
+  Silent,    ///< Calls are read and never answered, on connections for good.
+  Reset,     ///< Connections are closed at once.
 };
 
 struct KindFaults {
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -7,6 +7,9 @@
   LABELS failure
   SOURCES FrontFixture.cpp failure/ForeignEntriesNameNoReplica.cpp
           failure/PeersAreToldWhatIsStale.cpp)
+shallot_test(store_throttles_failure PACKAGES platform LIBRARIES standin_core
+  LABELS failure
+  SOURCES FrontFixture.cpp failure/StoreThrottlesSomeHosts.cpp)
 shallot_test(restored_daemon_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp failure/RestoredStoreTakesNothingBack.cpp)
