tests: a change waits for silent connections to the store (red)

All open connections to the store fall silent and new ones work, in calm, after a slow store and in an outage.

The log shows why: "store_trial how=failed ms=1500 why=no reply on a kept connection", up to three times in a row, and store_access "refused" of a store that answers.

--- a/standins/KindService.h
+++ b/standins/KindService.h
@@ -53,6 +53,8 @@
   /// Takes effect at once, also on calls that wait.
   void setFaults(const KindFaults &F);
   const KindFaults &faults() const { return Faults; }
+  /// All open connections fall silent for good; new ones work.
+  void silenceConnections() { Server.silenceAll(); }
   /// Obeys the fields of one order of a test. Fails with UnknownField,
   /// WrongType or OutOfRange.
   Result<void> control(const Json &Orders);
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -7,6 +7,9 @@
   LABELS failure
   SOURCES FrontFixture.cpp failure/ForeignEntriesNameNoReplica.cpp
           failure/PeersAreToldWhatIsStale.cpp)
+shallot_test(silent_store_failure PACKAGES platform LIBRARIES standin_core
+  LABELS failure
+  SOURCES FrontFixture.cpp failure/StoreConnectionsFallSilent.cpp)
 shallot_test(store_throttles_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp failure/StoreThrottlesSomeHosts.cpp)
