front: a trial of the store opens a connection

Callers saw an older version in force for seconds after the open connections to the store had fallen silent, though new ones worked.

Cause: a trial asks whether the store answers this host, but it was given a kept connection. If that had fallen silent too, the trial failed after 1.5 s, the daemon announced "refused", and the next trial, which could be given another silent connection, came up to 4.5 s later. A trial that is cancelled leaves the other kept connections as they are.

The test now lets the silence begin right after the watch was asked for, when it is noticed last.

--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -64,6 +64,7 @@
     } -> std::same_as<HttpClient::TransferId>;
   { Store.progress(Id) } -> std::same_as<std::optional<TransferProgress>>;
   Store.cancel(Id);
+  Store.forgetConnections();
 };
 
 /// Runs one call at a time. A new call cancels the one before, so that the
--- a/packages/front/StoreAccessLink.h
+++ b/packages/front/StoreAccessLink.h
@@ -85,15 +85,15 @@
   void startTrial() {
     Trials.started(Loop.now());
     TrialBegan = Loop.now();
+    // A kept connection may have fallen silent while the store answers.
+    S.forgetConnections();
     Call = S.list(Kind, AfterLastName, [this](const Attempt<KindPage> &P) {
       Timeout.cancel();
       finishTrial(bool(P), P ? std::string() : P.error().Detail);
     });
     Timeout = Loop.after(TrialTimeout, [this] {
-      std::optional<TransferProgress> P = S.progress(Call);
-      bool Kept = P && !P->NewConnection;
       S.cancel(Call);
-      finishTrial(false, Kept ? "no reply on a kept connection" : "no reply");
+      finishTrial(false, "no reply");
     });
   }
 
--- a/standins/KindService.cpp
+++ b/standins/KindService.cpp
@@ -190,6 +190,8 @@
   std::string Kind = Rest.substr(0, Slash);
   std::string Name =
       Slash == std::string::npos ? std::string() : Rest.substr(Slash + 1);
+  if (!R.parameter("watch").empty())
+    ++Watches[Kind];
   if (misbehaves(C, Kind))
     return;
   if (R.Method != "GET")
--- a/standins/KindService.h
+++ b/standins/KindService.h
@@ -14,6 +14,7 @@
 #include "standins/Wire.h"
 
 #include <list>
+#include <map>
 
 namespace shallot::standins {
 
@@ -59,6 +60,11 @@
   /// WrongType or OutOfRange.
   Result<void> control(const Json &Orders);
   std::uint64_t calls() const { return Calls; }
+  /// Watches of \p Kind that have been asked for.
+  std::uint64_t watches(const std::string &Kind) const {
+    auto Found = Watches.find(Kind);
+    return Found == Watches.end() ? 0 : Found->second;
+  }
 
 private:
   struct Waiter {
@@ -88,6 +94,7 @@
   Waiters Waiting;
   std::uint64_t LastWaiter = 0;
   std::uint64_t Calls = 0;
+  std::map<std::string, std::uint64_t> Watches; ///< By kind.
   WireServer Server;
 };
 
--- a/tests/failure/StoreConnectionsFallSilent.cpp
+++ b/tests/failure/StoreConnectionsFallSilent.cpp
@@ -17,6 +17,12 @@
 struct SilentStore : FrontFixture {
   SilentStore() { start(); }
 
+  /// Returns when the configuration has just been asked for: a silence that
+  /// begins then is noticed last.
+  void awaitWatch() {
+    std::uint64_t Before = Store.watches("config");
+    runUntil([&] { return Store.watches("config") > Before; });
+  }
   /// Leaves idle connections to the store behind.
   void keepConnections() {
     int Left = KeptConnections;
@@ -40,6 +46,7 @@
 
 TEST_CASE_FIXTURE(SilentStore, "connections fall silent in calm") {
   keepConnections();
+  awaitWatch();
   Store.silenceConnections();
   CHECK(change() <= WatcherBound);
 }
@@ -48,6 +55,7 @@
   Store.setFaults({.SlowMs = 500});
   runFor(Seconds(5));
   keepConnections();
+  awaitWatch();
   Store.setFaults({});
   Store.silenceConnections();
   CHECK(change() <= WatcherBound);
