front: an answered trial decides which calls to the store hang

Callers saw an older version in force up to 3 s longer than a watcher may take: its call to the store hung on a connection that had fallen silent.

Cause: two waits that rest on older evidence. (1) A call was suspected only after four times the latest reply time of the store, at most 1.5 s, and a store that was slow before the silence made that 1.5 s although it was fast again. (2) When a trial was answered after an outage, only calls that had made the trial necessary were renewed; a call that had gone out on a silent connection meanwhile waited for its whole timeout of up to 4.5 s.

Now a call is suspected 0.2 s after its time, and the trial itself tells how slow the store is: calls that are overdue by four times the time of the trial, that failed, or that are open while peers have read more, are renewed, and so are the long polls. A store that is slow costs one trial in 1.5 s for each watcher, and its calls are not cut short ("a slow store is waited for").

--- a/packages/front/FeedTiming.h
+++ b/packages/front/FeedTiming.h
@@ -20,10 +20,11 @@
 inline constexpr Duration StoreWatchWait = Millis(1500);
 
 /// Time after StoreWatchWait without an answer after which a watcher tests
-/// whether the store still answers it, and the same for one that is behind its
-/// peers. The store answers in milliseconds, and changes of replicas are
-/// fetched ReplicaBatchDelay apart.
-inline constexpr Duration OverduePatience = Millis(300);
+/// whether the store still answers it. A healthy store answers in milliseconds;
+/// one that is slow is tested once each SuspectInterval.
+inline constexpr Duration OverduePatience = Millis(200);
+/// The same for one that is behind its peers: changes of replicas are fetched
+/// ReplicaBatchDelay apart.
 inline constexpr Duration HangingTimeout = Millis(300);
 
 /// Changes within this interval are fetched together. Replicas register
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -159,12 +159,12 @@
   bool renewing() const {
     return IsFirstCall && progress() && Loop.now() < CallBegan + TrialPatience;
   }
-  /// True when the open call watches the store itself and nothing has arrived
+  /// True when the open call is to the store itself and nothing has arrived
   /// \p Patience after the store should have replied.
   bool overdue(Duration Patience) const {
     std::optional<TransferProgress> P = progress();
-    return P && direct() && CallWait && P->Bytes == 0 &&
-           P->Age > *CallWait + Patience;
+    return P && direct() && P->Bytes == 0 &&
+           P->Age > CallWait.value_or(Duration(0)) + Patience;
   }
   /// True when part of a reply arrived within the last \p D. Such a call is not
   /// cancelled for another one: the transfer would start over.
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -39,7 +39,8 @@
                     evacuationWatchOptions(), evacuationHooks()),
         Sync(Loop, S, Schema.QuarantineKind, D.quarantine().table(),
              D.random()),
-        Access(Loop, S, D, Schema.ConfigKind, [this] { renewHanging(); }),
+        Access(Loop, S, D, Schema.ConfigKind,
+               [this](Duration Took) { renewHanging(Took); }),
         Server(
             D.timers(), [this](const std::string &Kind) { return view(Kind); },
             [this](const std::string &Kind) { return age(Kind); },
@@ -125,16 +126,18 @@
   }
 
   void testAccess() {
-    Duration Patience = std::max(OverduePatience, Access.patience());
-    if (Configs.overdue(Patience) || Replicas.overdue(Patience))
+    if (Configs.overdue(OverduePatience) || Replicas.overdue(OverduePatience))
       Access.suspect();
     Access.tick();
   }
 
   /// The store answers, but calls to it that are open may not be answered.
-  void renewHanging() {
-    Configs.renewIfDirect();
-    Replicas.renewIfDirect();
+  void renewHanging(Duration Took) {
+    bool Behind = std::exchange(BehindPeers, false);
+    bool Renewed = Configs.renewIfHanging(Took, Behind);
+    Renewed = Replicas.renewIfHanging(Took, Behind) || Renewed;
+    if (Renewed)
+      renewSilentLongPolls();
   }
 
   /// A watcher that is behind its peers may have been cut off silently.
@@ -146,6 +149,7 @@
     if (!Hanging.shouldSwitch(Behind, Progressing, Loop.now()))
       return;
     Suspected = Most;
+    BehindPeers = true;
     Access.suspect();
   }
 
@@ -382,6 +386,7 @@
   CatchUp Hanging{HangingTimeout};
   ReadRevisions PreviousRead; ///< At the last comparison.
   ReadRevisions Suspected;    ///< Newest of the peers at the last suspicion.
+  bool BehindPeers = false;   ///< Peers have read more; a trial tells why.
   bool Started = false;       ///< The watches have been started.
   bool AllListed = false;     ///< Every kind has been read once.
   unsigned Ticks = 0;
--- a/packages/front/StoreAccessLink.h
+++ b/packages/front/StoreAccessLink.h
@@ -20,13 +20,14 @@
 
 template <CallableStore Store> class StoreAccessLink {
 public:
+  /// Called when the store has answered a trial, with the time that it took.
+  using AnsweredFn = std::function<void(Duration Took)>;
+
   /// \p Kind is a kind of the store whose list trials ask the end of.
-  /// \p OnHanging is called when the store answers a trial that was made
-  /// because other calls seemed to hang.
   StoreAccessLink(EventLoop &Loop, Store &S, FrontDaemon &D, std::string Kind,
-                  std::function<void()> OnHanging)
+                  AnsweredFn OnAnswered)
       : Loop(Loop), S(S), D(D), Kind(std::move(Kind)),
-        OnHanging(std::move(OnHanging)) {}
+        OnAnswered(std::move(OnAnswered)) {}
 
   /// The place of this daemon in the fleet's view.
   void setTree(const FeedTree &T) {
@@ -49,11 +50,9 @@
 
   /// The open calls to the store seem to hang.
   void suspect() {
-    if (Trials.suspect(Loop.now()))
-      Suspected = true;
+    Trials.suspect(Loop.now());
     update();
   }
-  Duration patience() const { return Trials.patience(); }
 
   /// Call a few times per second, once the daemon has met its fleet.
   void tick() {
@@ -98,14 +97,14 @@
   }
 
   void finishTrial(bool Answered, std::string Why) {
-    reportTrial(D.metrics(),
-                {Answered, Loop.now() - TrialBegan, std::move(Why)});
+    Duration Took = Loop.now() - TrialBegan;
+    reportTrial(D.metrics(), {Answered, Took, std::move(Why)});
     if (Answered)
       Trials.trialAnswered(Loop.now());
     else
       Trials.trialFailed(D.random(), Loop.now());
-    if (std::exchange(Suspected, false) && Answered)
-      OnHanging();
+    if (Answered)
+      OnAnswered(Took);
     update();
   }
 
@@ -129,7 +128,7 @@
   Store &S;
   FrontDaemon &D;
   std::string Kind;
-  std::function<void()> OnHanging;
+  AnsweredFn OnAnswered;
   FeedTree Tree;
   StoreTrials Trials;
   HttpClient::TransferId Call = 0;
@@ -137,7 +136,6 @@
   TimerHandle Timeout;
   TimerHandle NextTrial;
   std::optional<Instant> ArmedFor; ///< The time of NextTrial.
-  bool Suspected = false; ///< The next trial is made because calls may hang.
   bool Announcing = false;
   bool Started = false;
 };
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -51,10 +51,18 @@
   }
   bool renewing() const { return Source.renewing(); }
   bool overdue(Duration Patience) const { return Source.overdue(Patience); }
-  /// Renews a call to the store of which nothing has arrived.
-  void renewIfDirect() {
-    if (Source.direct())
-      renewIfSilent();
+  /// Called when the store has answered a trial, which took \p Took. Renews a
+  /// call to the store that failed or hangs; \p Behind: peers have read more.
+  /// Only the trial tells whether a late reply is lost or the store is slow:
+  /// the time that earlier replies took may have passed. Returns whether it
+  /// did.
+  bool renewIfHanging(Duration Took, bool Behind) {
+    bool Hanging = Behind || !Objects.storeAnswers() ||
+                   Source.overdue(Took * TrialPatienceFactor);
+    if (!Hanging || !Source.direct() || Source.receivedWithin(CatchUpTimeout))
+      return false;
+    Objects.renew();
+    return true;
   }
 
   /// Called when the membership view has changed. A host whose link is
--- a/tests/FeedFleet.cpp
+++ b/tests/FeedFleet.cpp
@@ -180,10 +180,8 @@
         D.Trials.trialAnswered(Now);
       else
         D.Trials.trialFailed(Rng, Now);
-      if (std::exchange(D.ForHanging, false) && Ok)
-        for (KindState &K : D.Objects)
-          if (K.Open && K.Source.direct())
-            beginCall(N, K);
+      if (Ok)
+        renewHanging(N, Now - D.TrialBegan);
     }
   }
   if (every(Steps + N, Step, TrialTick))
@@ -198,13 +196,23 @@
   Callers.insert(N);
 }
 
+void FeedFleet::renewHanging(std::size_t N, Duration Took) {
+  bool Behind = std::exchange(Nodes[N].BehindPeers, false);
+  for (KindState &K : Nodes[N].Objects)
+    if (K.Source.direct() &&
+        (Behind || !K.Open || overdue(K, Took * TrialPatienceFactor)))
+      beginCall(N, K);
+}
+
+bool FeedFleet::overdue(const KindState &K, Duration Patience) const {
+  return K.Open && K.Source.direct() && Now - K.Began > K.CallWait + Patience;
+}
+
 void FeedFleet::tickTrials(std::size_t N) {
   Node &D = Nodes[N];
   for (const KindState &K : D.Objects)
-    if (K.Open && K.Source.direct() &&
-        Now - K.Began >
-            K.CallWait + std::max(OverduePatience, D.Trials.patience()))
-      D.ForHanging = D.Trials.suspect(Now) || D.ForHanging;
+    if (overdue(K, OverduePatience))
+      D.Trials.suspect(Now);
   D.Trials.tick(Rng, Now);
 }
 
@@ -313,7 +321,8 @@
   }
   if (D.Hanging.shouldSwitch(Most > std::max(Mine, D.Suspected), false, Now)) {
     D.Suspected = Most;
-    D.ForHanging = D.Trials.suspect(Now) || D.ForHanging;
+    D.BehindPeers = true;
+    D.Trials.suspect(Now);
   }
   for (KindState &K : D.Objects) {
     bool Progressing = K.Read != std::exchange(K.PreviousRead, K.Read);
--- a/tests/FeedFleet.h
+++ b/tests/FeedFleet.h
@@ -87,7 +87,7 @@
     StoreAccess Announced = StoreAccess::Untried;
     CatchUp Hanging{HangingTimeout};
     std::uint64_t Suspected = 0;
-    bool ForHanging = false;
+    bool BehindPeers = false;
   };
 
   bool gossips() const { return Nodes.size() <= MaxGossiping; }
@@ -96,6 +96,8 @@
   void announce(std::size_t N);
   void stepNode(std::size_t N);
   void stepTrial(std::size_t N);
+  void renewHanging(std::size_t N, Duration Took);
+  bool overdue(const KindState &K, Duration Patience) const;
   void tickTrials(std::size_t N);
   void stepKind(std::size_t N, KindState &K);
   void beginCall(std::size_t N, KindState &K);
--- a/tests/failure/StoreConnectionsFallSilent.cpp
+++ b/tests/failure/StoreConnectionsFallSilent.cpp
@@ -70,3 +70,14 @@
   Store.setFaults({});
   CHECK(change() <= WatcherBound);
 }
+
+TEST_CASE_FIXTURE(SilentStore, "a slow store is waited for") {
+  Store.setFaults({.SlowMs = 600});
+  awaitWatch();
+  std::uint64_t Before = Store.watches("config");
+  runFor(Seconds(8));
+  // Each call takes its wait and 0.6 s; a call that is renewed meanwhile would
+  // be asked for again sooner.
+  CHECK(Store.watches("config") - Before <= 4);
+  CHECK(Daemon->fleet().self().Store != StoreAccess::Refused);
+}
