front: the call after one without a reply opens a connection

Callers saw an older version in force for up to 2.4 s longer on hosts that read from a peer, after the open connections had fallen silent: the log has peer_has_read_more two or three times in a row, 0.8 s apart.

Cause: a daemon that learns that a peer has read more cancels its hanging call and asks that peer, but the new call was given another kept connection, silent as well. A cancelled call drops no idle connections, and those to the other peer were never in question.

Now a call that follows one without a byte of reply drops the idle connections to its source first, whichever source that is. feed_failure, "a call that replaces a silent one is answered", failed before:

CHECK( Server.Seen.back().Connection >= KeptConnections ): 1 >= 4 REQUIRE_FALSE( GaveUp ): never answered

--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -68,7 +68,9 @@
 };
 
 /// Runs one call at a time. A new call cancels the one before, so that the
-/// remainder of the old reply takes no bandwidth.
+/// remainder of the old reply takes no bandwidth. The call after one that got
+/// no reply opens a connection: what silenced that one may have silenced all
+/// kept connections, also those to other sources.
 template <CallableStore Store> class RelayedStore {
 public:
   RelayedStore(EventLoop &Loop, HttpClient &Http, Store &S, FeedSources Sources,
@@ -184,9 +186,18 @@
                {{"kind", Kind}, {"from", sourceName(*Source)}});
     if (Source)
       Last = Source;
+    if (Source && std::exchange(Unanswered, false))
+      forgetConnections(*Source);
     return Source;
   }
 
+  void forgetConnections(const FeedSource &Source) {
+    if (Source.direct())
+      S.forgetConnections();
+    else
+      Http.forget(Source.Peer->Rpc);
+  }
+
   void beginCall(std::optional<Duration> Wait) {
     CallBegan = Loop.now();
     CallWait = Wait;
@@ -237,6 +248,7 @@
                      [this, Source, Kind = Q.Kind,
                       Done = std::move(Done)](const HttpReply &Reply) {
                        reportReply(Meter, {Kind, sourceName(Source)}, Reply);
+                       Unanswered = !Reply.arrived();
                        Done(Reply);
                      });
   }
@@ -254,6 +266,7 @@
     if (!P)
       return;
     reportCancelled(Meter, {Kind, sourceName(*Last)}, *P);
+    Unanswered = P->Bytes == 0;
     if (Last->direct())
       S.cancel(Call);
     else
@@ -271,6 +284,7 @@
   Random &Rng;
   Metrics &Meter;
   bool Listed = false;
+  bool Unanswered = false;        ///< The latest call got no reply.
   std::uint64_t Epoch = 0;        ///< Of the last reply.
   std::optional<FeedSource> Last; ///< Source of the latest call.
   HttpClient::TransferId Call = 0;
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -21,7 +21,8 @@
   SOURCES FrontFixture.cpp SlowLink.cpp SlowPeers.cpp
           failure/LargeChangeOnASlowLink.cpp
           failure/ManyPeersOfASmallHost.cpp
-          failure/MoreChangesThanAReplyHolds.cpp)
+          failure/MoreChangesThanAReplyHolds.cpp
+          failure/PeerConnectionsFallSilent.cpp)
 shallot_test(places_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp
