limits: an owner of a quota acts only while a witness supports it

Callers saw a quota exceeded when a daemon that runs was taken for failed: 68 requests where 66 may start, 32 where 28 may. quota_model_doubt, before:

large burst, all up: 7 s: wrongly failed d0, 7 s: flood: 68 started in a window, the bound is 66 large rate, all up: 4 s: wrongly failed d0, 4 s: flood: 32, the bound is 28

Cause: two proofs that nobody else acts as the owner rested on a view's word "failed": the agreement of the standby, which never owned the account, and that of all members that the view shows as up. The former owner ran, and granted.

Now an owner acts only while one of its two witnesses, the daemons that rank next to it, has agreed to a claim of the last 1.5 s. Meanwhile they support no other that ranks lower, and they agree to no claim of a daemon that they see as failed. So it has stopped when another one starts, whatever the views say. The witnesses are chosen among the candidates that all views of the last 3 s have in common. This also shows that a lost owner has stopped, sooner than failures are detected: its first witness replaces it when the second agrees, 1.5 s after the last claim.

Without the witnesses' part the bound is broken ("support of a witness").

--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -19,6 +19,8 @@
     return "standby_agrees";
   case QuotaEvidence::All:
     return "all_agree";
+  case QuotaEvidence::Lapsed:
+    return "owner_lapsed";
   }
   return "";
 }
--- a/packages/limits/QuotaAgent.cpp
+++ b/packages/limits/QuotaAgent.cpp
@@ -15,6 +15,11 @@
 constexpr Duration CleanupPeriod = Seconds(1);
 /// How long the answer to a claim counts.
 constexpr Duration AgreementLifetime = Seconds(1);
+/// Period in which an owner asks its first witness for support. The second is
+/// asked as well when the first has not agreed for two periods.
+constexpr Duration RenewalPeriod = Millis(400);
+/// The same while it has no support: more than a round trip between regions.
+constexpr Duration FirstRenewalPeriod = Millis(25);
 /// The most claims that a daemon sends in a second; organisations beyond wait
 /// for ViewPropagationTime.
 constexpr std::size_t MaxClaimsPerSecond = 4096;
@@ -108,6 +113,9 @@
     const Member *Owner = Owners.owner(Name);
     if (!Owner || Owner->Id.Host == Self.Host)
       continue;
+    auto Settled = Ledger.settlement(Name);
+    if (Settled && Settled->Former == Owner->Id)
+      continue; // This daemon has replaced it before the view shows it.
     if (auto Released = Ledger.release(Name, Now))
       batchTo(*Owner, To, Now).Releases.push_back(std::move(*Released));
   }
@@ -126,9 +134,16 @@
   const Member *Standby = Owners.standby(Name);
   std::optional<Instant> Since = Owners.ownedSince(Name);
   R.Standby = Since || (Standby && Standby->Id.Host == Self.Host);
+  std::optional<QuotaLedger::Settlement> Settled = Ledger.settlement(Name);
+  if (Settled && Settled->Evidence == QuotaEvidence::Lapsed) {
+    R.Evidence = QuotaEvidence::Lapsed;
+    if (R.Fraction > 0 && supported(Name, Now))
+      R.OwnerSince = Settled->At;
+    return R;
+  }
   if (!Since)
     return R;
-  Instant Begin = std::max(*Since, MayGrantSince);
+  Instant Begin = *ownerSince(Name);
   std::optional<Instant> Accepted = Ledger.acceptedAt(Name);
   bool Released = Accepted && *Accepted >= Begin - Policy.OwnerWait;
   Instant From =
@@ -140,7 +155,6 @@
       R.Fraction = std::max(R.Fraction, std::min(Ledger.acceptedFraction(Name),
                                                  Owners.zonesInView()));
   }
-  std::optional<QuotaLedger::Settlement> Settled = Ledger.settlement(Name);
   if (Settled && Settled->At >= Begin) {
     if (!Released)
       R.Evidence = Settled->Evidence;
@@ -149,11 +163,36 @@
     if (AllZones && Now - Settled->At < ViewPropagationTime)
       R.Fraction = Owners.zonesInView();
   }
-  if (From <= Now && R.Fraction > 0)
+  if (From <= Now && R.Fraction > 0 && supported(Name, Now))
     R.OwnerSince = From;
   return R;
 }
 
+/// Whether a witness keeps the others from the account meanwhile.
+bool QuotaAgent::supported(const Tenant &Name, Instant Now) const {
+  return Ledger.supportedUntil(Name) > Now ||
+         Owners.witnesses(Name, Self.Host, Now).empty();
+}
+
+/// Asks the witnesses to support this daemon as the owner.
+void QuotaAgent::renew(const Tenant &Name, Batches &Out, Instant Now) {
+  bool Supported = Ledger.supportedUntil(Name) > Now;
+  if (!Ledger.tryRenew(Name, Supported ? RenewalPeriod : FirstRenewalPeriod,
+                       Now))
+    return;
+  auto Witnesses = Owners.witnesses(Name, Self.Host, Now);
+  if (Witnesses.empty())
+    Ledger.support(Name, Self, Now);
+  for (const Member *M : Witnesses)
+    batchTo(*M, Out, Now).Claims.push_back({Name});
+}
+
+/// An owner without support may have been replaced.
+void QuotaAgent::endUnsupported(const Tenant &Name, Instant Now) {
+  if (Ledger.acts(Name) && !supported(Name, Now))
+    Ledger.lapse(Name, Now);
+}
+
 Duration QuotaAgent::uptime(Instant Now) const {
   return StartedAt ? Now - *StartedAt : Duration(0);
 }
@@ -162,7 +201,7 @@
   std::optional<Instant> Since = Owners.ownedSince(Name);
   if (!Since || !MayGrant)
     return std::nullopt;
-  return std::max(*Since, MayGrantSince);
+  return std::max({*Since, MayGrantSince, Ledger.lapsedAt(Name)});
 }
 
 /// Asks all that have not agreed lately.
@@ -209,7 +248,8 @@
   R.Idle = true;
   bool Acts =
       Ledger.acts(C.Name) || (ownerSince(C.Name) && Ledger.claims(C.Name, Now));
-  if (Acts && !QuotaOwners::outranks(C.Name, From.Host, Self.Host)) {
+  if (isFailed(From) || supportsAnother(C.Name, From, Now) ||
+      (Acts && !QuotaOwners::outranks(C.Name, From.Host, Self.Host))) {
     R.Answer = QuotaAnswer::Refused;
   } else {
     R = Ledger.yield(C.Name, From, Now);
@@ -223,6 +263,37 @@
   return R;
 }
 
+/// Whether the others take \p Id for failed: they do not ask it for tokens.
+bool QuotaAgent::isFailed(const DaemonId &Id) const {
+  auto At = std::ranges::find_if(
+      Members, [&](const Member &M) { return M.Id.Host == Id.Host; });
+  return At != Members.end() && !isUp(*At) &&
+         At->Id.Incarnation >= Id.Incarnation;
+}
+
+/// Whether the process of \p Id has ended for certain.
+bool QuotaAgent::hasEnded(const DaemonId &Id) const {
+  auto At = std::ranges::find_if(
+      Members, [&](const Member &M) { return M.Id.Host == Id.Host; });
+  if (At == Members.end() || At->Id.Incarnation < Id.Incarnation)
+    return false;
+  // A daemon that runs gets a later incarnation when it was taken for failed.
+  bool Restarted = At->State == MemberState::Starting && At->Id != Id;
+  return Restarted || At->State == MemberState::Left;
+}
+
+/// Whether this daemon has lately agreed that one that ranks higher than
+/// \p Claimer is the owner.
+bool QuotaAgent::supportsAnother(const Tenant &Name, const DaemonId &Claimer,
+                                 Instant Now) const {
+  return std::ranges::any_of(Ledger.yielded(Name, Now), [&](const auto &Item) {
+    const auto &[Who, At] = Item;
+    return Now < At + Policy.WitnessSupport && Who.Host != Claimer.Host &&
+           QuotaOwners::outranks(Name, Who.Host, Claimer.Host) &&
+           !hasEnded(Who);
+  });
+}
+
 /// Whether the daemon \p Id runs and is not cut off.
 bool QuotaAgent::mayStillAct(const DaemonId &Id) const {
   const Member *M = findMember(Id);
@@ -257,31 +328,80 @@
   if (!Standby || Standby->Id != From ||
       uptime(Now) < 2 * ViewPropagationTime ||
       Now - MayGrantSince < ViewPropagationTime ||
-      Now < Ledger.yieldedUntil(Name))
+      supportsAnother(Name, Self, Now) ||
+      std::ranges::any_of(Ledger.yielded(Name, Now), [&](const auto &Item) {
+        return mayStillAct(Item.first);
+      }))
     return false;
   return std::ranges::none_of(
       Owners.formerOwners(Name, ViewPropagationTime, Now),
       [&](const DaemonId &Id) { return mayStillAct(Id); });
 }
 
+/// Whether \p Id keeps others from an account of this daemon.
+bool QuotaAgent::isWitness(const Tenant &Name, const DaemonId &Id,
+                           Instant Now) const {
+  return std::ranges::any_of(Owners.witnesses(Name, Self.Host, Now),
+                             [&](const Member *M) { return M->Id == Id; });
+}
+
+/// Whether the owner in the view had the support of this daemon, and has it no
+/// more: it has ended, or it has stopped to act if the second witness does not
+/// support it either.
+bool QuotaAgent::ownerLapsed(const Tenant &Name, Instant Now) const {
+  const Member *Owner = Owners.owner(Name);
+  if (!Owner || Owner->Id.Host == Self.Host || !MayGrant ||
+      Now - MayGrantSince < ViewPropagationTime ||
+      uptime(Now) < 2 * ViewPropagationTime)
+    return false;
+  auto Witnesses = Owners.witnesses(Name, Owner->Id.Host, Now);
+  if (Witnesses.size() < WitnessesOfOwner ||
+      Witnesses.front()->Id.Host != Self.Host)
+    return false;
+  std::map<DaemonId, Instant> Yielded = Ledger.yielded(Name, Now);
+  return Yielded.contains(Owner->Id) &&
+         std::ranges::all_of(Yielded, [&](const auto &Item) {
+           return Item.second + Policy.WitnessSupport <= Now;
+         });
+}
+
+/// Whether the second witness of a lapsed owner has agreed to a claim.
+bool QuotaAgent::succeeds(const QuotaRelease &R, const DaemonId &From,
+                          Instant SentAt, Instant Now) const {
+  if (!ownerLapsed(R.Name, SentAt) || !ownerLapsed(R.Name, Now))
+    return false;
+  const Member *Owner = Owners.owner(R.Name);
+  return Owners.witnesses(R.Name, Owner->Id.Host, Now).back()->Id == From &&
+         Millis(R.UptimeMillis) >= Policy.WitnessSupport;
+}
+
 void QuotaAgent::heard(const QuotaRelease &R, const DaemonId &From,
                        Instant SentAt, Instant Now) {
   if (!R.Idle)
     Ledger.accept(R, From, Now);
+  if (R.Answer != QuotaAnswer::Agreed || SentAt <= Ledger.yieldedAt(R.Name))
+    return;
+  if (isWitness(R.Name, From, Now))
+    Ledger.support(R.Name, From, SentAt);
+  if (succeeds(R, From, SentAt, Now))
+    return Ledger.settle(
+        R.Name, {Now, QuotaEvidence::Lapsed, Owners.owner(R.Name)->Id});
   std::optional<Instant> Begin = ownerSince(R.Name);
-  if (R.Answer != QuotaAnswer::Agreed || !Begin || SentAt < *Begin ||
-      SentAt <= Ledger.yieldedAt(R.Name) || roleIn(R.Name, Now).OwnerSince)
+  if (!Begin || SentAt < *Begin || roleIn(R.Name, Now).OwnerSince)
     return;
   if (standbyAgrees(R.Name, From, Now))
-    return Ledger.settle(R.Name, QuotaEvidence::Standby, Now);
+    return Ledger.settle(R.Name, {Now, QuotaEvidence::Standby, {}});
   Instant CountsAt = Now - Millis(R.UptimeMillis) + RestartGuard;
   Ledger.agree(R.Name, From, {SentAt, CountsAt, R.Rival});
   settle(R.Name, *Begin, Now);
 }
 
 void QuotaAgent::settle(const Tenant &Name, Instant Begin, Instant Now) {
-  if (allAgree(Name, std::max(Begin, Now - AgreementLifetime), Now))
-    Ledger.settle(Name, QuotaEvidence::All, Now);
+  if (!allAgree(Name, std::max(Begin, Now - AgreementLifetime), Now))
+    return;
+  // Whoever is a witness from now on has agreed.
+  Ledger.support(Name, Self, Ledger.agreedSince(Name));
+  Ledger.settle(Name, {Now, QuotaEvidence::All, {}});
 }
 
 QuotaGrant QuotaAgent::grantTo(const DaemonId &From, const QuotaAsk &A,
@@ -289,17 +409,23 @@
   auto Q = Quotas.find(A.Name);
   if (Q == Quotas.end())
     return {A.Name, A.Spent, {}, {}};
+  endUnsupported(A.Name, Now);
   QuotaRole Role = roleIn(A.Name, Now);
   std::optional<Instant> Begin = ownerSince(A.Name);
   if (Begin && !Role.OwnerSince) {
     claim(A.Name, Out, Now);
     settle(A.Name, *Begin, Now);
     Role = roleIn(A.Name, Now);
+  } else if (!Begin && ownerLapsed(A.Name, Now) &&
+             Ledger.tryRenew(A.Name, FirstRenewalPeriod, Now)) {
+    const Member *Owner = Owners.owner(A.Name);
+    batchTo(*Owners.witnesses(A.Name, Owner->Id.Host, Now).back(), Out, Now)
+        .Claims.push_back({A.Name});
   }
   bool Acted = Ledger.acts(A.Name);
   QuotaGrant G = Ledger.grant(From, A, Q->second, Role, Now);
   if (!Acted && Role.OwnerSince && Now - *Role.OwnerSince < OpeningTime)
-    Opened.push_back({A.Name, Role.Evidence, Now - *Begin});
+    Opened.push_back({A.Name, Role.Evidence, Now - Begin.value_or(Now)});
   return G;
 }
 
@@ -448,6 +574,11 @@
     }
     collect(T, Out.Events, Now);
   }
+  for (const Tenant &Name : Ledger.names()) {
+    endUnsupported(Name, Now);
+    if (Ledger.acts(Name))
+      renew(Name, To, Now);
+  }
   probe(To, Now);
   if (Now >= NextCleanup) {
     NextCleanup = Now + CleanupPeriod;
--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -118,6 +118,9 @@
   Duration uptime(Instant Now) const;
   std::optional<Instant> ownerSince(const Tenant &Name) const;
   QuotaRole roleIn(const Tenant &Name, Instant Now) const;
+  bool supported(const Tenant &Name, Instant Now) const;
+  void renew(const Tenant &Name, Batches &Out, Instant Now);
+  void endUnsupported(const Tenant &Name, Instant Now);
   void claim(const Tenant &Name, Batches &Out, Instant Now);
   void probe(Batches &Out, Instant Now);
   QuotaRelease answer(const QuotaClaim &C, const DaemonId &From, Instant Now);
@@ -128,6 +131,14 @@
                      Instant Now) const;
   void settle(const Tenant &Name, Instant Begin, Instant Now);
   bool mayStillAct(const DaemonId &Id) const;
+  bool isFailed(const DaemonId &Id) const;
+  bool hasEnded(const DaemonId &Id) const;
+  bool isWitness(const Tenant &Name, const DaemonId &Id, Instant Now) const;
+  bool ownerLapsed(const Tenant &Name, Instant Now) const;
+  bool succeeds(const QuotaRelease &R, const DaemonId &From, Instant SentAt,
+                Instant Now) const;
+  bool supportsAnother(const Tenant &Name, const DaemonId &Claimer,
+                       Instant Now) const;
   QuotaGrant grantTo(const DaemonId &From, const QuotaAsk &A, Batches &Out,
                      Instant Now);
   void askFor(const Tenant &Name, QuotaTokens &T, Batches &Out, Instant Now);
--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -187,24 +187,31 @@
   return Is ? &By->second : nullptr;
 }
 
+Instant QuotaLedger::agreedSince(const Tenant &Name) const {
+  Instant First = Instant::max();
+  if (auto At = Accounts.find(Name); At != Accounts.end())
+    for (const auto &[Who, A] : At->second.Agreed)
+      First = std::min(First, A.SentAt);
+  return First;
+}
+
 std::set<std::uint64_t> QuotaLedger::rivals(const Tenant &Name, Instant Since,
                                             Instant Now) const {
   std::set<std::uint64_t> Found;
   auto At = Accounts.find(Name);
   if (At == Accounts.end())
     return Found;
-  if (Now < At->second.YieldedUntil)
-    Found = At->second.YieldedTo;
+  for (const auto &[Who, When] : yielded(Name, Now))
+    Found.insert(hash64(Who.Host.str()));
   for (const auto &[Who, A] : At->second.Agreed)
     if (A.SentAt >= Since && A.Rival != 0)
       Found.insert(A.Rival);
   return Found;
 }
 
-void QuotaLedger::settle(const Tenant &Name, QuotaEvidence Evidence,
-                         Instant Now) {
+void QuotaLedger::settle(const Tenant &Name, const Settlement &S) {
   Account &A = Accounts[Name];
-  A.Settled = {Now, Evidence};
+  A.Settled = S;
   A.Agreed.clear();
 }
 
@@ -243,25 +250,80 @@
 QuotaRelease QuotaLedger::yield(const Tenant &Name, const DaemonId &To,
                                 Instant Now) {
   Account &A = Accounts[Name];
-  if (A.YieldedUntil <= Now)
-    A.YieldedTo.clear();
-  A.YieldedTo.insert(hash64(To.Host.str()));
-  A.YieldedUntil = Now + Policy.OwnerWait;
+  std::erase_if(A.Yielded, [&](const auto &Item) {
+    return Item.second + Policy.OwnerWait <= Now;
+  });
+  A.Yielded[To] = Now;
   QuotaRelease None{Name};
   None.Idle = true;
   return release(Name, Now).value_or(None);
 }
 
 Instant QuotaLedger::yieldedUntil(const Tenant &Name) const {
-  auto At = Accounts.find(Name);
-  return At == Accounts.end() ? Instant() : At->second.YieldedUntil;
+  Instant At = yieldedAt(Name);
+  return At == Instant::min() ? At : At + Policy.OwnerWait;
 }
 
 Instant QuotaLedger::yieldedAt(const Tenant &Name) const {
+  Instant Last = Instant::min();
+  if (auto At = Accounts.find(Name); At != Accounts.end())
+    for (const auto &[Who, When] : At->second.Yielded)
+      Last = std::max(Last, When);
+  return Last;
+}
+
+std::map<DaemonId, Instant> QuotaLedger::yielded(const Tenant &Name,
+                                                 Instant Now) const {
+  std::map<DaemonId, Instant> Found;
+  if (auto At = Accounts.find(Name); At != Accounts.end())
+    Found = At->second.Yielded;
+  std::erase_if(Found, [&](const auto &Item) {
+    return Item.second + Policy.OwnerWait <= Now;
+  });
+  return Found;
+}
+
+void QuotaLedger::support(const Tenant &Name, const DaemonId &By,
+                          Instant SentAt) {
+  Instant &Last = Accounts[Name].Supported[By];
+  Last = std::max(Last, SentAt);
+}
+
+Instant QuotaLedger::supportedUntil(const Tenant &Name) const {
+  Instant Last = Instant::min();
+  if (auto At = Accounts.find(Name); At != Accounts.end())
+    for (const auto &[Who, When] : At->second.Supported)
+      Last = std::max(Last, When + Policy.Support);
+  return Last;
+}
+
+Instant QuotaLedger::supportedBy(const Tenant &Name, const DaemonId &By) const {
+  auto At = Accounts.find(Name);
+  if (At == Accounts.end())
+    return Instant::min();
+  auto Found = At->second.Supported.find(By);
+  return Found == At->second.Supported.end() ? Instant::min() : Found->second;
+}
+
+void QuotaLedger::lapse(const Tenant &Name, Instant Now) {
+  release(Name, Now);
+  Accounts[Name].LapsedAt = Now;
+}
+
+Instant QuotaLedger::lapsedAt(const Tenant &Name) const {
   auto At = Accounts.find(Name);
-  return At == Accounts.end() || At->second.YieldedUntil == Instant()
-             ? Instant::min()
-             : At->second.YieldedUntil - Policy.OwnerWait;
+  return At == Accounts.end() ? Instant::min() : At->second.LapsedAt;
+}
+
+bool QuotaLedger::tryRenew(const Tenant &Name, Duration Period, Instant Now) {
+  Account &A = Accounts[Name];
+  if (Now - A.RenewedAt < Period)
+    return false;
+  A.RenewedAt = Now;
+  std::erase_if(A.Supported, [&](const auto &Item) {
+    return Item.second + Policy.Support <= Now;
+  });
+  return true;
 }
 
 bool QuotaLedger::acts(const Tenant &Name) const {
@@ -310,13 +372,18 @@
 }
 
 void QuotaLedger::removeIdle(Instant Now) {
-  for (auto &[Name, A] : Accounts)
+  for (auto &[Name, A] : Accounts) {
     if (A.Active)
       fill(A, Now);
+    std::erase_if(A.Yielded, [&](const auto &Item) {
+      return Item.second + Policy.OwnerWait <= Now;
+    });
+  }
   std::erase_if(Accounts, [&](const auto &Item) {
     const Account &A = Item.second;
     bool Used = !A.Leases.empty() || Now < A.ReservedUntil ||
-                Now < A.WithheldUntil || Now < A.YieldedUntil || A.AcceptedAt ||
+                Now < A.WithheldUntil || !A.Yielded.empty() || A.AcceptedAt ||
+                Now - A.LapsedAt < Policy.OwnerWait ||
                 (A.Settled && Now - A.Settled->At < Policy.OwnerWait) ||
                 Now - A.StandbyAt < Tolerated.Window;
     return !Used && (!A.Active || A.Level >= A.Capacity);
--- a/packages/limits/QuotaLedger.h
+++ b/packages/limits/QuotaLedger.h
@@ -50,6 +50,12 @@
 inline constexpr double OwnerExcessShare = 0.125;
 inline constexpr double EarlyExcessShare = 0.125;
 inline constexpr double StandbyExcessShare = 0.375;
+/// How long an owner acts after it sent a claim that a witness agreed to, and
+/// how long a witness supports no other daemon after that. Less than the time
+/// in which a lost daemon is taken for failed, so that its successor need not
+/// wait; more than two periods of renewal.
+inline constexpr Duration OwnerLease = Millis(1500);
+
 static_assert(OwnerExcessShare + EarlyExcessShare + 2 * StandbyExcessShare <=
               1);
 
@@ -59,6 +65,7 @@
   Released, ///< The former owner has released the account.
   Standby,  ///< The former owners are gone, and the standby agrees.
   All,      ///< All daemons in the view agree.
+  Lapsed,   ///< No witness has supported the owner for OwnerLease.
 };
 
 /// What the bound rests on. Only the model checker uses other values than these
@@ -68,6 +75,10 @@
   Duration OwnerWait = ViewPropagationTime;
   Duration Lifetime = TokenLifetime;
   Duration Lease = LeaseTime;
+  /// How long an owner acts on the support of a witness, and how long the
+  /// witness keeps to it.
+  Duration Support = OwnerLease;
+  Duration WitnessSupport = OwnerLease;
   double StandbyShare = StandbyExcessShare;
   /// Fraction of the capacity in the bucket of a new owner.
   double InitialFill = 0;
@@ -104,16 +115,19 @@
   /// Its last agreement to a claim that was sent at \p Since or later, or null.
   const Agreement *agreed(const Tenant &Name, const DaemonId &From,
                           Instant Since) const;
+  /// When the claim of the oldest agreement was sent.
+  Instant agreedSince(const Tenant &Name) const;
   /// The rivals of all agreements since \p Since, and the hosts that this
   /// daemon has yielded to.
   std::set<std::uint64_t> rivals(const Tenant &Name, Instant Since,
                                  Instant Now) const;
   /// Enough daemons agree that this one is the owner from \p Now on.
-  void settle(const Tenant &Name, QuotaEvidence Evidence, Instant Now);
   struct Settlement {
     Instant At;
     QuotaEvidence Evidence = QuotaEvidence::All;
+    DaemonId Former; ///< The owner that has lapsed, if one has.
   };
+  void settle(const Tenant &Name, const Settlement &S);
   std::optional<Settlement> settlement(const Tenant &Name) const;
   /// Ends the account of an organisation that this daemon no longer owns;
   /// nothing if it does not act as the owner.
@@ -125,6 +139,20 @@
   Instant yieldedUntil(const Tenant &Name) const;
   /// When it last did; the earliest instant if it did not.
   Instant yieldedAt(const Tenant &Name) const;
+  /// The daemons that it has yielded to within OwnerWait, and when it last did.
+  std::map<DaemonId, Instant> yielded(const Tenant &Name, Instant Now) const;
+  /// The witness \p By agreed to a claim that was sent at \p SentAt.
+  void support(const Tenant &Name, const DaemonId &By, Instant SentAt);
+  /// Until when the witnesses support this daemon.
+  Instant supportedUntil(const Tenant &Name) const;
+  /// When the last claim that \p By agreed to was sent.
+  Instant supportedBy(const Tenant &Name, const DaemonId &By) const;
+  /// Ends the account because no witness supports this daemon.
+  void lapse(const Tenant &Name, Instant Now);
+  /// When it last did; the earliest instant if it did not.
+  Instant lapsedAt(const Tenant &Name) const;
+  /// Whether to ask the witnesses now, \p Period after the last time.
+  bool tryRenew(const Tenant &Name, Duration Period, Instant Now);
   /// Whether this daemon acts as the owner.
   bool acts(const Tenant &Name) const;
   /// An organisation that it acts for, if any.
@@ -171,8 +199,11 @@
     bool AcceptedSeveral = false;
     std::map<DaemonId, Agreement> Agreed;
     std::optional<Settlement> Settled;
-    Instant YieldedUntil;
-    std::set<std::uint64_t> YieldedTo; ///< As QuotaRelease::Rival.
+    std::map<DaemonId, Instant> Yielded; ///< To whom, and when it last did.
+    /// By which witnesses, and when they were asked.
+    std::map<DaemonId, Instant> Supported;
+    Instant RenewedAt;
+    Instant LapsedAt = Instant::min();
     Instant ClaimedAt;
     Duration ClaimWait{};
     double StandbyLevel = 0; ///< Tokens to grant while not the owner.
--- a/packages/limits/QuotaOwners.cpp
+++ b/packages/limits/QuotaOwners.cpp
@@ -62,6 +62,12 @@
     Periods.back().Candidates = std::move(Next);
     return false;
   }
+  std::map<HostId, Instant> Since;
+  for (const Member &M : Next) {
+    auto At = CandidateSince.find(M.Id.Host);
+    Since[M.Id.Host] = At == CandidateSince.end() ? Now : At->second;
+  }
+  CandidateSince = std::move(Since);
   Periods.push_back({Now, std::move(Next)});
   while (Periods.size() > MaxPeriods ||
          (Periods.size() > 1 && Periods[1].From < Now - PeriodsKept))
@@ -94,6 +100,27 @@
   return best(Now, Name, best(Now, Name));
 }
 
+std::vector<const Member *> QuotaOwners::witnesses(const Tenant &Name,
+                                                   const HostId &Of,
+                                                   Instant Now) const {
+  std::vector<std::pair<std::uint64_t, const Member *>> Settled;
+  std::vector<std::pair<std::uint64_t, const Member *>> Others;
+  if (!Periods.empty())
+    for (const Member &M : Periods.back().Candidates)
+      if (M.Id.Host != Of) {
+        auto Weight = rendezvousWeight(Name.str(), M.Id.Host.str());
+        Others.emplace_back(Weight, &M);
+        if (Now - CandidateSince.at(M.Id.Host) >= ViewPropagationTime)
+          Settled.emplace_back(Weight, &M);
+      }
+  auto &From = Settled.empty() ? Others : Settled;
+  std::ranges::sort(From, std::greater());
+  std::vector<const Member *> Found;
+  for (std::size_t I = 0; I < std::min(From.size(), WitnessesOfOwner); ++I)
+    Found.push_back(From[I].second);
+  return Found;
+}
+
 bool QuotaOwners::outranks(const Tenant &Name, const HostId &A,
                            const HostId &B) {
   return rendezvousWeight(Name.str(), A.str()) >
--- a/packages/limits/QuotaOwners.h
+++ b/packages/limits/QuotaOwners.h
@@ -20,6 +20,7 @@
 #include "shallotshift/base.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -30,6 +31,9 @@
 /// the number of daemons that each daemon talks to stay bounded in any fleet.
 inline constexpr std::size_t MaxQuotaHosts = 32;
 
+/// Daemons of which one must support an owner: the loss of one ends no account.
+inline constexpr std::size_t WitnessesOfOwner = 2;
+
 class QuotaOwners {
 public:
   explicit QuotaOwners(HostId Self) : Self(std::move(Self)) {}
@@ -45,6 +49,11 @@
   const Member *owner(const Tenant &Name) const;
   /// Null if there is no second host.
   const Member *standby(const Tenant &Name) const;
+  /// The daemons that rank next to \p Of, best first, of those that all views
+  /// of the last ViewPropagationTime have in common; of the view in force if
+  /// there are none. At most WitnessesOfOwner.
+  std::vector<const Member *> witnesses(const Tenant &Name, const HostId &Of,
+                                        Instant Now) const;
   /// Whether \p A is the owner if only \p A and \p B can be.
   static bool outranks(const Tenant &Name, const HostId &A, const HostId &B);
   /// Since when this daemon has been the owner without interruption; nothing if
@@ -79,6 +88,8 @@
   std::set<AvailabilityZone> Zones;
   double ZonesInView = 0;
   std::deque<Period> Periods; ///< The last is in force.
+  /// Since when each candidate has been one without interruption.
+  std::map<HostId, Instant> CandidateSince;
   GrantedShare ZonesInReach{ViewPropagationTime, 0};
 };
 
--- a/tests/correctness/QuotaModelCheck.cpp
+++ b/tests/correctness/QuotaModelCheck.cpp
@@ -333,6 +333,12 @@
     Without.ReservesReleased = false;
     CHECK(breaks("the reserve", taskOf(LargeBurst, OwnerCutOff, Without)));
   }
+  SUBCASE("support of a witness") {
+    Without.Policy.WitnessSupport = Duration(0);
+    Task T = taskOf(LargeRate, AllUp, Without);
+    T.Limits.Doubts = true;
+    CHECK(breaks("the support", T));
+  }
   SUBCASE("part of the zones in reach") {
     CHECK(breaks("zones", withZones(1)));
   }
--- a/tests/failure/QuotasHoldInEveryWindow.cpp
+++ b/tests/failure/QuotasHoldInEveryWindow.cpp
@@ -134,3 +134,19 @@
     CHECK(Refused <= Offered / 20);
   }
 }
+
+TEST_CASE("a lost owner is replaced before the views show its loss") {
+  std::size_t Offered = 0;
+  std::size_t Started = 0;
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    QuotaFleet F(withSeed(Seed));
+    F.run(Seconds(4), 28, all(12));
+    F.kill(F.ownerSeenBy(0));
+    F.run(OwnerLease + Millis(200), 28, all(12));
+    F.resetCounts();
+    F.run(Millis(600), 28, all(12));
+    Offered += F.offered();
+    Started += F.started();
+  }
+  CHECK(double(Started) >= 0.9 * double(Offered));
+}
