limits: daemons ask whoever has the agreement of all, and it acts

Callers saw requests within their quota refused after a return of all daemons: of 81, none were served in the first 0.3 s and 0.82 in the second after that. The log of a return: five daemons in turn become the owner in their own views within 0.9 s, as each gets its configuration; each claims from the start, misses one to three answers of 80 when the next one is the owner, and the account opens after 0.4 and again after 0.8 s, empty, once in the hands of a daemon that does nothing with it.

Cause: views decided who acts and who is asked, and change faster than proof can be had.

Now a daemon that agreed to a claim asks the claimer for 2 s, and it acts for 2 s with the agreement of all, whatever views show; those that agreed wait for 3 s, so nobody else acts. Claims go on for a second when the view changes, are repeated after 25 ms, and a daemon that is asked tells the owner in its view that tokens are needed. Answers tell how long their sender has granted nothing, and the bucket fills from then on. Unneeded tokens are returned at once while few may be out. An account that was released to a daemon that never acted is passed on. A witness names the daemon that it supports and agrees, in place of a refusal, so a claimer that the supported one has agreed to need not wait for 1.5 s.

The bound holds in all cases of quota_return and quota_failure and in every path of quota_model_check and quota_model_doubt.

--- a/packages/limits/QuotaAgent.h
+++ b/packages/limits/QuotaAgent.h
@@ -25,8 +25,15 @@
 //     would take for the owner otherwise. This needs a live daemon in each
 //     zone, and that all have run for RestartGuard, after which one that is cut
 //     off and not in the view has stopped to grant; or
-//   - the standby answers that it does not act as the owner, and this daemon
-//     has seen all former owners of the last ViewPropagationTime end.
+//   - the standby answers that it does not act as the owner and supports no
+//     other, and this daemon has seen all former owners of the last
+//     ViewPropagationTime end; or
+//   - it was the first witness of an owner that has lapsed, and the second one
+//     supports no other.
+//
+// An owner acts only while one of its witnesses, the two daemons that would
+// follow it, supports it (OwnerLease): one that runs and is taken for failed
+// has stopped when another one starts. QuotaSuccession.cpp decides all this.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_LIMITS_QUOTAAGENT_H
@@ -104,7 +111,7 @@
   QuotaOutput receive(const QuotaMessage &M, Instant Now);
   /// Call it every QuotaTick, and every QuotaWaitTick while waiting().
   QuotaOutput tick(Instant Now);
-  bool waiting() const { return Waiters > 0 || MustReport; }
+  bool waiting() const { return Waiters > 0 || MustReport || Claiming; }
 
   /// The quota in force; without a limit if there is none.
   Quota quotaOf(const Tenant &Name) const;
@@ -116,9 +123,14 @@
   using Batches = std::map<HostId, QuotaSend>;
 
   Duration uptime(Instant Now) const;
-  std::optional<Instant> ownerSince(const Tenant &Name) const;
+  std::optional<Instant> ownerSince(const Tenant &Name, Instant Now) const;
   QuotaRole roleIn(const Tenant &Name, Instant Now) const;
+  void tickAccounts(Batches &Out, Instant Now);
+  void releaseForeign(const Tenant &Name, Batches &Out, Instant Now);
+  void setOwner(QuotaRole &R, const Tenant &Name, Instant From,
+                Instant Now) const;
   bool supported(const Tenant &Name, Instant Now) const;
+  void pursue(const Tenant &Name, Batches &Out, Instant Now);
   void renew(const Tenant &Name, Batches &Out, Instant Now);
   void endUnsupported(const Tenant &Name, Instant Now);
   void claim(const Tenant &Name, Batches &Out, Instant Now);
@@ -135,12 +147,17 @@
   bool hasEnded(const DaemonId &Id) const;
   bool isWitness(const Tenant &Name, const DaemonId &Id, Instant Now) const;
   bool ownerLapsed(const Tenant &Name, Instant Now) const;
+  void claimLapsed(const Tenant &Name, Batches &Out, Instant Now);
   bool succeeds(const QuotaRelease &R, const DaemonId &From, Instant SentAt,
                 Instant Now) const;
-  bool supportsAnother(const Tenant &Name, const DaemonId &Claimer,
-                       Instant Now) const;
+  std::optional<DaemonId> supportedAbove(const Tenant &Name,
+                                         const DaemonId &Claimer,
+                                         Instant Now) const;
+  void passOn(const Tenant &Name, Batches &Out, Instant Now);
   QuotaGrant grantTo(const DaemonId &From, const QuotaAsk &A, Batches &Out,
                      Instant Now);
+  const Member *agreedOwner(const Tenant &Name, const QuotaTokens &T,
+                            Instant Now) const;
   void askFor(const Tenant &Name, QuotaTokens &T, Batches &Out, Instant Now);
   void askOne(const Member &Granter, const Tenant &Name, QuotaTokens &T,
               QuotaNeed Need, Batches &Out, Instant Now);
@@ -167,6 +184,7 @@
   std::vector<QuotaOpening> Opened;
   std::size_t Waiters = 0;
   bool MustReport = false;
+  bool Claiming = false; ///< A claim is under way.
   Instant NextCleanup;
 };
 
--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -13,7 +13,7 @@
 constexpr double AdvanceFraction = 0.3;
 /// A claim is sent again after this time, which doubles up to the longest: more
 /// than two round trips between regions.
-constexpr Duration ClaimPeriod = Millis(40);
+constexpr Duration ClaimPeriod = Millis(25);
 constexpr Duration MaxClaimPeriod = Millis(80);
 
 double secondsOf(Duration D) { return toMillisF(D) / 1000; }
@@ -67,7 +67,7 @@
 void QuotaLedger::open(Account &A, const Quota &Q,
                        const QuotaRole &Role) const {
   A.Active = true;
-  A.FilledAt = *Role.OwnerSince;
+  A.FilledAt = Role.IdleSince.value_or(*Role.OwnerSince);
   bool Told = Role.Evidence == QuotaEvidence::Released && !A.AcceptedSeveral;
   if (!Told)
     A.Level = Policy.InitialFill * A.Capacity;
@@ -116,6 +116,8 @@
     Given += std::min(Advance, std::uint64_t(Spare));
   L.Granted += Given;
   A.Level -= double(Given);
+  if (Given > 0)
+    A.GrantedAt = Now;
   G.Prompt = Now < A.WithheldUntil && A.Withheld > 0;
   G.Interval =
       timeFor(double(std::max<std::size_t>(1, A.Leases.size())), A.Rate);
@@ -195,6 +197,24 @@
   return First;
 }
 
+Instant QuotaLedger::idleSince(const Tenant &Name) const {
+  Instant Last = Instant::min();
+  if (auto At = Accounts.find(Name); At != Accounts.end())
+    for (const auto &[Who, A] : At->second.Agreed)
+      Last = std::max({Last, A.IdleSince, A.CountsAt});
+  return Last;
+}
+
+/// An account that is gone has been without grants for as long as a lease
+/// lasts.
+Duration QuotaLedger::idleTime(const Tenant &Name, Instant Now) const {
+  auto At = Accounts.find(Name);
+  if (At == Accounts.end())
+    return Policy.Lease;
+  Instant Last = At->second.GrantedAt;
+  return Last == Instant::min() ? Policy.Lease : Now - Last;
+}
+
 std::set<std::uint64_t> QuotaLedger::rivals(const Tenant &Name, Instant Since,
                                             Instant Now) const {
   std::set<std::uint64_t> Found;
@@ -231,6 +251,7 @@
   A.Agreed.clear();
   A.Settled.reset();
   A.ClaimWait = {};
+  A.ClaimsSince.reset();
   if (!std::exchange(A.Active, false))
     return std::nullopt;
   fill(A, Now);
@@ -247,6 +268,23 @@
   return R;
 }
 
+/// An account that was released to this daemon, which has not acted since;
+/// Idle without one.
+QuotaRelease QuotaLedger::unused(const Account &A, const Tenant &Name,
+                                 Instant Now) const {
+  QuotaRelease R{Name};
+  R.Idle = !A.AcceptedAt || A.AcceptedSeveral ||
+           Now - *A.AcceptedAt >= Policy.Lifetime;
+  if (R.Idle)
+    return R;
+  R.Level = A.Level;
+  R.Outstanding = A.Reserved;
+  R.Withheld = A.Withheld;
+  R.WithheldFor = std::max(Duration(0), A.WithheldUntil - Now);
+  R.Fraction = A.AcceptedFraction;
+  return R;
+}
+
 QuotaRelease QuotaLedger::yield(const Tenant &Name, const DaemonId &To,
                                 Instant Now) {
   Account &A = Accounts[Name];
@@ -254,9 +292,8 @@
     return Item.second + Policy.OwnerWait <= Now;
   });
   A.Yielded[To] = Now;
-  QuotaRelease None{Name};
-  None.Idle = true;
-  return release(Name, Now).value_or(None);
+  QuotaRelease Otherwise = unused(A, Name, Now);
+  return release(Name, Now).value_or(Otherwise);
 }
 
 Instant QuotaLedger::yieldedUntil(const Tenant &Name) const {
@@ -341,15 +378,32 @@
   Account &A = Accounts[Name];
   if (Now - A.ClaimedAt < A.ClaimWait)
     return false;
+  if (!claimsSince(Name, Now))
+    A.ClaimsSince = Now;
   A.ClaimedAt = Now;
   A.ClaimWait = std::clamp(2 * A.ClaimWait, ClaimPeriod, MaxClaimPeriod);
   return true;
 }
 
-bool QuotaLedger::claims(const Tenant &Name, Instant Now) const {
+std::optional<Instant> QuotaLedger::claimsSince(const Tenant &Name,
+                                                Instant Now) const {
+  auto At = Accounts.find(Name);
+  bool Lately =
+      At != Accounts.end() && Now - At->second.ClaimedAt < 2 * MaxClaimPeriod;
+  return Lately ? At->second.ClaimsSince : std::nullopt;
+}
+
+Instant QuotaLedger::wantedAt(const Tenant &Name) const {
   auto At = Accounts.find(Name);
-  return At != Accounts.end() &&
-         Now - At->second.ClaimedAt < 2 * MaxClaimPeriod;
+  return At == Accounts.end() ? Instant() : At->second.WantedAt;
+}
+
+std::vector<Tenant> QuotaLedger::engaged(Instant Now) const {
+  std::vector<Tenant> Found;
+  for (const auto &[Name, A] : Accounts)
+    if (A.Active || Now - A.ClaimedAt < 2 * MaxClaimPeriod)
+      Found.push_back(Name);
+  return Found;
 }
 
 std::vector<Tenant> QuotaLedger::names() const {
--- a/packages/limits/QuotaLedger.h
+++ b/packages/limits/QuotaLedger.h
@@ -12,9 +12,10 @@
 //
 //   - A daemon that says nothing for LeaseTime loses its tokens; they count as
 //     spent. It has stopped to use them before that (TokenLifetime).
-//   - A new owner starts with an empty bucket, and only when no other daemon
-//     acts as the owner: after ViewPropagationTime, when the former owner has
-//     released the account, or when the others agree (QuotaAgent.h).
+//   - A new owner starts with an empty bucket, which fills from the moment on
+//     from which nobody has granted, and only when no other daemon acts as the
+//     owner: after ViewPropagationTime, when the former owner has released the
+//     account or lapsed, or when the others agree (QuotaAgent.h).
 //   - Those that agree do not tell which tokens of a former owner are still at
 //     daemons. Until they have expired, tokens in the bucket and at daemons
 //     together are at most EarlyExcessShare.
@@ -90,6 +91,10 @@
   /// another daemon may still act as one.
   std::optional<Instant> OwnerSince;
   QuotaEvidence Evidence = QuotaEvidence::Waited;
+  /// Since when no daemon has granted as the owner, if that is known.
+  std::optional<Instant> IdleSince;
+  /// It would be the owner if a witness supported it.
+  bool LacksSupport = false;
   /// It may grant while there is no such owner.
   bool Standby = false;
   double Fraction = 1; ///< QuotaOwners::zonesInReach().
@@ -109,6 +114,7 @@
     Instant SentAt;          ///< The claim.
     Instant CountsAt;        ///< When it can serve as proof.
     std::uint64_t Rival = 0; ///< As QuotaRelease::Rival.
+    Instant IdleSince;       ///< The sender has granted nothing since.
   };
   /// \p From agreed to a claim.
   void agree(const Tenant &Name, const DaemonId &From, const Agreement &A);
@@ -117,6 +123,10 @@
                           Instant Since) const;
   /// When the claim of the oldest agreement was sent.
   Instant agreedSince(const Tenant &Name) const;
+  /// Since when none of those that agreed has granted as the owner.
+  Instant idleSince(const Tenant &Name) const;
+  /// How long this daemon has granted nothing as the owner.
+  Duration idleTime(const Tenant &Name, Instant Now) const;
   /// The rivals of all agreements since \p Since, and the hosts that this
   /// daemon has yielded to.
   std::set<std::uint64_t> rivals(const Tenant &Name, Instant Since,
@@ -126,6 +136,8 @@
     Instant At;
     QuotaEvidence Evidence = QuotaEvidence::All;
     DaemonId Former; ///< The owner that has lapsed, if one has.
+    /// Since when no daemon has granted as the owner, if that is known.
+    std::optional<Instant> IdleSince;
   };
   void settle(const Tenant &Name, const Settlement &S);
   std::optional<Settlement> settlement(const Tenant &Name) const;
@@ -159,8 +171,15 @@
   std::optional<Tenant> anyActive() const;
   /// Whether the owner in waiting may send another claim now.
   bool tryClaim(const Tenant &Name, Instant Now);
-  /// Whether it has sent claims lately.
-  bool claims(const Tenant &Name, Instant Now) const;
+  /// Since when it has sent claims without a pause or a consent to another
+  /// daemon; nothing if it sent none lately.
+  std::optional<Instant> claimsSince(const Tenant &Name, Instant Now) const;
+  /// Tokens are needed that this daemon may not grant yet.
+  void want(const Tenant &Name, Instant Now) { Accounts[Name].WantedAt = Now; }
+  /// When they last were.
+  Instant wantedAt(const Tenant &Name) const;
+  /// The organisations that this daemon acts for or has lately claimed.
+  std::vector<Tenant> engaged(Instant Now) const;
   /// The organisations with an account.
   std::vector<Tenant> names() const;
   /// When a former owner last released the account to this daemon, if one did.
@@ -186,6 +205,7 @@
     double Rate = 0;     ///< Of this daemon's part of the quota.
     double Capacity = 0;
     Instant FilledAt;
+    Instant GrantedAt = Instant::min(); ///< Last, as the owner.
     /// Tokens at daemons that a former owner granted, until ReservedUntil.
     double Reserved = 0;
     Instant ReservedUntil;
@@ -205,6 +225,8 @@
     Instant RenewedAt;
     Instant LapsedAt = Instant::min();
     Instant ClaimedAt;
+    std::optional<Instant> ClaimsSince;
+    Instant WantedAt;
     Duration ClaimWait{};
     double StandbyLevel = 0; ///< Tokens to grant while not the owner.
     Instant StandbyAt;
@@ -214,6 +236,7 @@
   static Lease &report(Account &A, const DaemonId &From, const QuotaAsk &Ask,
                        Instant Now);
   static double outstanding(const Account &A, Instant Now);
+  QuotaRelease unused(const Account &A, const Tenant &Name, Instant Now) const;
   void activate(Account &A, const Quota &Q, const QuotaRole &Role,
                 Instant Now) const;
   void open(Account &A, const Quota &Q, const QuotaRole &Role) const;
--- a/packages/limits/QuotaMessages.h
+++ b/packages/limits/QuotaMessages.h
@@ -73,6 +73,10 @@
   /// hash64() of the host that is the owner in the sender's view if the
   /// receiver is left out; 0: none.
   std::uint64_t Rival = 0;
+  /// The sender is a witness of the rival, which may act as the owner.
+  bool SupportsRival = false;
+  /// How long the sender has granted nothing as the owner, or has run.
+  std::uint32_t IdleMillis = 0;
 
   friend bool operator==(const QuotaRelease &, const QuotaRelease &) = default;
 };
--- a/packages/limits/QuotaOwners.cpp
+++ b/packages/limits/QuotaOwners.cpp
@@ -13,10 +13,6 @@
 constexpr Duration PeriodsKept = Seconds(60);
 constexpr std::size_t MaxPeriods = 64;
 
-bool isLive(const Member &M) {
-  return M.State != MemberState::Failed && M.State != MemberState::Left;
-}
-
 bool sameHosts(const std::vector<Member> &A, const std::vector<Member> &B) {
   return std::ranges::equal(A, B, {}, &Member::Id, &Member::Id);
 }
@@ -48,7 +44,7 @@
   std::set<AvailabilityZone> Live;
   for (const Member &M : View.Members) {
     Known.insert(M.Zone);
-    if (isLive(M))
+    if (isUp(M))
       Live.insert(M.Zone);
   }
   return Known.empty() ? 1 : double(Live.size()) / double(Known.size());
@@ -93,6 +89,11 @@
   return Periods.empty() ? nullptr : best(Periods.back().Candidates, Name);
 }
 
+bool QuotaOwners::isOwner(const Tenant &Name, const HostId &Host) const {
+  const Member *Owner = owner(Name);
+  return Owner && Owner->Id.Host == Host;
+}
+
 const Member *QuotaOwners::standby(const Tenant &Name) const {
   if (Periods.empty())
     return nullptr;
--- a/packages/limits/QuotaOwners.h
+++ b/packages/limits/QuotaOwners.h
@@ -34,6 +34,11 @@
 /// Daemons of which one must support an owner: the loss of one ends no account.
 inline constexpr std::size_t WitnessesOfOwner = 2;
 
+/// Whether \p M runs, as far as its view tells.
+inline bool isUp(const Member &M) {
+  return M.State != MemberState::Failed && M.State != MemberState::Left;
+}
+
 class QuotaOwners {
 public:
   explicit QuotaOwners(HostId Self) : Self(std::move(Self)) {}
@@ -47,6 +52,7 @@
 
   /// Null if no daemon takes work.
   const Member *owner(const Tenant &Name) const;
+  bool isOwner(const Tenant &Name, const HostId &Host) const;
   /// Null if there is no second host.
   const Member *standby(const Tenant &Name) const;
   /// The daemons that rank next to \p Of, best first, of those that all views
--- a/packages/limits/QuotaTokens.cpp
+++ b/packages/limits/QuotaTokens.cpp
@@ -109,7 +109,7 @@
   if (IsNew)
     L.Granted = L.Spent = L.Returned = L.Reported = firstTotal(Now);
   std::uint64_t Target = target(Now);
-  if (Target == 0 && Waiting.empty()) {
+  if ((Target == 0 || L.Prompt) && Waiting.empty()) {
     L.Returned += L.held();
     L.Spent = L.Granted;
   }
@@ -141,6 +141,7 @@
     L.RenewedAt = std::max(L.RenewedAt, SentAt);
   L.Granted = std::max(L.Granted, G.Granted);
   L.Prompt = G.Prompt;
+  L.DeclinedAt = FromOwner ? Instant() : Now;
   if (!FromOwner)
     return;
   Interval = G.Interval;
@@ -176,8 +177,9 @@
 }
 
 bool QuotaTokens::mustReport() const {
-  return std::ranges::any_of(Lines, [](const auto &Item) {
-    return Item.second.Prompt && Item.second.Spent != Item.second.Reported;
+  return std::ranges::any_of(Lines, [&](const auto &Item) {
+    const Line &L = Item.second;
+    return L.Prompt && (L.Spent != L.Reported || isUnneeded(L));
   });
 }
 
@@ -188,6 +190,11 @@
              : Now - At->second.UnansweredSince;
 }
 
+bool QuotaTokens::declined(const DaemonId &Granter, Instant Now) const {
+  auto At = Lines.find(Granter);
+  return At != Lines.end() && Now - At->second.DeclinedAt < 2 * AskAgain;
+}
+
 bool QuotaTokens::mustAsk(Instant Now) const {
   if (Waiting.empty() || Now < EmptyUntil)
     return false;
@@ -197,13 +204,18 @@
   });
 }
 
+/// Whether other daemons lack the tokens of \p L, which no request here needs.
+bool QuotaTokens::isUnneeded(const Line &L) const {
+  return L.Prompt && L.held() > 0 && Waiting.empty();
+}
+
 std::vector<DaemonId> QuotaTokens::outdated(Instant Now) const {
   std::vector<DaemonId> Found;
   for (const auto &[Who, L] : Lines) {
     bool Unreported = L.Spent != L.Reported;
     bool Ends = L.held() > 0 &&
                 (Now - L.AskedAt >= RenewPeriod || Now - UsedAt > IdleTime);
-    if (Unreported || Ends)
+    if (Unreported || Ends || isUnneeded(L))
       Found.push_back(Who);
   }
   return Found;
--- a/packages/limits/QuotaTokens.h
+++ b/packages/limits/QuotaTokens.h
@@ -53,6 +53,8 @@
   bool mustReport() const;
   /// How long \p Granter has not answered the asks of this daemon.
   Duration silence(const DaemonId &Granter, Instant Now) const;
+  /// Whether \p Granter has just answered that it does not act as the owner.
+  bool declined(const DaemonId &Granter, Instant Now) const;
   /// True if waiting requests need an ask now: none is on its way, and the
   /// owner may have a token.
   bool mustAsk(Instant Now) const;
@@ -70,6 +72,7 @@
     std::uint64_t Returned = 0;
     std::uint64_t Reported = 0; ///< Spent in the last ask.
     bool Prompt = false;
+    Instant DeclinedAt;  ///< When it last answered without being the owner.
     Instant ConfirmedAt; ///< When the last answered ask was sent.
     /// When the last ask was sent that gave or renewed tokens: those of a
     /// former owner are not renewed, since its successor grants them to others.
@@ -86,6 +89,7 @@
     Instant Since;
   };
 
+  bool isUnneeded(const Line &L) const;
   bool spend(Instant Now);
   void dropExpired(Instant Now);
   AdmissionDecision refusal(Instant Now);
--- a/packages/peer/Peer.capnp
+++ b/packages/peer/Peer.capnp
@@ -156,6 +156,8 @@
   withheld @7 :Float64;
   withheldMicros @8 :UInt32;
   rival @9 :UInt64;
+  supportsRival @10 :Bool;
+  idleMillis @11 :UInt32;
 }
 
 struct Quotas {
--- a/packages/peer/QuotaCodec.cpp
+++ b/packages/peer/QuotaCodec.cpp
@@ -69,6 +69,8 @@
   To.setWithheldMicros(micros(R.WithheldFor));
   To.setFraction(R.Fraction);
   To.setRival(R.Rival);
+  To.setSupportsRival(R.SupportsRival);
+  To.setIdleMillis(R.IdleMillis);
   To.setAnswer(static_cast<std::uint8_t>(R.Answer));
   To.setUptimeMillis(R.UptimeMillis);
 }
@@ -95,7 +97,8 @@
           tokens(From.getOutstanding()),    tokens(From.getWithheld()),
           Micros(From.getWithheldMicros()), From.getIdle(),
           fraction(From.getFraction()),     readAnswer(From.getAnswer()),
-          From.getUptimeMillis(),           From.getRival()};
+          From.getUptimeMillis(),           From.getRival(),
+          From.getSupportsRival(),          From.getIdleMillis()};
 }
 
 QuotaMessage takeMessage(wire::Quotas::Reader From) {
