limits: accounts of quotas that never lapsed are removed when idle

An account that has not lapsed has the earliest instant as the time of it, and the time since then overflowed, so removeIdle() took it for used and kept it for good. Found by reading the change; now the times are added, which cannot overflow.

--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -437,7 +437,7 @@
     const Account &A = Item.second;
     bool Used = !A.Leases.empty() || Now < A.ReservedUntil ||
                 Now < A.WithheldUntil || !A.Yielded.empty() || A.AcceptedAt ||
-                Now - A.LapsedAt < Policy.OwnerWait ||
+                Now < A.LapsedAt + Policy.OwnerWait ||
                 (A.Settled && Now - A.Settled->At < Policy.OwnerWait) ||
                 Now - A.StandbyAt < Tolerated.Window;
     return !Used && (!A.Active || A.Level >= A.Capacity);
