limits: a silent owner's sign of life keeps the claims that go with it

An owner that has heard nothing for 0.2 s asks three members for a sign of life, and that replaced the claims of the same message, among them those that renew the support of its witnesses. Found by reading the change; they are now added.

--- a/packages/limits/QuotaSuccession.cpp
+++ b/packages/limits/QuotaSuccession.cpp
@@ -31,7 +31,8 @@
   return S.Evidence == QuotaEvidence::All && Now < S.At + AgreedOwnerTime;
 }
 
-/// Whether that has just ended. Later the view has changed or shows this daemon.
+/// Whether that has just ended, and the owner in the view is due to follow. A
+/// later change of the view releases the account by itself.
 bool agreementHasEnded(const QuotaLedger::Settlement &S, Instant Now) {
   return S.Evidence == QuotaEvidence::All && Now >= S.At + AgreedOwnerTime &&
          Now < S.At + AgreedOwnerTime + Seconds(1);
@@ -211,7 +212,7 @@
   for (std::size_t I = 0; Name && I < ProbedAtOnce; ++I) {
     const Member &M = Members[NextProbed++ % Members.size()];
     if (M.Id.Host != Self.Host && isUp(M))
-      batchTo(M, Out, Now).Claims = {{*Name}};
+      batchTo(M, Out, Now).Claims.push_back({*Name});
   }
 }
 
