--- a/packages/limits/QuotaSuccession.cpp
+++ b/packages/limits/QuotaSuccession.cpp
@@ -116,7 +116,7 @@
   return R;
 }
 
-/// Nobody else has been the owner since \p From.
+/// Makes this daemon the owner from \p From on, if a witness supports it.
 void QuotaAgent::setOwner(QuotaRole &R, const Tenant &Name, Instant From,
                           Instant Now) const {
   if (From > Now || R.Fraction == 0)
@@ -156,8 +156,8 @@
   return StartedAt ? Now - *StartedAt : Duration(0);
 }
 
-/// A daemon that has begun to claim goes on when its view changes: many may have
-/// agreed already, and ask it.
+/// A daemon that has begun to claim goes on when its view changes: many may
+/// have agreed already, and ask it.
 std::optional<Instant> QuotaAgent::ownerSince(const Tenant &Name,
                                               Instant Now) const {
   if (!MayGrant)
@@ -216,7 +216,7 @@
   }
 }
 
-/// One that acts as the owner, or claims the account itself, yields to a
+/// A daemon that acts as the owner, or claims the account itself, yields to a
 /// claimer that ranks higher, also if its view does not show it yet. The others
 /// consent: they do not act as the owner unless the claimer consents to that.
 QuotaRelease QuotaAgent::answer(const QuotaClaim &C, const DaemonId &From,
@@ -225,8 +225,8 @@
   QuotaRelease R;
   R.Name = C.Name;
   R.Idle = true;
-  bool Acts = Ledger.acts(C.Name) || (ownerSince(C.Name, Now) &&
-                                      Ledger.claimsSince(C.Name, Now));
+  bool Acts = Ledger.acts(C.Name) ||
+              (ownerSince(C.Name, Now) && Ledger.claimsSince(C.Name, Now));
   bool Owns = Owner && Owner->Id.Host == From.Host;
   std::optional<DaemonId> Supported = supportedAbove(C.Name, From, Now);
   bool Ranks = QuotaOwners::outranks(C.Name, From.Host, Self.Host);
@@ -405,9 +405,9 @@
   // Whoever is a witness from now on has agreed, and so have those that the
   // witnesses support.
   Ledger.support(Name, Self, Ledger.agreedSince(Name));
-  Instant IdleSince = std::max({Ledger.idleSince(Name),
-                                Now - Ledger.idleTime(Name, Now),
-                                *StartedAt + RestartGuard});
+  Instant IdleSince =
+      std::max({Ledger.idleSince(Name), Now - Ledger.idleTime(Name, Now),
+                *StartedAt + RestartGuard});
   Ledger.settle(Name, {Now, QuotaEvidence::All, {}, std::min(IdleSince, Now)});
 }
 
@@ -423,8 +423,7 @@
       const Member *M = findMember(Who);
       bool Asked = Now < At + AgreedOwnerTime && !T.declined(Who, Now);
       if (M && isUp(*M) && Asked &&
-          (!Found ||
-           QuotaOwners::outranks(Name, M->Id.Host, Found->Id.Host)))
+          (!Found || QuotaOwners::outranks(Name, M->Id.Host, Found->Id.Host)))
         Found = M;
     }
   return Found && !Owners.isOwner(Name, Found->Id.Host) ? Found : nullptr;
