limits: a released account keeps its tokens when all agree as well

Cause: a new owner that had been released an account waits for support, claims meanwhile, and the agreement of all took the place of the release as its evidence, so the bucket began empty and with few tokens out for 2 s.

--- a/packages/limits/QuotaSuccession.cpp
+++ b/packages/limits/QuotaSuccession.cpp
@@ -83,9 +83,12 @@
   std::optional<QuotaLedger::Settlement> Settled = Ledger.settlement(Name);
   if (Settled && (Settled->Evidence == QuotaEvidence::Lapsed ||
                   isAgreedOn(*Settled, Now))) {
-    R.Evidence = Settled->Evidence;
-    R.IdleSince = Settled->IdleSince;
-    if (R.Evidence == QuotaEvidence::All)
+    std::optional<Instant> Told = Ledger.acceptedAt(Name);
+    bool Released = Told && *Told >= Settled->At - Policy.OwnerWait;
+    R.Evidence = Released ? QuotaEvidence::Released : Settled->Evidence;
+    if (!Released)
+      R.IdleSince = Settled->IdleSince;
+    if (Settled->Evidence == QuotaEvidence::All)
       R.Fraction = Owners.zonesInView();
     setOwner(R, Name, Settled->At, Now);
     return R;
