limits: an accessor that nothing uses is gone

Found by reading the whole change; no behaviour changes, the three sources that see it compile with warnings as errors.

--- a/packages/limits/QuotaLedger.cpp
+++ b/packages/limits/QuotaLedger.cpp
@@ -334,14 +334,6 @@
   return Last;
 }
 
-Instant QuotaLedger::supportedBy(const Tenant &Name, const DaemonId &By) const {
-  auto At = Accounts.find(Name);
-  if (At == Accounts.end())
-    return Instant::min();
-  auto Found = At->second.Supported.find(By);
-  return Found == At->second.Supported.end() ? Instant::min() : Found->second;
-}
-
 void QuotaLedger::lapse(const Tenant &Name, Instant Now) {
   release(Name, Now);
   Accounts[Name].LapsedAt = Now;
--- a/packages/limits/QuotaLedger.h
+++ b/packages/limits/QuotaLedger.h
@@ -157,8 +157,6 @@
   void support(const Tenant &Name, const DaemonId &By, Instant SentAt);
   /// Until when the witnesses support this daemon.
   Instant supportedUntil(const Tenant &Name) const;
-  /// When the last claim that \p By agreed to was sent.
-  Instant supportedBy(const Tenant &Name, const DaemonId &By) const;
   /// Ends the account because no witness supports this daemon.
   void lapse(const Tenant &Name, Instant Now);
   /// When it last did; the earliest instant if it did not.
