front: a stopping daemon accepts only what is certain to be answered

What callers saw: requests that a daemon took late in a planned stop were passed on to a replica, and their connections were closed without an answer when the process ended.

Cause: FrontDaemon accepted every request until 0.9 s before the kill and ended 0.15 s before it. Nothing compared the time left with what a request may take. The log of the daemon shows it: "stopped" with unanswered 4.

Change: limits/StopPlan decides. A request is accepted if its deadline (the caller's, the route's) is before the last answer; an idempotent one also while the time left is twice what the slowest of its route took lately. Others get SS2004 (503, not run) at once, without a Retry-After. The decision is made at arrival, again when a request has waited for a token, a trial or admission, and for each further send of an action. Replicas get no more time than is left. What runs at the last answer is answered then (parts, SS3012 or SS3004), what waits is refused.

The same elsewhere, mended here because it is the same decision: - an idle daemon closed its listeners 3 s after the signal and ended 0.1 s later, whatever had been read meanwhile; - a process that was frozen when the signal came counted the whole grace from its waking; - the product's own daemon drained for 30 s, which is also the longest deadline. fleet/StopSequence now has the phases of both, Lifecycle's and FrontDaemon's.

Why it works: an accepted action has a deadline before the last answer, so it is answered by then whatever its replica does. No constant stands for the length of the work.

--- a/packages/daemon/ControlPlane.cpp
+++ b/packages/daemon/ControlPlane.cpp
@@ -40,7 +40,7 @@
   BOOST_LEAF_AUTO(M,
                   Membership::make({}, std::move(Self), Set.Peers, Rng, Now));
   BOOST_LEAF_AUTO(E, EntryDirectory::make(entryOptions(Set)));
-  BOOST_LEAF_AUTO(L, Lifecycle::make(lifecycleOptions(Set), Now));
+  BOOST_LEAF_AUTO(L, Lifecycle::make(lifecycleOptions(Set)));
   std::unique_ptr<ControlPlane> C(
       new ControlPlane(Loop, std::move(M), E, std::move(L), Fleet, Platform,
                        Events, Rng, std::move(H)));
--- a/packages/fleet/Lifecycle.cpp
+++ b/packages/fleet/Lifecycle.cpp
@@ -65,27 +65,28 @@
   return "";
 }
 
-Result<Lifecycle> Lifecycle::make(LifecycleOptions Options, Instant Now) {
+Result<Lifecycle> Lifecycle::make(LifecycleOptions Options) {
   if (Options.EntryValidity < Duration(0) || Options.LeaveMargin < Duration(0))
     return fail(ResultCode::SettingsInvalid,
                 "stop: the validity and the margin cannot be negative");
-  if (Options.DrainLimit <= Duration(0))
+  if (Options.DrainLimit <= MaxDeadline)
     return fail(ResultCode::SettingsInvalid,
-                "stop: the drain limit must be above zero");
-  return Lifecycle(Options, Now);
+                fmt::format("stop: the drain limit is {} ms; it must exceed "
+                            "the longest deadline of a request, {} ms",
+                            toMillis(Options.DrainLimit),
+                            toMillis(MaxDeadline)));
+  return Lifecycle(Options);
 }
 
-Lifecycle::Lifecycle(LifecycleOptions Options, Instant Now)
-    : Options(Options), Since(Now), Why("daemon started") {}
+Lifecycle::Lifecycle(LifecycleOptions Options)
+    : Options(Options), Why("daemon started") {}
 
 LifecycleOutput Lifecycle::onTick(const LifecycleFacts &Facts, Instant Now) {
   Phase Before = P;
   if (P == Phase::Starting)
-    tickStarting(Facts, Now);
-  if (P == Phase::Leaving)
-    tickLeaving(Facts, Now);
-  if (P == Phase::Draining)
-    tickDraining(Facts, Now);
+    tickStarting(Facts);
+  else if (Stop)
+    tickStopping(Facts, Now);
   return output(Before);
 }
 
@@ -93,12 +94,16 @@
 /// Leaving.
 LifecycleOutput Lifecycle::requestStop(Instant Now) {
   Phase Before = P;
-  if (P == Phase::Starting)
-    enter(Phase::Draining, "stopped before it was ready", Now);
-  else if (P == Phase::Ready)
-    enter(Phase::Leaving, "planned stop", Now);
-  else if (P == Phase::Leaving)
-    enter(Phase::Draining, "asked to stop a second time", Now);
+  if (P == Phase::Starting) {
+    beginStop(Duration(0), Now);
+    enter(Phase::Draining, "stopped before it was ready");
+  } else if (P == Phase::Ready) {
+    beginStop(Options.EntryValidity + Options.LeaveMargin, Now);
+    enter(Phase::Leaving, "planned stop");
+  } else if (P == Phase::Leaving) {
+    beginStop(Duration(0), Now);
+    enter(Phase::Draining, "asked to stop a second time");
+  }
   return output(Before);
 }
 
@@ -106,7 +111,17 @@
   return Now + Options.EntryValidity + Options.LeaveMargin + Options.DrainLimit;
 }
 
-void Lifecycle::tickStarting(const LifecycleFacts &Facts, Instant Now) {
+/// Accepts requests for \p Serving. All are answered by their deadlines, and
+/// none of these is later than the end, because DrainLimit exceeds MaxDeadline.
+void Lifecycle::beginStop(Duration Serving, Instant Now) {
+  StopTimes T;
+  T.ServeAtLeast = T.ServeUntil = Now + Serving;
+  T.AnswerUntil = T.ServeUntil + MaxDeadline;
+  T.End = T.ServeUntil + Options.DrainLimit;
+  Stop.emplace(attempt([&] { return StopPlan::make(T); }).value());
+}
+
+void Lifecycle::tickStarting(const LifecycleFacts &Facts) {
   std::string Reason = notReadyReason(Facts, Options.ConfirmingPeers);
   if (!Reason.empty()) {
     Why = std::move(Reason);
@@ -116,35 +131,27 @@
         Facts.PlatformConfirms
             ? std::string("configuration confirmed by the platform")
             : fmt::format("configuration confirmed by {} of {} peers",
-                          Facts.PeersConfirm, Facts.PeersKnown),
-        Now);
+                          Facts.PeersConfirm, Facts.PeersKnown));
 }
 
-void Lifecycle::tickLeaving(const LifecycleFacts &Facts, Instant Now) {
-  Duration Served = Now - Since;
-  if (Served < Options.EntryValidity + Options.LeaveMargin)
+void Lifecycle::tickStopping(const LifecycleFacts &Facts, Instant Now) {
+  StopPhase Step = Stop->advance({Facts.InFlight, 0, 0}, Now);
+  if (P == Phase::Leaving && Step != StopPhase::Serving)
+    enter(Phase::Draining,
+          fmt::format("all cached entry addresses have expired; {} requests "
+                      "in flight",
+                      Facts.InFlight));
+  if (P != Phase::Draining || Step != StopPhase::Gone)
     return;
-  enter(Phase::Draining,
-        fmt::format("all cached entry addresses have expired; {} requests "
-                    "in flight",
-                    Facts.InFlight),
-        Now);
-}
-
-void Lifecycle::tickDraining(const LifecycleFacts &Facts, Instant Now) {
   if (Facts.InFlight == 0)
-    return enter(Phase::Gone, "all requests have finished", Now);
-  if (Now - Since >= Options.DrainLimit)
-    enter(Phase::Gone,
-          fmt::format("{} requests did not finish within {} ms", Facts.InFlight,
-                      toMillis(Options.DrainLimit)),
-          Now);
+    return enter(Phase::Gone, "all requests have finished");
+  enter(Phase::Gone, fmt::format("{} requests did not finish within {} ms",
+                                 Facts.InFlight, toMillis(Options.DrainLimit)));
 }
 
-void Lifecycle::enter(Phase Next, std::string Reason, Instant Now) {
+void Lifecycle::enter(Phase Next, std::string Reason) {
   P = Next;
   Why = std::move(Reason);
-  Since = Now;
 }
 
 LifecycleOutput Lifecycle::output(Phase Before) const {
--- a/packages/fleet/Lifecycle.h
+++ b/packages/fleet/Lifecycle.h
@@ -8,14 +8,16 @@
 // is not handed out to new callers, but serves those that cached its address
 // until every cached answer has expired; in Draining it accepts no connections
 // and finishes the requests in flight. Both phases are bounded, so a stop
-// always ends.
+// always ends (StopSequence.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FLEET_LIFECYCLE_H
 #define SHALLOTSHIFT_FLEET_LIFECYCLE_H
 
-#include "shallotshift/base.h"
+#include "fleet/StopSequence.h"
+#include "shallotshift/model.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,9 +34,9 @@
   /// Added to EntryValidity: the time until every daemon that still hands out
   /// this address knows that the member is Leaving.
   Duration LeaveMargin = Seconds(5);
-  /// The longest wait for requests in flight. Must exceed the longest deadline
-  /// that a caller may set.
-  Duration DrainLimit = Seconds(30);
+  /// The longest wait for requests in flight. Must exceed MaxDeadline, or the
+  /// last request that is taken is cut off just before its answer.
+  Duration DrainLimit = MaxDeadline + Seconds(1);
   /// The number of peers that must confirm a configuration as the newest.
   unsigned ConfirmingPeers = 2;
 };
@@ -74,7 +76,8 @@
 
 class Lifecycle {
 public:
-  static Result<Lifecycle> make(LifecycleOptions Options, Instant Now);
+  /// Fails with SettingsInvalid.
+  static Result<Lifecycle> make(LifecycleOptions Options);
 
   LifecycleOutput onTick(const LifecycleFacts &Facts, Instant Now);
   /// Starts a planned stop. A second call while Leaving skips to Draining, for
@@ -88,17 +91,17 @@
   Instant latestEnd(Instant Now) const;
 
 private:
-  Lifecycle(LifecycleOptions Options, Instant Now);
+  explicit Lifecycle(LifecycleOptions Options);
 
-  void enter(Phase Next, std::string Reason, Instant Now);
-  void tickStarting(const LifecycleFacts &Facts, Instant Now);
-  void tickLeaving(const LifecycleFacts &Facts, Instant Now);
-  void tickDraining(const LifecycleFacts &Facts, Instant Now);
+  void enter(Phase Next, std::string Reason);
+  void tickStarting(const LifecycleFacts &Facts);
+  void tickStopping(const LifecycleFacts &Facts, Instant Now);
+  void beginStop(Duration Serving, Instant Now);
   LifecycleOutput output(Phase Before) const;
 
   LifecycleOptions Options;
   Phase P = Phase::Starting;
-  Instant Since;
+  std::optional<StopSequence> Stop; ///< Set from Leaving on.
   std::string Why;
 };
 
--- a/packages/fleet/include/shallotshift/fleet.h
+++ b/packages/fleet/include/shallotshift/fleet.h
@@ -17,6 +17,7 @@
 #include "fleet/Lifecycle.h"
 #include "fleet/LoadLevel.h"
 #include "fleet/Membership.h"
+#include "fleet/StopSequence.h"
 #include "fleet/WatcherChoice.h"
 
 #endif // SHALLOTSHIFT_FLEET_H
--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -28,8 +28,18 @@
 
 } // namespace
 
+LocalAnswer stopRefusal() {
+  return {ResultCode::Leaving,
+          {},
+          "the daemon stops and may exit before the answer comes"};
+}
+
 bool ForwardRun::rejectImmediately(ForwardShared &S, RunOutput &Out,
                                    Instant Now) {
+  if (!acceptedByStop(S, Now)) {
+    finish(Out, stopRefusal(), Now);
+    return true;
+  }
   if (Now >= AnswerDeadline) {
     finish(Out,
            LocalAnswer{ResultCode::WouldMissDeadline,
@@ -159,6 +169,8 @@
     finish(Out, LocalAnswer{ResultCode::OutcomeUnknown, {}, Why}, Now);
   else if (crashLimitReached())
     finish(Out, LocalAnswer{ResultCode::ReplicasCrashed, {}, Why}, Now);
+  else if (TimedOut && AnswerDeadline < PermittedDeadline)
+    finish(Out, LocalAnswer{ResultCode::DaemonStopped, {}, Why}, Now);
   else if (TimedOut)
     finish(Out, LocalAnswer{ResultCode::DeadlineExceeded, {}, Why}, Now);
   else
--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -56,11 +56,34 @@
 
 } // namespace
 
+ForwardRun::ForwardRun(ForwardRequest A)
+    : Request(std::move(A)), ServingRegions(Request.Matched->Regions) {
+  if (Request.Caller)
+    restrictRegions(Request.Caller->Regions);
+  computeDeadlines();
+}
+
+bool ForwardRun::acceptedByStop(ForwardShared &S, Instant Now) const {
+  if (!S.Stop)
+    return true;
+  const Route &R = *Request.Matched;
+  return S.Stop->accepts(
+      {PermittedDeadline, R.Kind == RetrySemantics::Idempotent, R.Objective,
+       S.ServiceTimes.of(R.Name, R.Objective).slowestRecent(Now)},
+      Now);
+}
+
+void ForwardRun::answerBy(Instant Latest) {
+  AnswerDeadline = std::min(AnswerDeadline, Latest);
+  Cutoff = std::min(Cutoff, AnswerDeadline);
+}
+
 void ForwardRun::computeDeadlines() {
   const Route &R = *Request.Matched;
   Duration Limit = std::min(R.Timeout, Request.CallerWaits);
-  AnswerDeadline =
+  PermittedDeadline =
       Request.Arrived + std::max(Duration(0), Limit - DeadlineMargin);
+  AnswerDeadline = PermittedDeadline;
   // A caller that retries states the time that it has left. The latency
   // objective counts from its first attempt.
   Duration Age = R.Timeout - Limit;
@@ -97,7 +120,8 @@
   RunOutput Out;
   Fan = Request.Matched->fanOut();
   Began = Now;
-  computeDeadlines();
+  if (S.Stop)
+    answerBy(S.Stop->times().AnswerUntil);
   createParts(S, Now);
   MaxMissing = maxMissingParts();
   if (rejectImmediately(S, Out, Now))
@@ -153,6 +177,12 @@
                          Instant Now) {
   Part &P = Parts[Index];
   P.RetryAt = Instant::max();
+  // A further send that is cut off would be lost for good.
+  if (Request.Matched->Kind == RetrySemantics::AtMostOnce &&
+      !acceptedByStop(S, Now)) {
+    P.Exhausted = P.Open == 0;
+    return false;
+  }
   ReplicaPtr To = pickReplica(S, P, Index, Now);
   if (To && missesDeadline(S, *To, Now)) {
     P.Exhausted = P.Open == 0;
@@ -372,7 +402,7 @@
   }
   if (isUsable(*Result.Reply))
     S.ServiceTimes.of(Request.Matched->Name, Request.Matched->Objective)
-        .observe(Now - X.Started - X.To->roundTrip());
+        .observe(Now - X.Started - X.To->roundTrip(), Now);
   if (P.Succeeded)
     return; // The other send of a hedged pair was first.
   P.HasReply = true;
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -22,6 +22,7 @@
 //                                                    coverage is reached
 //   the caller's deadline or the route's timeout     with an error, or with the
 //                                                    parts at hand
+//   the daemon stops                                 the same
 //
 // A complete answer that is late is worth a tenth; one in time with nine parts
 // of ten is worth four fifths.
@@ -102,6 +103,8 @@
   /// Requests wait for admission: capacity that a hedge takes is capacity that
   /// one of them needs.
   bool RequestsQueued = false;
+  /// Set while the daemon stops: what is still sent.
+  std::optional<StopPlan> Stop = std::nullopt;
 };
 
 /// A caller's request, as far as forwarding depends on it.
@@ -152,6 +155,10 @@
   std::string Why;
 };
 
+/// Refuses a request that a stopping daemon does not accept. Names no time to
+/// wait, as another daemon can serve the caller at once.
+LocalAnswer stopRefusal();
+
 using ForwardAnswer = std::variant<MergedAnswer, RelayedAnswer, LocalAnswer>;
 
 struct RunOutput {
@@ -179,11 +186,7 @@
 
 class ForwardRun {
 public:
-  explicit ForwardRun(ForwardRequest A)
-      : Request(std::move(A)), ServingRegions(Request.Matched->Regions) {
-    if (Request.Caller)
-      restrictRegions(Request.Caller->Regions);
-  }
+  explicit ForwardRun(ForwardRequest A);
 
   /// Restricts the sends, after \p Before replicas crashed in earlier attempts.
   /// Call it before begin().
@@ -196,6 +199,10 @@
   void restrictRegions(const AllowedRegions &Regions) {
     ServingRegions = ServingRegions.intersect(Regions);
   }
+  /// Whether a send of it may start: always, unless the daemon stops.
+  bool acceptedByStop(ForwardShared &S, Instant Now) const;
+  /// The daemon stops: the run answers at \p Latest at the latest.
+  void answerBy(Instant Latest);
   RunOutput begin(ForwardShared &S, Instant Now);
   RunOutput replied(ForwardShared &S, unsigned Send, SendResult Result,
                     Instant Now);
@@ -205,6 +212,7 @@
 
   /// When tick() is to be called next.
   Instant nextTick() const;
+  bool begun() const { return !Parts.empty(); }
   bool answered() const { return Answered; }
   /// Answered, and no send is open.
   bool done() const { return Answered && OpenSends == 0; }
@@ -305,8 +313,12 @@
   ForwardRequest Request;
   AllowedRegions ServingRegions; ///< Regions that may run it.
   const ShardFanOut *Fan = nullptr;
-  Instant Cutoff;         ///< When the latency objective is about to pass.
-  Instant AnswerDeadline; ///< The latest time for an answer.
+  Instant Cutoff; ///< When the latency objective is about to pass.
+  /// The latest answer that the caller and the route permit.
+  Instant PermittedDeadline;
+  /// The latest time for an answer; earlier than PermittedDeadline while the
+  /// daemon stops.
+  Instant AnswerDeadline;
   Instant DropAt = Instant::max();
   std::vector<Part> Parts;
   std::vector<SendState> Sends;
--- a/packages/forward/ServiceTimeEstimate.h
+++ b/packages/forward/ServiceTimeEstimate.h
@@ -2,7 +2,8 @@
 //
 // The median service time of the requests of one route at replicas, learned
 // from answers. A mean would be raised by a replica that is ten times too slow,
-// so that its answers would look usual and no longer be hedged.
+// so that its answers would look usual and no longer be hedged. The slowest of
+// the recent ones says how long such a request may take.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FORWARD_SERVICETIMEESTIMATE_H
@@ -11,6 +12,7 @@
 #include "shallotshift/base.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace shallot {
@@ -24,12 +26,24 @@
   explicit ServiceTimeEstimate(Duration Initial) : Median(Initial) {}
 
   /// An answer took \p Took, without the RTT.
-  void observe(Duration Took);
+  void observe(Duration Took, Instant Now);
   Duration median() const { return Median; }
+  /// The slowest answer of the last half minute at least; empty after few
+  /// answers, which say little about the slowest.
+  std::optional<Duration> slowestRecent(Instant Now) const;
 
 private:
+  /// The answers of one window.
+  struct Window {
+    Instant Began;
+    Duration Slowest{};
+    unsigned Answers = 0;
+  };
+
   Duration Median;
   unsigned Answers = 0;
+  Window Current;
+  Window Previous;
 };
 
 /// Estimates by route.
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace shallot {
 
@@ -14,15 +15,16 @@
 
 /// Period for probes of unavailable replicas and for checks of the clock.
 constexpr Duration HousekeepingPeriod = Millis(100);
-/// The listening socket is closed this long before the kill, so that the last
-/// requests can be answered.
+/// The callers' listening socket is closed this long before the kill.
 constexpr Duration CloseBeforeKill = Millis(900);
 /// The process exits at least this long before the kill.
 constexpr Duration ExitMargin = Millis(150);
-/// Maximum time from stopListening() to the exit, in which requests that have
-/// been read are answered. Idle connections are not waited for any longer.
-constexpr Duration FinalDrain = Millis(100);
-constexpr Duration FinalDrainPeriod = Millis(5);
+/// Time to write the last answers. Idle connections are not waited for longer
+/// than this once all listeners are closed.
+constexpr Duration LastWrites = Millis(100);
+/// Periods of the steps of a stop, the second once all listeners are closed.
+constexpr Duration StopPeriod = Millis(50);
+constexpr Duration ClosingPeriod = Millis(5);
 /// Minimum time from the stop signal to the exit, for callers that still have
 /// the address of this daemon cached. It covers the validity that most of them
 /// respect. A kill that is due earlier cuts it short.
@@ -54,6 +56,21 @@
 /// of the peers be gone.
 constexpr Duration MaxConfigWait = Millis(1500);
 
+/// The stop signal was sent between \p Earliest and \p Latest. What is accepted
+/// during the stop must be answered in time in any case; what already runs has
+/// until the last moment that is possible.
+StopPlan stopPlan(Duration Grace, Instant Earliest, Instant Latest) {
+  Duration Answers = std::max(Duration(0), Grace - ExitMargin - LastWrites);
+  Duration Serving = std::max(Duration(0), Grace - CloseBeforeKill);
+  StopTimes T;
+  T.ServeAtLeast = Latest + std::min(MinStopTime, Serving);
+  T.ServeUntil = Latest + Serving;
+  T.AnswerUntil = Earliest + Answers;
+  T.End = Latest + Answers;
+  T.LastWrites = LastWrites;
+  return attempt([&] { return StopPlan::make(T); }).value();
+}
+
 CallerServerOptions callerOptions(const CallerLimits &L) {
   CallerServerOptions O;
   O.MaxHeaderBytes = L.MaxHeaderBytes;
@@ -72,7 +89,7 @@
         Timers(Loop), Replicas(Set.Here, registryOptions(Set)),
         Requests(Loop, Timers, this->Adapter.Headers, Replicas, {Set.Retries},
                  Rng, Meter),
-        Suspended(suspendedTime()), Started(Loop.now()),
+        Last{Loop.now(), suspendedTime()}, Before(Last), Started(Last.At),
         RetryShare(retryLookback(Set), 1), Load(capacityOf(Set)),
         LoadAt(Started) {}
 
@@ -96,10 +113,11 @@
   void announceIfReady();
   bool ready() const;
   bool behindPeers() const;
+  Instant earliestSignal() const;
   void beginStop();
   void pollStop();
-  void stopListening();
-  void awaitLastReplies(Instant Until);
+  void stopServing();
+  void closeListeners();
   void end();
 
   EventLoop &Loop;
@@ -123,11 +141,17 @@
   Instant FleetAppliedAt;
   TimerQueue::Key FleetTimer = 0;
   bool Listed = false;
-  bool Announced = false; ///< As ready for callers.
-  bool Leaving = false;
-  Instant LeavingSince;
+  bool Announced = false;           ///< As ready for callers.
+  std::optional<StopSequence> Stop; ///< Set from the stop signal on.
   std::function<void()> Gone;
-  Duration Suspended;
+  /// When housekeeping() ran, and how long the machine was suspended up to
+  /// then.
+  struct Housekept {
+    Instant At;
+    Duration Suspended;
+  };
+  Housekept Last;   ///< The last time.
+  Housekept Before; ///< The time before it.
   Instant Started;
   FleetShare Shared; ///< For the current fleet.
   GrantedShare RetryShare;
@@ -239,7 +263,7 @@
 }
 
 bool FrontDaemon::Impl::ready() const {
-  return Requests.config() && Listed && Replicas.zonesKnown() && !Leaving &&
+  return Requests.config() && Listed && Replicas.zonesKnown() && !Stop &&
          (Announced || !behindPeers());
 }
 
@@ -266,8 +290,8 @@
   if (R.Path != Adapter.ReadyPath)
     Reply = problemReply(ResultCode::UnknownPath, R.Path);
   else if (!ready())
-    Reply = problemReply(Leaving ? ResultCode::Leaving : ResultCode::NotReady,
-                         Leaving ? "stopping" : "waiting for the store");
+    Reply = problemReply(Stop ? ResultCode::Leaving : ResultCode::NotReady,
+                         Stop ? "stopping" : "waiting for the store");
   A.reply(std::move(Reply));
 }
 
@@ -323,13 +347,13 @@
 }
 
 void FrontDaemon::Impl::housekeeping() {
-  Duration Now = suspendedTime();
-  if (Now - Suspended > SuspendGap) {
+  Before = std::exchange(Last, {Loop.now(), suspendedTime()});
+  Duration Gap = Last.Suspended - Before.Suspended;
+  if (Gap > SuspendGap) {
     logEvent(LogLevel::Warn, "was_suspended",
-             {{"ms", std::to_string(toMillis(Now - Suspended))}});
+             {{"ms", std::to_string(toMillis(Gap))}});
     Requests.closeIdleConnections();
   }
-  Suspended = Now;
   Requests.tick();
   updateSharing(Loop.now());
   measureLoad();
@@ -357,55 +381,55 @@
   Fleet->setLoad(Announced);
 }
 
+/// A process that was frozen, or whose machine was suspended, acts late on a
+/// signal. When it runs again, housekeeping may come before the signal, so the
+/// signal may be as old as the housekeeping before the last one.
+Instant FrontDaemon::Impl::earliestSignal() const {
+  return Before.At - (suspendedTime() - Before.Suspended);
+}
+
 void FrontDaemon::Impl::beginStop() {
-  Leaving = true;
-  LeavingSince = Loop.now();
+  Instant Now = Loop.now();
+  Stop.emplace(stopPlan(Set.StopGrace, earliestSignal(), Now));
   logEvent(LogLevel::Info, "leaving",
            {{"grace_ms", std::to_string(toMillis(Set.StopGrace))},
+            {"signal_age_ms", std::to_string(toMillis(Now - earliestSignal()))},
+            {"in_flight", std::to_string(Requests.inFlight())},
             {"connections", std::to_string(Callers->connections())}});
   Fleet->setState(MemberState::Leaving);
   Callers->closeAfterReply();
+  Requests.stop(Stop->plan());
   pollStop();
 }
 
 void FrontDaemon::Impl::pollStop() {
-  Duration Since = Loop.now() - LeavingSince;
-  bool Late = Since >= Set.StopGrace - CloseBeforeKill;
-  if (Late) {
-    Callers->stopAccepting();
-    Callers->closeIdle();
-  }
-  bool Idle = Callers->connections() == 0 && Requests.inFlight() == 0;
-  bool WaitedEnough = Late || Since >= MinStopTime;
-  if ((Idle && WaitedEnough) ||
-      Since >= Set.StopGrace - ExitMargin - FinalDrain) {
-    stopListening();
-    return;
-  }
-  Timers.after(Millis(50), [this] { pollStop(); });
+  StopPhase Before = Stop->phase();
+  StopFacts Facts{Requests.inFlight(), Callers->connections(),
+                  Directory->openConnections() + Readiness->openConnections()};
+  StopPhase Phase = Stop->advance(Facts, Loop.now());
+  if (Phase == StopPhase::Gone)
+    return end();
+  if (Phase == StopPhase::Finishing)
+    stopServing();
+  if (Phase == StopPhase::Closing && Before != Phase)
+    closeListeners();
+  Timers.after(Phase == StopPhase::Closing ? ClosingPeriod : StopPeriod,
+               [this] { pollStop(); });
+}
+
+void FrontDaemon::Impl::stopServing() {
+  Callers->stopAccepting();
+  Callers->closeIdle();
 }
 
-/// Stops accepting connections and completes the open ones before the exit. A
-/// process that exits as soon as no caller request is left would cut off
+/// A process that exits as soon as no caller request is left would cut off
 /// callers that have just queried the directory or just connected.
-void FrontDaemon::Impl::stopListening() {
+void FrontDaemon::Impl::closeListeners() {
   Callers->stopAccepting();
   for (HttpServer *S : {Directory.get(), Readiness.get()}) {
     S->closeAfterReply();
     S->stopAccepting();
   }
-  awaitLastReplies(Loop.now() + FinalDrain);
-}
-
-void FrontDaemon::Impl::awaitLastReplies(Instant Until) {
-  bool Open = Callers->connections() > 0 || Requests.inFlight() > 0 ||
-              Directory->openConnections() > 0 ||
-              Readiness->openConnections() > 0;
-  if (!Open || Loop.now() >= Until) {
-    end();
-    return;
-  }
-  Timers.after(FinalDrainPeriod, [this, Until] { awaitLastReplies(Until); });
 }
 
 void FrontDaemon::Impl::end() {
@@ -493,7 +517,7 @@
 Metrics &FrontDaemon::metrics() { return I->Meter; }
 
 void FrontDaemon::requestStop(std::function<void()> Gone) {
-  if (I->Leaving)
+  if (I->Stop)
     return;
   I->Gone = std::move(Gone);
   I->beginStop();
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -158,8 +158,12 @@
 /// Nothing was sent yet: ends the run as if the caller had disconnected, and
 /// returns the error, with the time to retry after if there is one.
 void RequestHandler::Impl::reject(const JobPtr &J, LocalAnswer A) {
-  if (TicketId Ticket = std::exchange(J->Ticket, 0))
-    Admission.done(Ticket, {}, Timers.now());
+  if (TicketId Ticket = std::exchange(J->Ticket, 0)) {
+    if (Waiting.erase(Ticket) > 0)
+      Admission.cancel(Ticket);
+    else
+      Admission.done(Ticket, {}, Timers.now());
+  }
   if (std::exchange(J->HasToken, false))
     Quotas->putBack(J->Run.request().Caller->Name);
   J->Run.callerGone(Timers.now());
@@ -179,6 +183,11 @@
   pollAdmission();
 }
 
+void RequestHandler::Impl::cancelQuotaWait(const JobPtr &J) {
+  if (TicketId Id = std::exchange(J->QuotaTicket, 0))
+    Quotas->cancel(J->Run.request().Caller->Name, Id);
+}
+
 /// Starts or rejects queued requests that are due.
 void RequestHandler::Impl::pollAdmission() {
   for (const AdmissionEvent &E : Admission.poll(Timers.now())) {
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -95,14 +95,16 @@
       return;
     --Unanswered;
     Meter.count("shallot_forward_gone_total");
-    if (TicketId Id = std::exchange(J->QuotaTicket, 0))
-      Quotas->cancel(J->Run.request().Caller->Name, Id);
+    cancelQuotaWait(J);
     releaseTicket(J);
     apply(J, J->Run.callerGone(Timers.now()));
     reportCrashes(J);
     returnUnusedTrial(J);
   });
-  acquireToken(J);
+  if (J->Run.acceptedByStop(Shared, Timers.now()))
+    acquireToken(J);
+  else
+    reject(J, stopRefusal());
 }
 
 void RequestHandler::Impl::apply(const JobPtr &J, RunOutput Out) {
@@ -222,6 +224,29 @@
   });
 }
 
+void RequestHandler::Impl::stop(const StopPlan &Plan) {
+  Shared.Stop = Plan;
+  std::vector<JobPtr> Now(Jobs.begin(), Jobs.end());
+  for (const JobPtr &J : Now) {
+    J->Run.answerBy(Plan.times().End);
+    if (J->Run.begun())
+      schedule(J);
+  }
+  Timers.at(Plan.times().End, [this] { rejectWaiting(); });
+}
+
+/// Rejects the requests that wait for a token, a trial or admission.
+void RequestHandler::Impl::rejectWaiting() {
+  std::vector<JobPtr> Now(Jobs.begin(), Jobs.end());
+  for (const JobPtr &J : Now) {
+    if (J->Run.begun() || J->Run.answered())
+      continue;
+    cancelQuotaWait(J);
+    Timers.cancel(J->Timer);
+    reject(J, stopRefusal());
+  }
+}
+
 void RequestHandler::Impl::probeUnavailableReplicas() {
   for (const ReplicaPtr &R : Shared.Replicas.dueProbes(Timers.now()))
     Pool.tryConnect(R->entry().At, [this, R](ConnectEnd How) {
@@ -276,6 +301,8 @@
 
 void RequestHandler::handle(const ExchangePtr &E) { I->handle(E); }
 
+void RequestHandler::stop(const StopPlan &Plan) { I->stop(Plan); }
+
 void RequestHandler::tick() {
   I->probeUnavailableReplicas();
   I->Shared.Replicas.expire(I->Timers.now());
--- a/packages/front/RequestHandler.h
+++ b/packages/front/RequestHandler.h
@@ -38,6 +38,9 @@
   const std::shared_ptr<const ServingConfig> &config() const;
   /// Handles a request from a caller.
   void handle(const ExchangePtr &E);
+  /// From now on accepts only requests that \p Plan accepts. Answers all others
+  /// when it ends: those that run with an error, those that wait as "not run".
+  void stop(const StopPlan &Plan);
   /// Probes unavailable replicas, expires stale entries and closes surplus idle
   /// connections; call a few times per second.
   void tick();
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -63,6 +63,9 @@
   void start(const JobPtr &J);
   void reject(const JobPtr &J, LocalAnswer A);
   void releaseTicket(const JobPtr &J);
+  void cancelQuotaWait(const JobPtr &J);
+  void stop(const StopPlan &Plan);
+  void rejectWaiting();
   void pollAdmission();
   void reportOrganisations();
   void writeGauges();
--- a/packages/limits/include/shallotshift/limits.h
+++ b/packages/limits/include/shallotshift/limits.h
@@ -37,5 +37,6 @@
 #include "limits/SlotAllocation.h"
 #include "limits/SlotQueue.h"
 #include "limits/SlowStart.h"
+#include "limits/StopPlan.h"
 
 #endif // SHALLOTSHIFT_LIMITS_H
--- a/tests/correctness/DaemonStartsWhenItCanAnswer.cpp
+++ b/tests/correctness/DaemonStartsWhenItCanAnswer.cpp
@@ -11,7 +11,7 @@
 const Instant Start(Seconds(100));
 
 Lifecycle lifecycle() {
-  return attempt([] { return Lifecycle::make({}, Start); }).value();
+  return attempt([] { return Lifecycle::make({}); }).value();
 }
 
 std::string whyStarting(const LifecycleFacts &Facts) {
--- a/tests/failure/PartsAreMissing.cpp
+++ b/tests/failure/PartsAreMissing.cpp
@@ -196,7 +196,7 @@
                   "no request is sent that cannot be answered in time") {
   // The caller's remaining time is less than half of the service time.
   for (int I = 0; I < 60; ++I)
-    ServiceTimes.of("r", Millis(120)).observe(Millis(100));
+    ServiceTimes.of("r", Millis(120)).observe(Millis(100), Now);
   ForwardRun R = run(route(ServiceName("a")), Millis(40));
   RunOutput Out = R.begin(Shared, Now);
   CHECK(Out.Start.empty());
@@ -205,7 +205,7 @@
 
 TEST_CASE_FIXTURE(ShardFixture, "a retry too late to be answered is not sent") {
   for (int I = 0; I < 60; ++I)
-    ServiceTimes.of("r", Millis(120)).observe(Millis(100));
+    ServiceTimes.of("r", Millis(120)).observe(Millis(100), Now);
   ForwardRun R = run(route(ServiceName("a")), Millis(120));
   REQUIRE(R.begin(Shared, Now).Start.size() == 1);
   RunOutput Out =
--- a/tests/failure/PlannedStopCutsNobody.cpp
+++ b/tests/failure/PlannedStopCutsNobody.cpp
@@ -12,7 +12,7 @@
 const Instant Start(Seconds(100));
 
 Lifecycle readyDaemon() {
-  Lifecycle L = attempt([] { return Lifecycle::make({}, Start); }).value();
+  Lifecycle L = attempt([] { return Lifecycle::make({}); }).value();
   LifecycleFacts Facts;
   Facts.ConfigInstalled = Facts.ViewSettled = Facts.PlatformConfirms = true;
   CHECK(L.onTick(Facts, Start).Now == Phase::Ready);
@@ -58,6 +58,27 @@
   CHECK(L.why().find("1 requests did not finish") == 0);
 }
 
+TEST_CASE("the last request that is taken may use the longest deadline") {
+  Lifecycle L = readyDaemon();
+  L.requestStop(Start);
+  LifecycleFacts Busy;
+  Busy.InFlight = 1;
+  LifecycleOptions Options;
+  Instant Last = Start + Options.EntryValidity + Options.LeaveMargin;
+  REQUIRE(L.onTick(Busy, Last - Millis(1)).TakeRequests);
+  CHECK_FALSE(L.onTick(Busy, Last).TakeRequests);
+  CHECK_FALSE(L.onTick(Busy, Last + MaxDeadline).Exit);
+  CHECK(L.onTick({}, Last + MaxDeadline + Millis(100)).Exit);
+}
+
+TEST_CASE("a drain limit within the longest deadline is refused") {
+  LifecycleOptions Options;
+  Options.DrainLimit = MaxDeadline;
+  auto L = attempt([&] { return Lifecycle::make(Options); });
+  REQUIRE_FALSE(L);
+  CHECK(L.error().Code == ResultCode::SettingsInvalid);
+}
+
 TEST_CASE("a second stop goes on to draining at once") {
   Lifecycle L = readyDaemon();
   L.requestStop(Start);
@@ -67,7 +88,7 @@
 }
 
 TEST_CASE("a daemon that was never ready stops at once") {
-  Lifecycle L = attempt([] { return Lifecycle::make({}, Start); }).value();
+  Lifecycle L = attempt([] { return Lifecycle::make({}); }).value();
   CHECK(L.requestStop(Start).Now == Phase::Draining);
   CHECK(L.onTick({}, Start).Exit);
 }
--- a/tests/fleet.cmake
+++ b/tests/fleet.cmake
@@ -8,7 +8,8 @@
           failure/SeedsStartLate.cpp failure/BusyMachineAccusesNobody.cpp
           failure/FailedMemberIsNoticed.cpp failure/PausedDaemonWaits.cpp
           failure/SplitRegionsMeetAgain.cpp failure/HostListLags.cpp
-          failure/RestartReplacesOldSelf.cpp failure/PlannedStopCutsNobody.cpp)
+          failure/RestartReplacesOldSelf.cpp failure/PlannedStopCutsNobody.cpp
+          failure/StopAcceptsWhatFits.cpp)
 shallot_test(fleet_error PACKAGES fleet LABELS error
   SOURCES error/GossipIsChecked.cpp)
 
--- a/tests/forward.cmake
+++ b/tests/forward.cmake
@@ -12,6 +12,7 @@
           failure/RegionsBindEverySend.cpp
           failure/RetryBudgetHoldsInEveryWindow.cpp
           failure/SlowReplicasAreToldOf.cpp
+          failure/StopEndsRuns.cpp
           failure/VanishedReplicasStandIn.cpp)
 shallot_test(forward_error PACKAGES forward LABELS error
   SOURCES error/ServingConfigIsChecked.cpp)
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -6,7 +6,8 @@
 shallot_test(platform_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp failure/ForeignEntriesNameNoReplica.cpp
-          failure/PeersAreToldWhatIsStale.cpp)
+          failure/PeersAreToldWhatIsStale.cpp
+          failure/StoppingDaemonRefuses.cpp)
 shallot_test(silent_store_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp failure/StoreConnectionsFallSilent.cpp)
