platform: one value that cannot be parsed costs its entry, not the list

What callers saw: after all daemons had been killed, none became ready again and every request was refused, for as long as the store held one entry of another writer with half of a surrogate pair ("\ud800") or a number above a double.

Cause: a page of a list, or all events of a watch, is parsed as one document, and the parser refuses all of it for one value.

Change: model/LenientJson reads a text that the parser refuses in parts. The entry then names no replica, like any other with wrong fields. A list whose brackets do not close stays an error: it must not be taken for a shorter one. The product's own list of hosts had the same fault and is read the same way; peers pass on only what could be read.

Why it works: the parts are told apart by brackets and quotes alone, and each is parsed by itself, so that what a value holds cannot reach the next.

Measured: "an unusable entry does not affect others" (platform_failure) fails on for half a pair, 1e400, a control character and NaN, and passes.

--- a/packages/model/include/shallotshift/model.h
+++ b/packages/model/include/shallotshift/model.h
@@ -16,6 +16,7 @@
 #include "model/Head.h"
 #include "model/Immutable.h"
 #include "model/JsonFields.h"
+#include "model/LenientJson.h"
 #include "model/Preset.h"
 #include "model/SubRequest.h"
 #include "model/Upstream.h"
--- a/packages/store/HostList.cpp
+++ b/packages/store/HostList.cpp
@@ -46,9 +46,24 @@
   return H;
 }
 
+/// A host that cannot be read is skipped like any other bad one.
+Result<json> documentFrom(std::string_view Json) {
+  JsonLimits Limits{MaxHostListBytes};
+  auto Strict = attempt(
+      [&] { return parseJson(Json, "the platform's host list", Limits); });
+  if (Strict)
+    return std::move(*Strict);
+  json Doc;
+  bool ValuesLost =
+      Strict.error().Code == ResultCode::MalformedJson &&
+      parseLenient(Json, static_cast<int>(Limits.MaxDepth), Doc) > 0;
+  if (!ValuesLost)
+    return fail(Strict.error().Code, Strict.error().Detail);
+  return Doc;
+}
+
 Result<HostList> listFrom(std::string_view Json) {
-  BOOST_LEAF_AUTO(
-      Doc, parseJson(Json, "the platform's host list", {MaxHostListBytes}));
+  BOOST_LEAF_AUTO(Doc, documentFrom(Json));
   BOOST_LEAF_AUTO(F, JsonFields::open(Doc, "the platform's host list"));
   HostList List;
   BOOST_LEAF_ASSIGN(
--- a/tests/failure/ForeignEntriesNameNoReplica.cpp
+++ b/tests/failure/ForeignEntriesNameNoReplica.cpp
@@ -74,6 +74,12 @@
       "[]",
       "3",
       item("\xff\xfe\x80", "{\"service\":\"\xc3\x28\"}"),
+      item("x", R"({"service":"rec\ud800ords"})"),
+      item("x", R"({"service":"s1","slots":1e400})"),
+      item("x", "{\"service\":\"a\x01\",\"slots\":2}"),
+      item("x", R"({"service":"s1","slots":NaN})"),
+      item(R"(\udfff)", R"({"service":"s1"})"),
+      R"({"meta":{"name":"x","revision":1e400},"spec":{}})",
   };
   for (const std::string &One : Foreign) {
     CAPTURE(One);
@@ -106,9 +112,24 @@
   CHECK_FALSE(C->Changes[1].Removed);
 }
 
+TEST_CASE("a value that no parser takes does not affect other changes") {
+  std::string Body = R"({"events":[{"deleted":false,"object":)" +
+                     item("x", R"({"service":"rec\ud800ords"})") +
+                     R"(},{"deleted":false,"object":)" + item("i-1", Sound) +
+                     R"(}],"current_rev":9})";
+  Attempt<KindChanges> C = wire::readChanges("servers", 3, Body);
+  REQUIRE(C);
+  CHECK(C->Revision == StoreRevision(3, 9));
+  REQUIRE(C->Changes.size() == 2);
+  CHECK_FALSE(
+      attempt([&] { return wire::readReplica(C->Changes[0].Object, {}); }));
+  CHECK(C->Changes[1].Object.Content["service"] == "s1");
+}
+
 TEST_CASE("an invalid reply is an error, never an empty list") {
   for (const char *Body :
        {"", "[", "7", "{}", R"({"items":{},"current_rev":9})",
+        R"({"items":[1e400,{"meta":{"name":"x)", R"({"items":[{}],"curr)",
         R"({"items":[],"current_rev":-9})", R"({"items":[]})"})
     CHECK(wire::readPage("servers", 3, Body).error().Code ==
           ResultCode::PlatformBadReply);
--- a/tests/model.cmake
+++ b/tests/model.cmake
@@ -3,4 +3,5 @@
           correctness/DraftsAreEdited.cpp)
 shallot_test(model_error PACKAGES model LABELS error
   SOURCES error/InvalidDocumentsAreRejected.cpp
-          error/HostileInputIsRejected.cpp)
+          error/HostileInputIsRejected.cpp
+          error/UnreadableValuesAreLost.cpp)
