http1: a request that is sent again uses another connection

Cause: a reply is matched to its request by the connection and the Request-Id. All sends of one request bear the id of the caller's attempt, and after a rejection the next one took the connection that had just carried the first. There a faulty replica's late copy of the rejection came first and was taken for the new answer.

Change: UpstreamRequest::Repeated marks a further send; the pool gives it no connection whose last call had the same id. takeIdle() no longer goes on with a list that close() may have freed, which the rewrite of its loop also ends.

Why it works: a copy comes where the next reply on its connection is due. There it now meets another request, whose id differs, or none.

--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -130,6 +130,7 @@
   U.ToHead = R.Method == "HEAD";
   U.EchoName = Names.RequestId;
   U.EchoValue = J->Name.Id;
+  U.Repeated = S.Send > 0;
   bool Once = J->Run.request().Matched->Kind == RetrySemantics::AtMostOnce;
   bool Far = S.To->distance() == Distance::OtherRegion;
   U.MostKept =
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -62,6 +62,13 @@
     Instant SentAt;
     TimerQueue::Key ConnectTimer = 0;
     std::function<void(ConnectEnd)> Trial;
+
+    /// The last call on it was of the same request. A replica may send its
+    /// reply to that one again, late; it would be taken for the next reply,
+    /// which has the same name.
+    bool carried(const UpstreamRequest &R) const {
+      return R.Repeated && Request.EchoValue == R.EchoValue;
+    }
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -78,6 +85,7 @@
   void finish(const LinkPtr &L, UpstreamReply Reply);
   void lose(const LinkPtr &L, std::string_view Why);
   void keep(const LinkPtr &L);
+  void forget(const LinkPtr &L);
   void close(const LinkPtr &L);
   void dropSilent(const Link &Lost);
 
@@ -97,19 +105,23 @@
   if (Found == Idle.end())
     return nullptr;
   Instant Now = Timers.now();
-  std::vector<LinkPtr> &Links = Found->second;
-  while (!Links.empty()) {
-    LinkPtr L = Links.back();
-    bool Usable = Now < L->UsableUntil && L->OpenedAt >= Request.OpenedFrom;
-    if (Usable && Now - L->LastHeard > Request.MostIdle)
-      return nullptr; // Good enough for others; the rest are older.
-    Links.pop_back();
-    --IdleCount;
-    if (Usable)
-      return L;
-    close(L);
+  const std::vector<LinkPtr> &Links = Found->second;
+  std::vector<LinkPtr> Expired;
+  LinkPtr Taken;
+  for (auto At = Links.rbegin(); At != Links.rend() && !Taken; ++At) {
+    const LinkPtr &L = *At;
+    if (Now >= L->UsableUntil || L->OpenedAt < Request.OpenedFrom)
+      Expired.push_back(L);
+    else if (Now - L->LastHeard > Request.MostIdle)
+      break; // Good enough for others; the rest are older.
+    else if (!L->carried(Request))
+      Taken = L;
   }
-  return nullptr;
+  for (const LinkPtr &L : Expired)
+    close(L);
+  if (Taken)
+    forget(Taken);
+  return Taken;
 }
 
 UpstreamPool::Impl::LinkPtr UpstreamPool::Impl::connect(const Endpoint &To) {
@@ -280,6 +292,11 @@
 void UpstreamPool::Impl::close(const LinkPtr &L) {
   Timers.cancel(L->ConnectTimer);
   L->Socket->close();
+  forget(L);
+}
+
+/// Takes \p L out of the idle connections, if it is one.
+void UpstreamPool::Impl::forget(const LinkPtr &L) {
   auto Found = Idle.find(L->To);
   if (Found == Idle.end())
     return;
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -6,7 +6,9 @@
 //   Lost      bytes left and no whole reply came; the request may have run
 //   Answered  a whole reply came, and it names this request
 //
-// It never sends anything again by itself. What comes on a connection that
+// It never sends anything again by itself. A request that is sent again does
+// not use the connection that carried it last: a second copy of that reply
+// could not be told from the reply that is due. What comes on a connection that
 // waits for nothing (a second reply, bytes behind a reply) belongs to no
 // request: the connection is closed and the bytes are dropped.
 //
@@ -32,6 +34,7 @@
   /// Header that a reply repeats, and the value that it must have then.
   std::string EchoName;
   std::string EchoValue;
+  bool Repeated = false; ///< The same request was sent before.
   /// A kept connection is used only if something came on it this lately. The
   /// other end may close an idle one at any moment, and a request that crosses
   /// the close may or may not have run.
--- a/tests/failure/StrayBytesBelongToNobody.cpp
+++ b/tests/failure/StrayBytesBelongToNobody.cpp
@@ -44,6 +44,11 @@
          Body;
 }
 
+std::string rejection(const std::string &Id) {
+  return "HTTP/1.1 503 Service Unavailable\r\nId: " + Id +
+         "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(PoolFixture, "a new connection that is reset says so") {
@@ -105,6 +110,26 @@
   CHECK(Pool.counters().Stray == 1);
 }
 
+TEST_CASE_FIXTURE(PoolFixture, "a late copy of a rejection is not the answer "
+                               "to the request that is sent again") {
+  Server.Answer = rejection("1");
+  CHECK(exchange("1").Status == 503);
+  // On the connection of the rejection its copy comes first.
+  Act = [&](const RawRequest &R) {
+    Server.Answer = (R.Connection == 0 ? rejection("1") : "") + reply("1");
+    return RawAct::Answer;
+  };
+  UpstreamRequest Again = request("1");
+  Again.Repeated = true;
+  std::optional<UpstreamReply> Got;
+  Pool.send(std::move(Again), [&](UpstreamReply R) { Got = std::move(R); });
+  runUntil([&] { return Got.has_value(); });
+  CHECK(Got->Status == 200);
+  CHECK(Server.Accepted == 2);
+  // Another request may use it, and tells the copy by its name.
+  CHECK(exchange("2").How == CallEnd::Lost);
+}
+
 TEST_CASE_FIXTURE(PoolFixture, "a reply on an idle connection is nobody's") {
   Server.Answer = reply("1");
   exchange();
