http1: bytes of a connection are parsed in the order in which they came

Cause: bytes behind a request are kept while it is being answered. The connection counted as free from the answer on, but what was kept is parsed in a later turn of the loop, so bytes that were read in between overtook it. A freeze makes that certain; a caller that reads its answer slowly leaves the same gap open.

Change: the connection is busy until its answer has been sent and the kept bytes have been parsed. After an answer that closes the connection nothing is parsed any more.

Why it works: there is one queue for what arrives, and only parseAhead() or an empty queue leads to the parser.

A smuggled request needs an organisation's key in its own text, so it gains no rights; on a connection that carries requests of several organisations it could take the place and the answer of another's, which the order of bytes now rules out.

--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -112,18 +112,24 @@
   void wait(Duration D, ResultCode OnTimeout);
   void timedOut(ResultCode Code);
   void afterReply(bool Close);
+  void parseAhead();
 
   std::shared_ptr<CallerServer::Impl> S;
   std::shared_ptr<StreamSocket> Socket;
   MessageReader Reader;
-  std::string Ahead; ///< Bytes behind the request that is being answered.
+  /// Bytes behind the request that is being answered, in the order in which
+  /// they came.
+  std::string Ahead;
   /// Held weakly: a handler that lets go of it has given no answer, and its end
   /// says so to the caller.
   std::weak_ptr<CallerExchange> Current;
-  bool Busy = false;        ///< A request is being answered.
+  /// A request is being answered, or bytes in Ahead wait to be parsed. What
+  /// arrives meanwhile goes behind these: parsed before them, the body of a
+  /// request would be taken for a request.
+  bool Busy = false;
   bool ToHead = false;      ///< Its method is HEAD.
   bool CloseBehind = false; ///< The caller wants it so.
-  bool Draining = false;    ///< An error was sent; what comes is dropped.
+  bool Draining = false; ///< The last answer was given; what comes is dropped.
   bool SawContinue = false;
   TimerQueue::Key Timer = 0;
 };
@@ -256,7 +262,8 @@
 
 void Connection::answer(const CallerReply &Reply) {
   bool Close = Reply.Close || CloseBehind || S->Closing || S->crowded();
-  Busy = false;
+  Busy = true;
+  Draining = Close;
   Socket->write(replyText(Reply.Status, Reply.Headers, Reply.Body, Close,
                           !std::exchange(ToHead, false)));
   wait(WriteTimeout, ResultCode::Ok);
@@ -268,21 +275,27 @@
   if (!Socket->open())
     return;
   if (Close) {
-    Draining = true;
+    Busy = false;
     Socket->closeSending();
     wait(LingerTime, ResultCode::Ok);
     return;
   }
   wait(S->Options.IdleTimeout + IdleSlack, ResultCode::Ok);
-  if (Ahead.empty())
+  if (Ahead.empty()) {
+    Busy = false;
     return;
+  }
   // Not from within the handler of the request before.
-  asio::post(S->Loop.context(), [Self = shared_from_this()] {
-    if (Self->Busy || !Self->Socket->open())
-      return;
-    std::string Bytes = std::exchange(Self->Ahead, {});
-    Self->parse(Bytes);
-  });
+  asio::post(S->Loop.context(),
+             [Self = shared_from_this()] { Self->parseAhead(); });
+}
+
+void Connection::parseAhead() {
+  if (!Socket->open())
+    return;
+  Busy = false;
+  std::string Bytes = std::exchange(Ahead, {});
+  parse(Bytes);
 }
 
 void Connection::refuse(ResultCode Code, std::string_view Detail) {
