http1, front: a stop tells the caller of half a request that it has not run

What callers saw: a request whose body was still arriving when its daemon ended was answered with a closed connection, which promises nothing, though it had not run.

Cause: a stop closed idle connections and waited for answers; a connection with a part of a request is neither, and was closed with the process.

Change: from the moment at which no connection is accepted any more, such requests are answered 503 SS2004, and what follows on their connections is dropped.

Why it works: the handler gets whole requests only, so the promise is true, and nothing of the connection is parsed after the answer.

Measured: http1_failure, "a stop tells the caller of half a request that it has not run, and drops the rest"; it uses the new call, so it does not build before it.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -420,6 +420,8 @@
 void FrontDaemon::Impl::stopServing() {
   Callers->stopAccepting();
   Callers->closeIdle();
+  Callers->refuseUnfinished(ResultCode::Leaving,
+                            "the daemon stops before the request has arrived");
 }
 
 /// A process that exits as soon as no caller request is left would cut off
--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -95,12 +95,19 @@
 
   void start();
   void answer(const CallerReply &Reply);
+  void refuse(ResultCode Code, std::string_view Detail);
   void gone();
   void closeNow();
   bool idle() const {
     return !Busy && Reader.state() == ReadState::Waiting && Ahead.empty() &&
            Socket->unsent() == 0;
   }
+  /// A request was read in part.
+  bool unfinished() const {
+    bool Part = Reader.state() == ReadState::Headers ||
+                Reader.state() == ReadState::Body;
+    return Part && !Busy && !Draining;
+  }
 
 private:
   class CallerExchange;
@@ -108,7 +115,6 @@
   void data(std::string_view Bytes);
   void parse(std::string_view Bytes);
   void handle();
-  void refuse(ResultCode Code, std::string_view Detail);
   void wait(Duration D, ResultCode OnTimeout);
   void timedOut(ResultCode Code);
   void afterReply(bool Close);
@@ -403,6 +409,13 @@
   return I->Open.size();
 }
 
+void CallerServer::refuseUnfinished(ResultCode Code, std::string_view Detail) {
+  auto Open = I->Open;
+  for (const ConnectionPtr &C : Open)
+    if (C->unfinished())
+      C->refuse(Code, Detail);
+}
+
 std::size_t CallerServer::connections() const { return I->Open.size(); }
 
 std::size_t CallerServer::inFlight() const { return I->InFlight; }
--- a/packages/http1/CallerServer.h
+++ b/packages/http1/CallerServer.h
@@ -7,7 +7,8 @@
 // A stop in order: closeAfterReply() tells callers with kept connections to go
 // elsewhere, stopAccepting() closes the listening socket once the connections
 // that the kernel already took are served, closeIdle() closes connections that
-// wait for nothing. None of these cuts off a request that was read.
+// wait for nothing, refuseUnfinished() answers half requests. None of these
+// cuts off a request that was read.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_HTTP1_CALLERSERVER_H
@@ -63,6 +64,9 @@
   void stopAccepting();
   /// Closes connections that wait for a request; returns how many are left.
   std::size_t closeIdle();
+  /// Answers requests that were read in part with \p Code, which must prove
+  /// "not run", and closes their connections.
+  void refuseUnfinished(ResultCode Code, std::string_view Detail);
   std::size_t connections() const;
   std::size_t inFlight() const;
 
--- a/tests/failure/CallersLeave.cpp
+++ b/tests/failure/CallersLeave.cpp
@@ -126,6 +126,22 @@
   CHECK(Busy.input().find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(CallerFixture, "a stop tells the caller of half a request "
+                                 "that it has not run, and drops the rest") {
+  RawCaller Half(Loop, At);
+  Half.read();
+  Half.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  runFor(Millis(20));
+  CHECK(Server->closeIdle() == 1);
+  Server->refuseUnfinished(ResultCode::Leaving, "stopping");
+  Half.write("cd");
+  runUntil([&] { return Half.status() != 0; });
+  CHECK(Half.status() == 503);
+  CHECK(Half.problem()["effect"] == "not run");
+  runFor(Millis(20));
+  CHECK(Got.empty());
+}
+
 TEST_CASE_FIXTURE(CallerFixture,
                   "a close that crosses the reply harms nobody else") {
   constexpr std::size_t MoreThanTheKernelTakes = 8 << 20;
