net: each stop signal is heard, not only the first

Cause: EventLoop::onStopSignal() waited for one signal. Later ones were taken by the signal set and by nobody.

Change: it waits for the next one before it reports one.

--- a/packages/net/EventLoop.cpp
+++ b/packages/net/EventLoop.cpp
@@ -77,10 +77,16 @@
   asio::error_code Ignored; // Already added when called twice.
   I->Signals.add(SIGTERM, Ignored);
   I->Signals.add(SIGINT, Ignored);
+  awaitStopSignal(std::move(Fn));
+}
+
+void EventLoop::awaitStopSignal(std::function<void()> Fn) {
   I->Signals.async_wait(
-      [Fn = std::move(Fn)](const asio::error_code &Failed, int) {
-        if (!Failed)
-          Fn();
+      [this, Fn = std::move(Fn)](const asio::error_code &Failed, int) {
+        if (Failed)
+          return;
+        awaitStopSignal(Fn);
+        Fn();
       });
 }
 
--- a/packages/net/EventLoop.h
+++ b/packages/net/EventLoop.h
@@ -41,7 +41,7 @@
   /// Calls \p Fn once after \p After. The timer lives until it has run or its
   /// handle is cancelled; dropping the handle does not cancel it.
   TimerHandle after(Duration After, std::function<void()> Fn);
-  /// Calls \p Fn on SIGTERM and SIGINT.
+  /// Calls \p Fn on each SIGTERM and SIGINT.
   void onStopSignal(std::function<void()> Fn);
 
   /// Time that the serving of connections and timers has taken so far, waits
@@ -58,6 +58,9 @@
 private:
   friend class BusyTime;
   struct Impl;
+
+  void awaitStopSignal(std::function<void()> Fn);
+
   std::unique_ptr<Impl> I;
   Duration Busy{};
 };
