front: comments on stops say what is refused and what is answered

No change of behaviour. FrontDaemon.h still said that a request which runs at the exit gets no answer; it gets one now. Two comments used another word for host.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -56,9 +56,9 @@
 /// of the peers be gone.
 constexpr Duration MaxConfigWait = Millis(1500);
 
-/// The stop signal was sent between \p Earliest and \p Latest. What is accepted
-/// during the stop must be answered in time in any case; what already runs has
-/// until the last moment that is possible.
+/// The stop signal was sent between \p Earliest and \p Latest. Requests that
+/// are accepted during the stop are answered before the earliest possible kill;
+/// those that already run have until the latest.
 StopPlan stopPlan(Duration Grace, Instant Earliest, Instant Latest) {
   Duration Answers = std::max(Duration(0), Grace - ExitMargin - LastWrites);
   Duration Serving = std::max(Duration(0), Grace - CloseBeforeKill);
@@ -144,8 +144,7 @@
   bool Announced = false;           ///< As ready for callers.
   std::optional<StopSequence> Stop; ///< Set from the stop signal on.
   std::function<void()> Gone;
-  /// When housekeeping() ran, and how long the machine was suspended up to
-  /// then.
+  /// When housekeeping() ran, and how long the host was suspended up to then.
   struct Housekept {
     Instant At;
     Duration Suspended;
@@ -381,7 +380,7 @@
   Fleet->setLoad(Announced);
 }
 
-/// A process that was frozen, or whose machine was suspended, acts late on a
+/// A process that was frozen, or whose host was suspended, acts late on a
 /// signal. When it runs again, housekeeping may come before the signal, so the
 /// signal may be as old as the housekeeping before the last one.
 Instant FrontDaemon::Impl::earliestSignal() const {
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -11,9 +11,9 @@
 // Shutdown: once the stop signal arrives, the daemon reports itself not ready,
 // peers no longer list it in the directory, and every reply closes its
 // connection. It keeps accepting connections from callers that still have its
-// address cached. It exits when no connection is left, or shortly before the
-// process would be killed. A request that has been read is answered, unless it
-// is still running then.
+// address cached, and refuses requests that it might not live to answer
+// (StopPlan.h). It exits when no connection is left, or shortly before the
+// process would be killed; what still runs then is answered with an error.
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FRONT_FRONTDAEMON_H
