--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -319,7 +319,10 @@
         stamp = f"{self.identity}.{request.header('Request-Id')}.{self.runs}"
         return reply_bytes(200, [*self.headers(request),
                                  ("Server-Stamp", stamp)],
-                           f"body of {request.header('Request-Id')}".encode())
+                           self.body(request))
+
+    def body(self, request):
+        return f"body of {request.header('Request-Id')}".encode()
 
 
 # The deployment -------------------------------------------------------------
@@ -373,15 +376,15 @@
         await replica.start(self.store)
         return replica
 
-    async def put_config(self, routes, services, **limits):
+    async def put_config(self, routes, services, **more):
         self.version += 3
         await self.store.put("config", "main", {
             "version": self.version, "routes": routes,
             "services": [{"name": s, "health_path": "/health",
                           "max_connections": 60} for s in services],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-                       **limits}})
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            **more})
         self.record.line("operator", "version", self.version, "acknowledged")
 
     def settings(self, n, **more):
