--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,14 +1,19 @@
-"""One replica of three crashes while it runs a request whose path holds UTF-8.
-
-Twenty callers keep a connection each to daemon 1 and send reads, which sound
-replicas answer. Another caller sends one booking. With trouble, the replica
-that runs the booking crashes. Counted are reads that daemon 1 passed on to a
-sound replica and whose kept connection it closed without an answer.
+"""A machine is added while the seeds that it is given are down.
+
+Six daemons in three zones; the seeds are daemons 1 to 3. These are lost for
+good. One second later daemon 7 is added, with the same seeds, as they lag by
+seed_lag_s; after that lag its settings file names daemons 4 to 6, and it gets a
+SIGHUP. A tenant asks for several times its quota, at all daemons that run.
+Counted is the most that replicas run of its requests in any quota_window_s.
+With TROUBLE=0 the seeds are not lost.
 """
 
 import asyncio
 import contextlib
+import json
 import pathlib
+import random
+import signal
 import sys
 import time
 
@@ -16,132 +21,108 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 import kit  # noqa: E402
 
-CALLERS = 20
-READ_MS, BOOKING_MS = 300, 600
-CRASH_AFTER_S = 0.3
-WATCHED_S = 8
-MOST_LOST = 3  # LOST: "more than three times" breaks the rule.
-# Valid UTF-8 of more than 120 bytes; byte 120 is the first half of a letter.
-NAME = "/book/n" + "Даатгалынхолбообарилгынбаталгаа" * 3
-PATH = NAME.encode()[:133].decode(errors="ignore")
-
-
-class CrashingReplica(kit.Replica):
-    """Its process ends when crash() is called: all connections close and new
-    ones are refused."""
-
-    busy = None
-
-    async def start(self, store):
-        self.open = set()
-        await super().start(store)
-
-    async def serve(self, reader, writer):
-        self.open.add(writer)
-        try:
-            await super().serve(reader, writer)
-        finally:
-            self.open.discard(writer)
-
-    async def run(self, request):
-        CrashingReplica.busy = self
-        return await super().run(request)
-
-    def crash(self):
-        self.record.line("replica", self.identity, "crashes")
-        self.server.close()
-        for writer in list(self.open):
-            writer.transport.abort()
-
-
-class Caller:
-    """Sends one read after another on one kept connection."""
-
-    def __init__(self, deployment, number, lost):
-        self.deployment = deployment
-        self.number = number
-        self.lost = lost
-        self.answered = 0
-
-    async def work(self, until):
-        reader, writer = await asyncio.open_connection(
-            self.deployment.ip(1), kit.CALLERS)
-        count = 0
-        while time.monotonic() < until:
-            count += 1
-            request = f"c{self.number}-{count}"
-            writer.write(kit.request_bytes(
-                "GET", f"/pull/{request}",
-                [("Request-Id", request), ("Deadline-Ms", "2500")]))
-            try:
-                answer = await asyncio.wait_for(kit.read_message(reader), 4)
-            except (ConnectionError, asyncio.IncompleteReadError):
-                answer = None
-            if answer is None:
-                self.deployment.record.line("closed", request, "no answer")
-                if self.answered:
-                    self.lost.append(request)
-                break
-            self.answered += 1
-            self.deployment.record.line("answer", request, answer.status)
-            if answer.header("Connection").lower() == "close":
-                break
-        writer.close()
-
-
-async def book(deployment):
-    """One booking. The path is sent as the caller has it."""
-    reader, writer = await asyncio.open_connection(deployment.ip(1),
-                                                   kit.CALLERS)
-    head = (f"POST {PATH} HTTP/1.1\r\nHost: {kit.HOST}\r\n"
-            "Request-Id: b1\r\nDeadline-Ms: 2500\r\nContent-Length: 4\r\n\r\n")
-    deployment.record.line("sent", "b1", "POST", PATH)
-    writer.write(head.encode() + b"book")
-    answer = None
-    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-        answer = await asyncio.wait_for(kit.read_message(reader), 4)
-    deployment.record.line("answer", "b1",
-                           answer.status if answer else "closed")
-    writer.close()
-    return answer
+SEED_LAG_S = 3                        # The sheet's seed_lag_s.
+RATE, BURST = 100, 20                 # Of the tenant.
+WINDOW_S, OVERAGE, SLACK = 5, 0.1, 20  # The sheet's quota bounds.
+BOUND = (RATE * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
+HOT = 4.0            # hot_tenant: x 7.5 on the sheet, here times its limit.
+HOT_FOR_S = 6.5
+CALLERS_EACH = 12
+SEEDS, STAY, ADDED = (1, 2, 3), (4, 5, 6), 7
+
+
+class CountingReplica(kit.Replica):
+    ran = []
+
+    def began(self, request):
+        super().began(request)
+        CountingReplica.ran.append(time.monotonic())
+
+
+async def call_often(deployment, daemon, number, each, until):
+    """Reads of the tenant over one connection; opens another when it closes."""
+    count = 0
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError, asyncio.TimeoutError,
+                                 asyncio.IncompleteReadError):
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(
+                deployment.ip(daemon), kit.CALLERS), 1)
+            while time.monotonic() < until:
+                count += 1
+                name = f"d{daemon}-{number}-{count}"
+                writer.write(kit.request_bytes(
+                    "GET", f"/pull/{name}",
+                    [("Request-Id", name), ("Deadline-Ms", "2500"),
+                     ("Authorization", "Token key-m")]))
+                answer = await asyncio.wait_for(kit.read_message(reader), 3)
+                if answer is None:
+                    break
+                deployment.record.line("answer", name, answer.status)
+                await asyncio.sleep(random.expovariate(each))
+            writer.close()
+        await asyncio.sleep(0.1)
+
+
+def most_in_window(times):
+    first = most = 0
+    for last, at in enumerate(times):
+        while times[first] < at - WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
 
 
 async def case(record):
-    async with kit.Deployment(record, daemons=2) as deployment:
+    bounds = {"quota_window_s": WINDOW_S, "quota_overage": OVERAGE,
+              "quota_slack": SLACK}
+    async with kit.Deployment(record, daemons=6) as deployment:
         for copy in range(3):
-            await deployment.add_replica(
-                kit.Replica, f"archive-{copy}", "archive", copy, slots=16,
-                work_ms=READ_MS)
-            await deployment.add_replica(
-                CrashingReplica, f"booking-{copy}", "booking", copy,
-                work_ms=BOOKING_MS)
+            await deployment.add_replica(CountingReplica, f"archive-{copy}",
+                                         "archive", copy, slots=16, work_ms=5)
         await deployment.put_config(
-            [kit.route("pull", "safe", 2500, 1000, service="archive"),
-             kit.route("book", "unsafe", 2500, 1000, service="booking")],
-            ["archive", "booking"])
-        await deployment.start_daemons()
-        lost = []
-        callers = [Caller(deployment, n, lost) for n in range(CALLERS)]
-        until = time.monotonic() + WATCHED_S
-        reading = [asyncio.create_task(c.work(until)) for c in callers]
-        await asyncio.sleep(2)
-        booking = asyncio.create_task(book(deployment))
-        await asyncio.sleep(CRASH_AFTER_S)
-        if CrashingReplica.busy is None:
-            raise kit.CannotRun("the booking reached no replica")
+            [kit.route("pull", "safe", 2500, 400, service="archive")],
+            ["archive"],
+            tenants=[{"name": "ministry", "api_keys": ["key-m"],
+                      "rate_per_s": RATE, "burst": BURST}])
+        await deployment.start_daemons(**bounds)
+        await asyncio.sleep(5)
         if kit.trouble():
-            CrashingReplica.busy.crash()
-        await booking
-        await asyncio.gather(*reading)
-        ended = deployment.children[1].poll()
-        record.line("daemon", 1, "runs" if ended is None else
-                    f"ended by itself with {ended}")
-        for line in deployment.log(1).splitlines()[-3:]:
-            record.line("log of daemon 1:", line)
-        record.line("reads passed on and closed unanswered:", len(lost))
-        if min(c.answered for c in callers) == 0:
-            raise kit.CannotRun("some caller had no answer at all")
-        return len(lost) <= MOST_LOST
+            for n in SEEDS:
+                record.line("daemon", n, "is lost")
+                deployment.children[n].kill()
+                deployment.children[n].wait()
+        await asyncio.sleep(1)
+        deployment.start_daemon(ADDED, **bounds)
+        await asyncio.sleep(SEED_LAG_S)
+        seeds = [f"{deployment.ip(n)}:{kit.PEERS}" for n in STAY]
+        path = deployment.work / f"front-{ADDED}.json"
+        path.write_text(json.dumps(
+            deployment.settings(ADDED, **{**bounds, "seeds": seeds})))
+        deployment.children[ADDED].send_signal(signal.SIGHUP)
+        record.line("daemon", ADDED, "has the settings with seeds", seeds)
+        await deployment.ready(ADDED)
+        await asyncio.sleep(12)
+        for n in (*STAY, ADDED):
+            answer = await kit.call(deployment.ip(n), kit.METRICS, "GET",
+                                    "/metrics")
+            for line in answer.body.decode().splitlines():
+                if line.startswith("shallot_members_seen"):
+                    record.line("daemon", n, line)
+        until = time.monotonic() + HOT_FOR_S
+        callers = len((*STAY, ADDED)) * CALLERS_EACH
+        await asyncio.gather(*[
+            call_often(deployment, n, k, RATE * HOT / callers, until)
+            for n in (*STAY, ADDED) for k in range(CALLERS_EACH)])
+        most = most_in_window(CountingReplica.ran)
+        record.line(f"most runs in {WINDOW_S} s: {most}, the bound is "
+                    f"{BOUND:.0f}")
+        for n in (*STAY, ADDED):
+            for line in deployment.log(n).splitlines():
+                if "quota_opened" in line:
+                    record.line(f"log of daemon {n}:", line)
+        if most < RATE * WINDOW_S / 2:
+            raise kit.CannotRun("too little was served")
+        return most <= BOUND
 
 
 kit.main(FOLDER, case)
