front, forward: a request that waits is told when a version takes its route away

A route with another objective or priority was answered 404 at an offer.

Cause: a waiting request keeps the configuration it began with, but admission decides it under the installed one.

Change: one rule where a version is installed. A request that was sent runs on as it began. One that waits for a token, a trial or admission goes on if its route is unchanged, else it is refused at once as not run (503, SS2015). Offers of unknown routes or classes get the same code instead of an exception or 404. Requests are decided before the quotas of the version are installed, so that the reason given is the true one.

Why this works: after the installation no waiting request refers to a route that admission does not know as it is, so no later step can meet one.

Tests: platform_failure, RoutesChangeUnderWaitingRequests (five versions, each while a booking waits for a token); forward_failure, OverloadIsTurnedAway (two cases).

--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -34,6 +34,13 @@
           "the daemon stops and may exit before the answer comes"};
 }
 
+LocalAnswer routeChangedRefusal() {
+  return {ResultCode::RouteChanged,
+          {},
+          "a new configuration changed or removed the route before the request "
+          "was sent"};
+}
+
 bool ForwardRun::rejectImmediately(ForwardShared &S, RunOutput &Out,
                                    Instant Now) {
   if (!acceptedByStop(S, Now)) {
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -159,6 +159,11 @@
 /// wait, as another daemon can serve the caller at once.
 LocalAnswer stopRefusal();
 
+/// Refuses a request that was not sent before a new configuration changed or
+/// removed its route. Names no time to wait: the caller's next attempt is
+/// matched to the new routes.
+LocalAnswer routeChangedRefusal();
+
 using ForwardAnswer = std::variant<MergedAnswer, RelayedAnswer, LocalAnswer>;
 
 struct RunOutput {
--- a/packages/forward/Route.cpp
+++ b/packages/forward/Route.cpp
@@ -105,6 +105,15 @@
   return nullptr;
 }
 
+bool ServingConfig::keeps(const Route &R, const Organisation *Caller) const {
+  if (std::ranges::find(Routes, R) == Routes.end())
+    return false;
+  if (!Caller)
+    return true;
+  const Organisation *Now = Callers.find(Caller->Name);
+  return Now && Now->Priority == Caller->Priority;
+}
+
 AllowedRegions ServingConfig::regionsOf(std::string_view Host) const {
   auto ByHost = [](const Route &R) { return std::string_view(R.Host); };
   AllowedRegions OfAll = AllowedRegions::anywhere();
--- a/packages/forward/Route.h
+++ b/packages/forward/Route.h
@@ -128,6 +128,11 @@
   /// null if there is none. \p Path has no query.
   const Route *match(std::string_view Host, std::string_view Path) const;
 
+  /// Whether a request of \p R and \p Caller of an earlier configuration, which
+  /// waits to be sent, may be sent under this one: the route has not changed,
+  /// and the caller's organisation, if any, has its place among the others.
+  bool keeps(const Route &R, const Organisation *Caller) const;
+
   /// The regions that may serve all routes of \p Host or, if there is none,
   /// those that may serve any of its routes.
   AllowedRegions regionsOf(std::string_view Host) const;
--- a/packages/forward/RouteAdmission.cpp
+++ b/packages/forward/RouteAdmission.cpp
@@ -48,6 +48,17 @@
       fmt::format("p{}-{}-{}", Priority, R.Priority, toMillis(R.Objective)));
 }
 
+/// Its class was removed by a new configuration; the code of this stands for
+/// "not found", while the caller's path may still have a route.
+bool isUnknownClass(const AdmissionDecision &D) {
+  return D.What == AdmissionAction::Refuse &&
+         D.Code == ResultCode::UnknownClass;
+}
+
+AdmissionDecision routeChanged() {
+  return AdmissionDecision::refuse(ResultCode::RouteChanged, MinRetryAfter);
+}
+
 std::set<unsigned> prioritiesOf(const Organisations &Callers) {
   std::set<unsigned> Found;
   for (const Organisation &O : Callers.all())
@@ -166,9 +177,14 @@
 AdmissionDecision RouteAdmission::offer(const Route &R, unsigned Priority,
                                         TicketId Id, Instant Deadline,
                                         Instant Now, const FairClaim &Claim) {
-  const GroupPtr &G = ByRoute.at(R.Name);
+  auto At = ByRoute.find(R.Name);
+  if (At == ByRoute.end())
+    return routeChanged();
+  const GroupPtr &G = At->second;
   AdmissionDecision Decision =
       G->offer({Id, classOf(Priority, R), Deadline, Claim}, Now);
+  if (isUnknownClass(Decision))
+    return routeChanged();
   if (Decision.What != AdmissionAction::Refuse)
     Tickets.emplace(Id, Ticket{G, Claim.Organisation, Claim.Cost});
   count(Decision.What, Claim.Organisation, Claim.Cost);
@@ -220,10 +236,8 @@
     if (E.Final.What != AdmissionAction::Refuse)
       continue;
     Tickets.erase(E.Id);
-    // Its class was removed by a new configuration, but the caller's route may
-    // still exist.
-    if (E.Final.Code == ResultCode::UnknownClass)
-      E.Final.Code = ResultCode::Overloaded;
+    if (isUnknownClass(E.Final))
+      E.Final = routeChanged();
   }
   return All;
 }
@@ -237,7 +251,8 @@
 }
 
 AdmissionReport RouteAdmission::report(const Route &R) const {
-  return ByRoute.at(R.Name)->report();
+  auto At = ByRoute.find(R.Name);
+  return At == ByRoute.end() ? AdmissionReport() : At->second->report();
 }
 
 } // namespace shallot
--- a/packages/forward/RouteAdmission.h
+++ b/packages/forward/RouteAdmission.h
@@ -38,7 +38,8 @@
 
   /// Returns Start, Wait, or Refuse with a code that proves "not run" and a
   /// Retry-After time. \p R is a route of the installed configuration, and
-  /// \p Priority its own or that of one of the organisations.
+  /// \p Priority its own or that of one of the organisations; with another
+  /// route or priority, refuses with RouteChanged.
   AdmissionDecision offer(const Route &R, unsigned Priority, TicketId Id,
                           Instant Deadline, Instant Now,
                           const FairClaim &Claim = {});
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -468,8 +468,11 @@
            {{"version", std::to_string(Config.version())},
             {"routes", std::to_string(Config.routes().size())}});
   I->Callers->setOptions(callerOptions(Config.limits()));
-  I->Quotas->install(Config.callers());
-  I->Requests.install(std::make_shared<ServingConfig>(std::move(Config)));
+  auto Installed = std::make_shared<const ServingConfig>(std::move(Config));
+  // Requests whose route has gone are refused for that reason, not for lack of
+  // a quota.
+  I->Requests.install(Installed);
+  I->Quotas->install(Installed->callers());
   I->announceIfReady();
 }
 
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -15,7 +15,9 @@
 
 namespace {
 
-LocalAnswer overloadAnswer(const AdmissionDecision &V) {
+LocalAnswer admissionAnswer(const AdmissionDecision &V) {
+  if (V.Code == ResultCode::RouteChanged)
+    return routeChangedRefusal();
   return {V.Code, V.RetryAfter,
           "request rate exceeds the capacity of the replicas"};
 }
@@ -137,7 +139,7 @@
     return;
   case AdmissionAction::Refuse:
     J->Ticket = 0; // Refused, so no place is held.
-    reject(J, overloadAnswer(V));
+    reject(J, admissionAnswer(V));
     return;
   }
 }
@@ -201,7 +203,7 @@
       continue;
     }
     J->Ticket = 0;
-    reject(J, overloadAnswer(E.Final));
+    reject(J, admissionAnswer(E.Final));
   }
   Shared.RequestsQueued = !Waiting.empty();
   Timers.cancel(AdmissionTimer);
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -233,18 +233,33 @@
     if (J->Run.begun())
       schedule(J);
   }
-  Timers.at(Plan.times().End, [this] { rejectWaiting(); });
+  Timers.at(Plan.times().End, [this] { rejectAllWaiting(); });
 }
 
-/// Rejects the requests that wait for a token, a trial or admission.
-void RequestHandler::Impl::rejectWaiting() {
+/// Rejects \p J if it waits for a token, a trial or admission.
+void RequestHandler::Impl::rejectWaiting(const JobPtr &J, LocalAnswer A) {
+  if (J->Run.begun() || J->Run.answered())
+    return;
+  cancelQuotaWait(J);
+  Timers.cancel(J->Timer);
+  reject(J, std::move(A));
+}
+
+void RequestHandler::Impl::rejectAllWaiting() {
+  std::vector<JobPtr> Now(Jobs.begin(), Jobs.end());
+  for (const JobPtr &J : Now)
+    rejectWaiting(J, stopRefusal());
+}
+
+/// A request that was sent keeps the configuration that it began with. One that
+/// still waits would be admitted by the new one, which may lack its route or
+/// know another one of that name, so it goes on only if its route is unchanged.
+void RequestHandler::Impl::rejectChanged() {
   std::vector<JobPtr> Now(Jobs.begin(), Jobs.end());
   for (const JobPtr &J : Now) {
-    if (J->Run.begun() || J->Run.answered())
-      continue;
-    cancelQuotaWait(J);
-    Timers.cancel(J->Timer);
-    reject(J, stopRefusal());
+    const ForwardRequest &R = J->Run.request();
+    if (!Config->keeps(*R.Matched, R.Caller))
+      rejectWaiting(J, routeChangedRefusal());
   }
 }
 
@@ -288,6 +303,7 @@
 void RequestHandler::install(std::shared_ptr<const ServingConfig> Config) {
   I->Config = std::move(Config);
   I->restrictActiveRequests();
+  I->rejectChanged();
   I->Admission.install(*I->Config);
   I->pollAdmission();
   // Drops the budgets of services that the configuration no longer lists.
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -65,7 +65,9 @@
   void releaseTicket(const JobPtr &J);
   void cancelQuotaWait(const JobPtr &J);
   void stop(const StopPlan &Plan);
-  void rejectWaiting();
+  void rejectWaiting(const JobPtr &J, LocalAnswer A);
+  void rejectAllWaiting();
+  void rejectChanged();
   void pollAdmission();
   void reportOrganisations();
   void writeGauges();
--- a/tests/failure/OverloadIsTurnedAway.cpp
+++ b/tests/failure/OverloadIsTurnedAway.cpp
@@ -191,3 +191,37 @@
   Admit.cancel(Running.back().first);
   CHECK(offer(search()).What == AdmissionAction::Start);
 }
+
+// Guards against "not found" for a request whose route changed while it waited.
+TEST_CASE_FIXTURE(AdmissionFixture, "an offer under a route that the new "
+                                    "configuration changed or lacks is refused "
+                                    "with an answer that may be repeated") {
+  Route Kept = check();
+  Route Changed = search();
+  Route Removed = pull();
+  Route New = Changed;
+  New.Objective = Millis(200);
+  New.Priority = 3;
+  install({New, Kept});
+  for (const Route &R : {Changed, Removed}) {
+    AdmissionDecision V = offer(R);
+    CHECK(V.What == AdmissionAction::Refuse);
+    CHECK(V.Code == ResultCode::RouteChanged);
+    CHECK(infoOf(V.Code).HttpStatus == 503);
+  }
+  CHECK(offer(Kept).What == AdmissionAction::Start);
+}
+
+// Guards against "not found" for requests of a class that was removed.
+TEST_CASE_FIXTURE(AdmissionFixture, "a queued request of a class that the new "
+                                    "configuration lacks is told that its "
+                                    "route changed") {
+  TicketId Waits = fill(check());
+  Route New = check();
+  New.Objective = Millis(240);
+  install({search(), New, pull()});
+  AdmissionEvents Events = Admit.poll(Now);
+  REQUIRE(Events.size() == 1);
+  CHECK(Events.front().Id == Waits);
+  CHECK(Events.front().Final.Code == ResultCode::RouteChanged);
+}
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -7,6 +7,7 @@
   LABELS failure
   SOURCES FrontFixture.cpp failure/ForeignEntriesNameNoReplica.cpp
           failure/PeersAreToldWhatIsStale.cpp
+          failure/RoutesChangeUnderWaitingRequests.cpp
           failure/StoppingDaemonRefuses.cpp)
 shallot_test(silent_store_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
