net, http1, front: a fault costs one event instead of the process

The event came again at the next daemon.

Cause: nothing stood between a handler and the end of the process.

Change: every handler of the event loop runs contained. A fault is logged as internal_error with what it belongs to and counted (shallot_internal_errors). Its owner ends what it was about: the request is answered 500 (SS9001), which promises nothing, and its sends are dropped; a connection is closed; timers behind it, periodic work and later datagrams go on. std::exception only, so a failed REQUIRE of a test still ends the test.

--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -97,6 +97,13 @@
   return Out;
 }
 
+RunOutput ForwardRun::abandon(Instant Now) {
+  RunOutput Out;
+  Answered = true;
+  dropOpen(Out, Now);
+  return Out;
+}
+
 /// Whether an answer of \p Count parts has the minimum coverage.
 bool ForwardRun::meetsMinCoverage(std::size_t Count) const {
   double Least = Fan ? Fan->MinCoverage : 1;
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -214,6 +214,8 @@
   RunOutput tick(ForwardShared &S, Instant Now);
   /// The caller closed its connection: no answer is needed any more.
   RunOutput callerGone(Instant Now);
+  /// Ends without an answer and drops all sends, after a fault of the program.
+  RunOutput abandon(Instant Now);
 
   /// When tick() is to be called next.
   Instant nextTick() const;
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -98,10 +98,14 @@
   if (Now - LastTick > MembershipOptions().PauseThreshold)
     Socket->discardWaiting();
   LastTick = Now;
+  contain("membership", {}, [&] { advance(Now); });
+  Loop.after(TickPeriod, [this] { tick(); });
+}
+
+void FleetLink::advance(Instant Now) {
   apply(Members.onTick(Now));
   if (SupersedingIncarnation != 0)
     rejoinAbove(std::exchange(SupersedingIncarnation, 0));
-  Loop.after(TickPeriod, [this] { tick(); });
 }
 
 void FleetLink::setState(MemberState State) {
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -101,6 +101,7 @@
   makeMembership(EventLoop &Loop, const FrontSettings &Set, Random &Rng,
                  std::uint64_t Incarnation, MemberState State);
   void tick();
+  void advance(Instant Now);
   void apply(const MembershipOutput &Out);
   void publishRevisions();
   void rejoinAbove(std::uint64_t Incarnation);
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -105,6 +105,7 @@
   void readiness(const ServerRequest &R, const Responder &A);
   void scrape(const Responder &A);
   void housekeeping();
+  void maintain();
   void measureLoad();
   void updateSharing(Instant Now);
   void updateWarmupSenders(Instant Now);
@@ -116,6 +117,7 @@
   Instant earliestSignal() const;
   void beginStop();
   void pollStop();
+  void advanceStop();
   void stopServing();
   void closeListeners();
   void end();
@@ -320,6 +322,7 @@
   Meter.gauge("shallot_upstream_connections_opened", {}, double(C.Opened));
   Meter.gauge("shallot_upstream_connections_reused", {}, double(C.Reused));
   Meter.gauge("shallot_upstream_stray_bytes", {}, double(C.Stray));
+  Meter.gauge("shallot_internal_errors", {}, double(faultCount()));
   Meter.gauge("shallot_in_flight", {}, double(Requests.inFlight()));
   Meter.gauge("shallot_caller_connections", {}, double(Callers->connections()));
   Meter.gauge("shallot_replicas_known", {}, double(Replicas.size()));
@@ -346,6 +349,11 @@
 }
 
 void FrontDaemon::Impl::housekeeping() {
+  contain("housekeeping", {}, [this] { maintain(); });
+  Timers.after(HousekeepingPeriod, [this] { housekeeping(); });
+}
+
+void FrontDaemon::Impl::maintain() {
   Before = std::exchange(Last, {Loop.now(), suspendedTime()});
   Duration Gap = Last.Suspended - Before.Suspended;
   if (Gap > SuspendGap) {
@@ -357,7 +365,6 @@
   updateSharing(Loop.now());
   measureLoad();
   announceIfReady();
-  Timers.after(HousekeepingPeriod, [this] { housekeeping(); });
 }
 
 void FrontDaemon::Impl::measureLoad() {
@@ -402,18 +409,23 @@
 }
 
 void FrontDaemon::Impl::pollStop() {
+  contain("stop", {}, [this] { advanceStop(); });
+  StopPhase Phase = Stop->phase();
+  if (Phase == StopPhase::Gone)
+    return end();
+  Timers.after(Phase == StopPhase::Closing ? ClosingPeriod : StopPeriod,
+               [this] { pollStop(); });
+}
+
+void FrontDaemon::Impl::advanceStop() {
   StopPhase Before = Stop->phase();
   StopFacts Facts{Requests.inFlight(), Callers->connections(),
                   Directory->openConnections() + Readiness->openConnections()};
   StopPhase Phase = Stop->advance(Facts, Loop.now());
-  if (Phase == StopPhase::Gone)
-    return end();
   if (Phase == StopPhase::Finishing)
     stopServing();
   if (Phase == StopPhase::Closing && Before != Phase)
     closeListeners();
-  Timers.after(Phase == StopPhase::Closing ? ClosingPeriod : StopPeriod,
-               [this] { pollStop(); });
 }
 
 void FrontDaemon::Impl::stopServing() {
--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -117,8 +117,10 @@
 
 void QuotaLink::tick() {
   Timer = 0;
-  refresh();
-  apply(Agent.tick(now()));
+  contain("quotas", {}, [this] {
+    refresh();
+    apply(Agent.tick(now()));
+  });
   schedule();
 }
 
@@ -141,7 +143,7 @@
               {"after_ms", std::to_string(toMillis(O.After))}});
   for (const AdmissionEvent &E : Out.Events)
     if (auto Found = Waiting.extract(E.Id))
-      Found.mapped()(E.Final);
+      contain("quota decision", {}, [&] { Found.mapped()(E.Final); });
 }
 
 AdmissionDecision QuotaLink::acquire(const Tenant &Name, TicketId Id,
--- a/packages/front/RequestAdmission.cpp
+++ b/packages/front/RequestAdmission.cpp
@@ -53,7 +53,7 @@
       Request.Matched->Objective / MaxQuotaWaitDivisor,
       [this, Weak = std::weak_ptr(J)](const AdmissionDecision &Final) {
         if (JobPtr J = Weak.lock())
-          tokenDecided(J, Final);
+          step(J, [&] { tokenDecided(J, Final); });
       });
   if (V.What != AdmissionAction::Wait)
     tokenDecided(J, V);
@@ -95,27 +95,29 @@
   auto OnDecision = [this, Weak = std::weak_ptr(J),
                      Name = J->Name](bool Granted) {
     JobPtr J = Weak.lock();
-    if (!J || J->Run.answered()) {
-      // The caller has disconnected or was told to retry later.
-      if (Granted)
-        Gate.trialUnused(Name);
-      return;
-    }
-    Timers.cancel(J->Timer);
-    J->Timer = 0;
-    J->Trial = Granted;
+    if (J && !J->Run.answered())
+      return step(J, [&] { trialDecided(J, Granted); });
+    // The caller has disconnected or was told to retry later.
     if (Granted)
-      return admit(J);
-    // Another attempt, here or on another daemon, may have cleared or
-    // quarantined the request meanwhile.
-    if (Gate.quarantineState(J->Name) != QuarantineState::OnTrial)
-      return checkQuarantine(J);
-    reject(J, trialUnavailableAnswer());
+      Gate.trialUnused(Name);
   };
   J->Timer = Timers.after(MaxTrialWait, [OnDecision] { OnDecision(false); });
   Gate.requestTrial(J->Name, OnDecision);
 }
 
+void RequestHandler::Impl::trialDecided(const JobPtr &J, bool Granted) {
+  Timers.cancel(J->Timer);
+  J->Timer = 0;
+  J->Trial = Granted;
+  if (Granted)
+    return admit(J);
+  // Another attempt, here or on another daemon, may have cleared or
+  // quarantined the request meanwhile.
+  if (Gate.quarantineState(J->Name) != QuarantineState::OnTrial)
+    return checkQuarantine(J);
+  reject(J, trialUnavailableAnswer());
+}
+
 /// Starts the request, queues it or rejects it.
 void RequestHandler::Impl::admit(const JobPtr &J) {
   const ForwardRequest &Request = J->Run.request();
@@ -190,6 +192,14 @@
     Quotas->cancel(J->Run.request().Caller->Name, Id);
 }
 
+void RequestHandler::Impl::admissionDecided(const JobPtr &J,
+                                            const AdmissionDecision &V) {
+  if (V.What == AdmissionAction::Start)
+    return start(J);
+  J->Ticket = 0;
+  reject(J, admissionAnswer(V));
+}
+
 /// Starts or rejects queued requests that are due.
 void RequestHandler::Impl::pollAdmission() {
   for (const AdmissionEvent &E : Admission.poll(Timers.now())) {
@@ -198,12 +208,7 @@
       continue;
     JobPtr J = At->second;
     Waiting.erase(At);
-    if (E.Final.What == AdmissionAction::Start) {
-      start(J);
-      continue;
-    }
-    J->Ticket = 0;
-    reject(J, admissionAnswer(E.Final));
+    step(J, [&] { admissionDecided(J, E.Final); });
   }
   Shared.RequestsQueued = !Waiting.empty();
   Timers.cancel(AdmissionTimer);
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -91,20 +91,48 @@
   ++Handled;
   E->whenGone([this, Weak = std::weak_ptr(J)] {
     JobPtr J = Weak.lock();
-    if (!J || J->Run.answered())
-      return;
-    --Unanswered;
-    Meter.count("shallot_forward_gone_total");
-    cancelQuotaWait(J);
-    releaseTicket(J);
-    apply(J, J->Run.callerGone(Timers.now()));
-    reportCrashes(J);
-    returnUnusedTrial(J);
+    if (J && !J->Run.answered())
+      step(J, [&] { callerGone(J); });
+  });
+  step(J, [&] {
+    if (J->Run.acceptedByStop(Shared, Timers.now()))
+      acquireToken(J);
+    else
+      reject(J, stopRefusal());
   });
-  if (J->Run.acceptedByStop(Shared, Timers.now()))
-    acquireToken(J);
-  else
-    reject(J, stopRefusal());
+}
+
+void RequestHandler::Impl::callerGone(const JobPtr &J) {
+  countAnswered(J);
+  Meter.count("shallot_forward_gone_total");
+  cancelQuotaWait(J);
+  releaseTicket(J);
+  apply(J, J->Run.callerGone(Timers.now()));
+  reportCrashes(J);
+  returnUnusedTrial(J);
+}
+
+void RequestHandler::Impl::countAnswered(const JobPtr &J) {
+  if (std::exchange(J->Unanswered, false))
+    --Unanswered;
+}
+
+/// A step of \p J has failed halfway, so nothing that it says of itself counts
+/// any more: not whether it has run, for example.
+void RequestHandler::Impl::abandon(const JobPtr &J) {
+  Timers.cancel(J->Timer);
+  cancelQuotaWait(J);
+  if (TicketId Ticket = std::exchange(J->Ticket, 0)) {
+    Waiting.erase(Ticket);
+    Admission.cancel(Ticket);
+  }
+  J->Run.abandon(Timers.now());
+  for (UpstreamPool::CallId &Call : J->Calls)
+    Pool.drop(std::exchange(Call, 0));
+  countAnswered(J);
+  J->E->reply(writeOwnAnswer({ResultCode::Internal, {}, "see its log"},
+                             J->Name.Id));
+  Jobs.erase(J);
 }
 
 void RequestHandler::Impl::apply(const JobPtr &J, RunOutput Out) {
@@ -139,7 +167,7 @@
   U.MostIdle = Once ? MaxIdleForAtMostOnce : MaxIdle;
   auto Done = [this, J, Send = S.Send, To = S.To](UpstreamReply Reply) {
     J->Calls[Send] = 0;
-    sendEnded(J, Send, To->entry(), std::move(Reply));
+    step(J, [&] { sendEnded(J, Send, To->entry(), std::move(Reply)); });
   };
   if (J->Calls.size() <= S.Send)
     J->Calls.resize(S.Send + 1, 0);
@@ -159,11 +187,14 @@
   if (!MayBeCrash)
     return replied(J, Send, std::move(Result));
   Crashes.ask(To.At, [this, J, Send, Result, To](bool Crashed) {
-    if (Crashed)
-      Gate.crashed(J->Name, {processName(To.Id, To.StartedUnixMs), To.Service});
-    SendResult Known = Result;
-    Known.ReplicaCrashed = Crashed;
-    replied(J, Send, std::move(Known));
+    step(J, [&] {
+      if (Crashed)
+        Gate.crashed(J->Name,
+                     {processName(To.Id, To.StartedUnixMs), To.Service});
+      SendResult Known = Result;
+      Known.ReplicaCrashed = Crashed;
+      replied(J, Send, std::move(Known));
+    });
   });
 }
 
@@ -194,7 +225,7 @@
 }
 
 void RequestHandler::Impl::answer(const JobPtr &J, ForwardAnswer A) {
-  --Unanswered;
+  countAnswered(J);
   releaseTicket(J);
   reportCrashes(J);
   returnUnusedTrial(J);
@@ -221,7 +252,7 @@
     if (!J)
       return;
     J->Timer = 0;
-    apply(J, J->Run.tick(Shared, Timers.now()));
+    step(J, [&] { apply(J, J->Run.tick(Shared, Timers.now())); });
   });
 }
 
@@ -316,7 +347,11 @@
   return I->Config;
 }
 
-void RequestHandler::handle(const ExchangePtr &E) { I->handle(E); }
+void RequestHandler::handle(const ExchangePtr &E) {
+  std::string Id(headerValue(E->request().Headers, I->Names.RequestId));
+  if (!contain("request", Id, [&] { I->handle(E); }))
+    E->reply(writeOwnAnswer({ResultCode::Internal, {}, "see its log"}, Id));
+}
 
 void RequestHandler::stop(const StopPlan &Plan) { I->stop(Plan); }
 
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -38,6 +38,7 @@
     /// Waits for a token of its organisation's quota under this id; 0: no.
     TicketId QuotaTicket = 0;
     bool HasToken = false; ///< Of its organisation's quota.
+    bool Unanswered = true; ///< It is counted as such.
   };
   using JobPtr = std::shared_ptr<Job>;
 
@@ -53,12 +54,21 @@
   Impl &operator=(const Impl &) = delete;
 
   void handle(const ExchangePtr &E);
+  /// Carries out one step of \p J; a fault in it costs this request only.
+  template <typename F> void step(const JobPtr &J, F &&Fn) {
+    if (!contain("request", J->Name.Id, std::forward<F>(Fn)))
+      abandon(J);
+  }
+  void abandon(const JobPtr &J);
+  void countAnswered(const JobPtr &J);
+  void callerGone(const JobPtr &J);
   void refuse(const ExchangePtr &E, const LocalAnswer &A);
   void refuseUnknownKey(const ExchangePtr &E, const Error &Why);
   void acquireToken(const JobPtr &J);
   void tokenDecided(const JobPtr &J, const AdmissionDecision &V);
   void checkQuarantine(const JobPtr &J);
   void awaitTrial(const JobPtr &J);
+  void trialDecided(const JobPtr &J, bool Granted);
   void admit(const JobPtr &J);
   void start(const JobPtr &J);
   void reject(const JobPtr &J, LocalAnswer A);
@@ -69,6 +79,7 @@
   void rejectAllWaiting();
   void rejectChanged();
   void pollAdmission();
+  void admissionDecided(const JobPtr &J, const AdmissionDecision &V);
   void reportOrganisations();
   void writeGauges();
   void apply(const JobPtr &J, RunOutput Out);
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -112,6 +112,11 @@
   }
 
   void tick() {
+    contain("feed", {}, [this] { advance(); });
+    Loop.after(FeedTick, [this] { tick(); });
+  }
+
+  void advance() {
     Server.tick();
     if (!AllListed)
       updateViewComplete();
@@ -122,7 +127,6 @@
       compareWithPeers();
     if (Ticks % SyncEvery == 0)
       Sync.tick(Loop.wallTime(), Records.sources().watchesStore());
-    Loop.after(FeedTick, [this] { tick(); });
   }
 
   void testAccess() {
--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -70,6 +70,7 @@
   }
   void listen(const Endpoint &At);
   void accept();
+  void add(asio::ip::tcp::socket Sock);
   void acceptRest(int RoundsLeft);
 
   EventLoop &Loop;
@@ -340,16 +341,19 @@
       return;
     // Above the limit the connection is closed at once: a caller that is not
     // read tries another daemon.
-    if (!E && Self->Open.size() < Self->Options.MaxConnections) {
-      auto C = std::make_shared<Connection>(Self, std::move(Sock));
-      Self->Open.insert(C);
-      C->start();
-    }
+    if (!E && Self->Open.size() < Self->Options.MaxConnections)
+      contain("new connection", {}, [&] { Self->add(std::move(Sock)); });
     if (Self->Acceptor.is_open() && !Self->Stopping)
       Self->accept();
   });
 }
 
+void CallerServer::Impl::add(asio::ip::tcp::socket Sock) {
+  auto C = std::make_shared<Connection>(shared_from_this(), std::move(Sock));
+  Open.insert(C);
+  C->start();
+}
+
 /// Callers whose connections the kernel has already taken believe that they are
 /// connected: closing the listening socket now would reset them.
 void CallerServer::Impl::acceptRest(int RoundsLeft) {
--- a/packages/http1/StreamSocket.cpp
+++ b/packages/http1/StreamSocket.cpp
@@ -64,17 +64,21 @@
         if (Self->Ended)
           return;
         BusyTime Busy(Self->Loop);
-        if (E) {
-          Self->ended(E == asio::error::eof ? StreamEnd::Closed
-                                            : StreamEnd::Broken);
-          return;
-        }
-        Self->OnData(std::string_view(Self->Buffer.data(), Size));
-        if (!Self->Ended)
-          Self->readMore();
+        // Whoever failed on these bytes can't go on behind them.
+        if (!contain("connection", {}, [&] { Self->received(E, Size); }))
+          contain("connection's end", {},
+                  [&] { Self->ended(StreamEnd::Broken); });
       });
 }
 
+void StreamSocket::received(const asio::error_code &E, std::size_t Size) {
+  if (E)
+    return ended(E == asio::error::eof ? StreamEnd::Closed : StreamEnd::Broken);
+  OnData(std::string_view(Buffer.data(), Size));
+  if (!Ended)
+    readMore();
+}
+
 bool StreamSocket::write(std::string Bytes) {
   if (Ended)
     return false;
--- a/packages/http1/StreamSocket.h
+++ b/packages/http1/StreamSocket.h
@@ -59,6 +59,7 @@
 
   void setUp();
   void readMore();
+  void received(const asio::error_code &E, std::size_t Size);
   void flush();
   void ended(StreamEnd How);
 
--- a/packages/http1/TimerQueue.cpp
+++ b/packages/http1/TimerQueue.cpp
@@ -49,7 +49,7 @@
     Entry E = std::move(Due.begin()->second);
     Due.erase(Due.begin());
     ByKey.erase(E.Id);
-    E.Fn();
+    contain("timer", {}, E.Fn);
     if (Guard.expired())
       return;
   }
--- a/packages/net/EventLoop.cpp
+++ b/packages/net/EventLoop.cpp
@@ -1,6 +1,8 @@
 //===- EventLoop.cpp ------------------------------------------------------===//
 #include "net/EventLoop.h"
 
+#include "net/Containment.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -56,7 +58,8 @@
 }
 
 void EventLoop::post(std::function<void()> Fn) {
-  asio::post(I->Context, std::move(Fn));
+  asio::post(I->Context,
+             [Fn = std::move(Fn)] { contain("posted call", {}, Fn); });
 }
 
 TimerHandle EventLoop::after(Duration After, std::function<void()> Fn) {
@@ -68,7 +71,7 @@
     if (!S->Fn)
       return;
     std::function<void()> Fn = std::exchange(S->Fn, nullptr);
-    Fn();
+    contain("timer", {}, Fn);
   });
   return Handle;
 }
@@ -86,14 +89,17 @@
         if (Failed)
           return;
         awaitStopSignal(Fn);
-        Fn();
+        contain("stop signal", {}, Fn);
       });
 }
 
 void EventLoop::run() {
   auto Guard = asio::make_work_guard(I->Context);
   I->Context.restart();
-  I->Context.run();
+  // Handlers that set themselves up again contain their faults themselves; this
+  // is for all others.
+  while (!contain("event loop", {}, [this] { I->Context.run(); })) {
+  }
 }
 
 void EventLoop::stop() { I->Context.stop(); }
--- a/packages/net/EventLoop.h
+++ b/packages/net/EventLoop.h
@@ -50,7 +50,7 @@
   /// it.
   Duration busy() const { return Busy; }
 
-  /// Runs until stop().
+  /// Runs until stop(). Faults of handlers are contained (Containment.h).
   void run();
   /// Ends run(); may be called from any thread.
   void stop();
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 //===- HttpClient.cpp -----------------------------------------------------===//
 #include "net/HttpClient.h"
 
+#include "net/Containment.h"
 #include "net/CurlMulti.h"
 
 #include <algorithm>
@@ -364,7 +365,8 @@
   HttpReply Reply = std::move(T.Reply);
   Callback Done = std::move(T.Done);
   release(T);
-  Done(std::move(Reply)); // May destroy this object.
+  // May destroy this object.
+  contain("http reply", {}, [&] { Done(std::move(Reply)); });
 }
 
 void HttpClient::Impl::watchStall(Transfer &T, Duration After) {
--- a/packages/net/HttpServer.cpp
+++ b/packages/net/HttpServer.cpp
@@ -1,6 +1,7 @@
 //===- HttpServer.cpp -----------------------------------------------------===//
 #include "net/HttpServer.h"
 
+#include "net/Containment.h"
 #include "net/GuardedSocket.h"
 #include "net/Problem.h"
 
@@ -240,7 +241,10 @@
   if (S->Connections->Reading)
     S->Connections->Reading->handling();
   auto Answer = std::make_shared<Responder::Impl>(S, Request);
-  S->OnRequest(toRequest(Request), Responder(std::move(Answer)));
+  // Without its Responder, the request is answered with an error.
+  contain("http request", Request->header().path(), [&] {
+    S->OnRequest(toRequest(Request), Responder(std::move(Answer)));
+  });
   return restinio::request_accepted();
 }
 
--- a/packages/net/include/shallotshift/net.h
+++ b/packages/net/include/shallotshift/net.h
@@ -8,6 +8,7 @@
 #ifndef SHALLOTSHIFT_NET_H
 #define SHALLOTSHIFT_NET_H
 
+#include "net/Containment.h"
 #include "net/EventLoop.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
--- a/packages/peer/DatagramSocket.cpp
+++ b/packages/peer/DatagramSocket.cpp
@@ -84,8 +84,8 @@
     std::optional<std::size_t> Size = receive();
     if (!Size)
       break;
-    if (*Size > 0)
-      handle(*Size);
+    if (*Size > 0 && !contain("datagram", {}, [&] { handle(*Size); }))
+      ++Stats.Malformed;
   }
   if (!Closed)
     wait();
--- a/tests/correctness/soak_sees_broken_promises.py
+++ b/tests/correctness/soak_sees_broken_promises.py
@@ -212,6 +212,10 @@
     case.world.lines.append((1, "Segmentation fault"))
 
 
+def fault_logged(case):
+    case.world.lines.append((1, '{"event": "internal_error", "why": "x"}'))
+
+
 LIES = {
     "answers_are_right": [foreign_signature, hidden_gap, stray],
     "nothing_runs_unasked": [unasked, changed],
@@ -236,6 +240,7 @@
     "quotas_hold": [above_quota],
     "the_fleet_recovers": [never_recovered],
     "logs_can_be_read": [nonsense_logged],
+    "no_fault_is_met": [fault_logged],
 }
 
 
--- a/tests/front.cmake
+++ b/tests/front.cmake
@@ -9,6 +9,7 @@
           failure/ColdReplicasInAFleet.cpp
           failure/DeadHostsAreNotNamed.cpp
           failure/FarMembersAreProbedSeldom.cpp
+          failure/FaultsCostOneRequest.cpp
           failure/RelayedRepliesDoNotLoop.cpp
           failure/ReplicaReportsReachPeers.cpp
           failure/RestoredStoreReachesPeers.cpp)
--- a/tools/soakkit/promises.py
+++ b/tools/soakkit/promises.py
@@ -374,6 +374,13 @@
             yield f"front-{n} wrote a line that is no event: {line[:200]}"
 
 
+def no_fault_is_met(case):
+    """A fault costs one request instead of the process, and is a fault still."""
+    for n, line in case.world.log_lines():
+        if read_line(line).get("event") == "internal_error":
+            yield f"front-{n} met a fault of its own: {line[:300]}"
+
+
 def read_line(line):
     try:
         value = json.loads(line)
@@ -391,7 +398,7 @@
           regions_are_kept, services_are_those_of_a_route,
           organisations.keys_are_not_passed_on, keys_taken_away_end,
           known_keys_are_served, organisations.quotas_hold,
-          the_fleet_recovers, logs_can_be_read)
+          the_fleet_recovers, logs_can_be_read, no_fault_is_met)
 
 
 def judge(case):
