platform, front, query, action: text that is not UTF-8 is written with a replacement

Cause: nlohmann::json::dump() throws at such text by default.

Change: objects for the store, replies to peers, the directory's answers and traces are written by canonicalJson(), which replaces it; so is a claim whose strict form failed. No other strict dump() is left outside of tests but the one of ClaimRecord that is meant to fail.

Why this works: the encoder takes any bytes, so no text of callers, replicas or other writers of the store reaches one that throws.

--- a/packages/action/ClaimRecord.cpp
+++ b/packages/action/ClaimRecord.cpp
@@ -47,7 +47,7 @@
     // fit would replay something else than the first outcome.
     J["outcome"]["body"] = "";
     J["outcome"]["dropped"] = true;
-    return J.dump();
+    return J.dump(-1, ' ', false, Json::error_handler_t::replace);
   }
 }
 
--- a/packages/front/FeedWire.cpp
+++ b/packages/front/FeedWire.cpp
@@ -171,7 +171,7 @@
            {"age_ms", toMillisF(P.Age)}};
   for (const KindObject &O : P.Objects)
     Doc["objects"].push_back(objectJson(O));
-  return Doc.dump();
+  return canonicalJson(Doc);
 }
 
 std::string writeChanges(const KindChanges &C) {
@@ -182,7 +182,7 @@
   for (const KindChange &One : C.Changes)
     Doc["changes"].push_back(
         {{"object", objectJson(One.Object)}, {"removed", One.Removed}});
-  return Doc.dump();
+  return canonicalJson(Doc);
 }
 
 Attempt<KindPage> readPage(const HttpReply &R) {
--- a/packages/query/TraceRing.cpp
+++ b/packages/query/TraceRing.cpp
@@ -1,5 +1,7 @@
 #include "query/TraceRing.h"
 
+#include "shallotshift/model.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -225,7 +227,7 @@
     J["events"].push_back(toJsonObject(unpack(T, R)));
   if (T.Dropped > 0)
     J["events_not_kept"] = T.Dropped;
-  return J.dump();
+  return canonicalJson(J);
 }
 
 } // namespace shallot
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -8,7 +8,8 @@
   SOURCES FrontFixture.cpp failure/ForeignEntriesNameNoReplica.cpp
           failure/PeersAreToldWhatIsStale.cpp
           failure/RoutesChangeUnderWaitingRequests.cpp
-          failure/StoppingDaemonRefuses.cpp)
+          failure/StoppingDaemonRefuses.cpp
+          failure/TextThatIsNotUtf8.cpp)
 shallot_test(silent_store_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
   SOURCES FrontFixture.cpp failure/StoreConnectionsFallSilent.cpp)
