http1: a closed connection lets go of its handlers

Cause: StreamSocket keeps the callbacks of its reader, which own the Connection or Link that owns the socket; close() dropped only one of three.

Change: close() drops all. The callback that is running is held outside of the object while it runs. shallot_live_connections counts those in memory.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -325,6 +325,7 @@
   Meter.gauge("shallot_internal_errors", {}, double(faultCount()));
   Meter.gauge("shallot_in_flight", {}, double(Requests.inFlight()));
   Meter.gauge("shallot_caller_connections", {}, double(Callers->connections()));
+  Meter.gauge("shallot_live_connections", {}, double(liveConnections()));
   Meter.gauge("shallot_replicas_known", {}, double(Replicas.size()));
   std::uint64_t Version = Requests.config() ? Requests.config()->version() : 0;
   Meter.gauge("shallot_config_version", {}, double(Version));
--- a/packages/http1/StreamSocket.cpp
+++ b/packages/http1/StreamSocket.cpp
@@ -17,10 +17,13 @@
 } // namespace
 
 StreamSocket::StreamSocket(EventLoop &Loop)
-    : Loop(Loop), Socket(Loop.context()) {}
+    : Loop(Loop), Socket(Loop.context()) {
+  ++Live;
+}
 
 StreamSocket::StreamSocket(EventLoop &Loop, asio::ip::tcp::socket S)
     : Loop(Loop), Socket(std::move(S)) {
+  ++Live;
   setUp();
 }
 
@@ -74,9 +77,13 @@
 void StreamSocket::received(const asio::error_code &E, std::size_t Size) {
   if (E)
     return ended(E == asio::error::eof ? StreamEnd::Closed : StreamEnd::Broken);
-  OnData(std::string_view(Buffer.data(), Size));
-  if (!Ended)
-    readMore();
+  // Out of reach of close(), which may be called within.
+  DataFn Data = std::move(OnData);
+  Data(std::string_view(Buffer.data(), Size));
+  if (Ended)
+    return;
+  OnData = std::move(Data);
+  readMore();
 }
 
 bool StreamSocket::write(std::string Bytes) {
@@ -157,8 +164,9 @@
   Ended = true;
   asio::error_code Ignored;
   Socket.close(Ignored);
-  // What the callbacks hold may hold this object.
   OnSent = nullptr;
+  OnData = nullptr;
+  OnEnd = nullptr;
 }
 
 } // namespace shallot::internal
--- a/packages/http1/StreamSocket.h
+++ b/packages/http1/StreamSocket.h
@@ -36,11 +36,18 @@
   explicit StreamSocket(EventLoop &Loop);
   /// Takes over an accepted connection.
   StreamSocket(EventLoop &Loop, asio::ip::tcp::socket Socket);
+  ~StreamSocket() { --Live; }
+  StreamSocket(const StreamSocket &) = delete;
+  StreamSocket &operator=(const StreamSocket &) = delete;
+
+  /// How many exist in this process, open or not.
+  static std::size_t live() { return Live; }
 
   /// \p Done is called once; not after close().
   void connect(const Endpoint &To, ConnectFn Done);
   /// Calls \p OnData for each piece and \p OnEnd once when nothing more comes;
-  /// neither after close().
+  /// neither after close(), which drops both: they usually own what owns this
+  /// object.
   void read(DataFn OnData, EndFn OnEnd);
   /// False when the connection is already broken and none of it was taken.
   bool write(std::string Bytes);
@@ -63,6 +70,8 @@
   void flush();
   void ended(StreamEnd How);
 
+  static inline std::size_t Live = 0;
+
   EventLoop &Loop;
   asio::ip::tcp::socket Socket;
   std::array<char, ReadBytes> Buffer;
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -322,6 +322,8 @@
     close(L);
 }
 
+std::size_t liveConnections() { return StreamSocket::live(); }
+
 UpstreamPool::UpstreamPool(EventLoop &Loop, TimerQueue &Timers,
                            UpstreamPoolOptions O)
     : I(std::make_shared<Impl>(Loop, Timers, O)) {}
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -76,6 +76,10 @@
                          const UpstreamPoolOptions &) = default;
 };
 
+/// Connections to callers and to replicas that this process holds in memory,
+/// open or not.
+std::size_t liveConnections();
+
 struct UpstreamPoolCounters {
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
