http1, front: messages without end share a bound of memory

What was seen: a replica whose bodies never end, read by 12 callers, took the daemon from 16 MB to 272 MB within a second. The smallest host gives 112 MB.

Cause: each reply could take 16 MB, however many were under way; so it was for what callers send, and for answers that they do not take.

Change: replies that are being read share an eighth of the process's memory (memory_mb, 112 if it is not set). Beyond it the largest is given up, of those without a known length if there are any; it counts as lost, so its replica is left alone soon. Callers' half requests and untaken answers share another eighth; a request that is given up is refused as not run (503, SS2016). Of a large part of a search only the records that can be in the answer are kept while others are awaited. A reply behind more than 16 heads of class 1xx is none. The servers for short questions take no large bodies.

Why this works: every byte that waits in a connection's buffer is counted, and the sum is brought back below the bound before more is read.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -6,6 +6,8 @@
 //===----------------------------------------------------------------------===//
 #include "forward/ForwardRun.h"
 
+#include "forward/RecordMerge.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -16,6 +18,9 @@
 /// Time left of the latency objective when a partial answer is sent: the way to
 /// the caller (1 to 3 ms), merging, and one iteration of a busy event loop.
 constexpr Duration ObjectiveMargin = Millis(9);
+/// The body of a part that is kept as it came; of a larger one only the records
+/// that can be in the answer.
+constexpr std::size_t MaxPartBytes = 64 << 10;
 /// Time left of the deadline when an error is sent.
 constexpr Duration DeadlineMargin = Millis(12);
 
@@ -409,6 +414,9 @@
   P.Reply = std::move(*Result.Reply);
   if (!isUsable(P.Reply))
     return;
+  // The other parts may be long in coming, and no more than this is used.
+  if (Fan && P.Reply.Body.size() > MaxPartBytes)
+    P.Reply.Body = greatestRecords({P.Reply.Body}, Fan->MaxRecords);
   P.Succeeded = true;
   ++Stats.PartsSucceeded;
 }
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -71,8 +71,30 @@
   return attempt([&] { return StopPlan::make(T); }).value();
 }
 
-CallerServerOptions callerOptions(const CallerLimits &L) {
+/// Part of the memory for replies that are being read, and the same for what
+/// callers send and don't take. A buffer that grows takes up to three times its
+/// size for a moment.
+constexpr std::size_t BufferDivisor = 8;
+
+UpstreamPoolOptions poolOptions(const FrontSettings &Set) {
+  UpstreamPoolOptions O;
+  O.MaxBufferedBytes = Set.MemoryBytes / BufferDivisor;
+  O.MaxReplyBytes = std::min(O.MaxReplyBytes, O.MaxBufferedBytes);
+  return O;
+}
+
+/// Of the servers for short questions without a body.
+HttpServerLimits questionLimits() {
+  HttpServerLimits L;
+  L.MaxBodyBytes = 4 << 10;
+  L.MaxHeaderBytes = 4 << 10;
+  return L;
+}
+
+CallerServerOptions callerOptions(const FrontSettings &Set,
+                                  const CallerLimits &L) {
   CallerServerOptions O;
+  O.MaxBufferedBytes = Set.MemoryBytes / BufferDivisor;
   O.MaxHeaderBytes = L.MaxHeaderBytes;
   O.MaxBodyBytes = L.MaxBodyBytes;
   O.HeaderTimeout = L.HeaderTimeout;
@@ -88,7 +110,7 @@
       : Loop(Loop), Set(Set), Adapter(std::move(Adapter)), Rng(Seed),
         Timers(Loop), Replicas(Set.Here, registryOptions(Set)),
         Requests(Loop, Timers, this->Adapter.Headers, Replicas, {Set.Retries},
-                 Rng, Meter),
+                 Rng, Meter, poolOptions(Set)),
         Last{Loop.now(), suspendedTime()}, Before(Last), Started(Last.At),
         RetryShare(retryLookback(Set), 1), Load(capacityOf(Set)),
         LoadAt(Started) {}
@@ -175,7 +197,7 @@
 
 Result<void> FrontDaemon::Impl::openHttp() {
   auto Serve = [&](const Endpoint &At, HttpServer::Handler Fn) {
-    return HttpServer::open(Loop, At, {}, std::move(Fn));
+    return HttpServer::open(Loop, At, questionLimits(), std::move(Fn));
   };
   BOOST_LEAF_ASSIGN(
       Readiness,
@@ -213,7 +235,7 @@
   }
   BOOST_LEAF_ASSIGN(
       Callers,
-      CallerServer::open(Loop, Timers, Set.Callers, callerOptions({}),
+      CallerServer::open(Loop, Timers, Set.Callers, callerOptions(Set, {}),
                          [this](const ExchangePtr &E) { Requests.handle(E); }));
   BOOST_LEAF_CHECK(openHttp());
   Fleet->start();
@@ -322,6 +344,11 @@
   Meter.gauge("shallot_upstream_connections_opened", {}, double(C.Opened));
   Meter.gauge("shallot_upstream_connections_reused", {}, double(C.Reused));
   Meter.gauge("shallot_upstream_stray_bytes", {}, double(C.Stray));
+  Meter.gauge("shallot_upstream_replies_too_large", {}, double(C.TooLarge));
+  Meter.gauge("shallot_buffered_bytes", {{"of", "replies"}},
+              double(Requests.bufferedBytes()));
+  Meter.gauge("shallot_buffered_bytes", {{"of", "callers"}},
+              double(Callers->bufferedBytes()));
   Meter.gauge("shallot_internal_errors", {}, double(faultCount()));
   Meter.gauge("shallot_in_flight", {}, double(Requests.inFlight()));
   Meter.gauge("shallot_caller_connections", {}, double(Callers->connections()));
@@ -480,7 +507,7 @@
   logEvent(LogLevel::Info, "config_installed",
            {{"version", std::to_string(Config.version())},
             {"routes", std::to_string(Config.routes().size())}});
-  I->Callers->setOptions(callerOptions(Config.limits()));
+  I->Callers->setOptions(callerOptions(I->Set, Config.limits()));
   auto Installed = std::make_shared<const ServingConfig>(std::move(Config));
   // Requests whose route has gone are refused for that reason, not for lack of
   // a quota.
--- a/packages/front/FrontSettings.cpp
+++ b/packages/front/FrontSettings.cpp
@@ -17,6 +17,8 @@
 constexpr double MaxSeconds = 3600;
 constexpr double MaxRetries = 1e6;
 constexpr double MaxCores = 4096;
+constexpr std::uint64_t MinMemoryMb = 16;
+constexpr std::uint64_t MaxMemoryMb = 1 << 20;
 constexpr int MaxPort = 65535;
 
 Result<Endpoint> endpoint(JsonFields &F, std::string_view Key) {
@@ -130,6 +132,10 @@
   BOOST_LEAF_AUTO(Share, F.number("cpu_share", 0, 1));
   BOOST_LEAF_AUTO(Cores, F.number("cores", 0, MaxCores));
   S.Cores = Share * Cores;
+  if (F.has("memory_mb")) {
+    BOOST_LEAF_AUTO(Mb, F.integer("memory_mb", MinMemoryMb, MaxMemoryMb));
+    S.MemoryBytes = static_cast<std::size_t>(Mb) << 20;
+  }
   if (S.Retries.Window < Seconds(1))
     return fail(ResultCode::OutOfRange, "retry_window_s: must be at least 1");
   return {};
--- a/packages/front/FrontSettings.h
+++ b/packages/front/FrontSettings.h
@@ -14,6 +14,7 @@
 //    "zones": {"dkh-hall-1": "darkhan"},
 //    "stop_grace_s": 6, "drain_ms": 3000, "entry_validity_s": 5,
 //    "cpu_share": 0.25, "cores": 1,
+//    "memory_mb": 260,
 //    "retry_ratio": 0.2, "retry_window_s": 10, "retry_constant": 52,
 //    "evacuation_ms": 5000, "warmup_overage": 1.5, "warmup_slack": 5,
 //    "quota_window_s": 5, "quota_overage": 0.1, "quota_slack": 20,
@@ -66,6 +67,9 @@
   /// gossip or quotas use it: no reports.
   std::optional<Endpoint> Reports;
   double Cores = 0; ///< Share of the host for this process, in cores.
+  /// What this process may take of the host's memory, in bytes. Where it is not
+  /// set, that of the smallest hosts.
+  std::size_t MemoryBytes = std::size_t(112) << 20;
 
   friend bool operator==(const FrontSettings &,
                          const FrontSettings &) = default;
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -308,9 +308,10 @@
 
 RequestHandler::RequestHandler(EventLoop &Loop, TimerQueue &Timers,
                                HeaderNames Names, ReplicaRegistry &Replicas,
-                               ForwardRules Rules, Random &Rng, Metrics &Meter)
+                               ForwardRules Rules, Random &Rng, Metrics &Meter,
+                               UpstreamPoolOptions Connections)
     : I(std::make_unique<Impl>(Loop, Timers, std::move(Names), Replicas, Rules,
-                               Rng, Meter)) {}
+                               Rng, Meter, Connections)) {}
 
 RequestHandler::~RequestHandler() = default;
 
@@ -370,6 +371,10 @@
 
 std::uint64_t RequestHandler::handled() const { return I->Handled; }
 
+std::size_t RequestHandler::bufferedBytes() const {
+  return I->Pool.bufferedBytes();
+}
+
 const UpstreamPoolCounters &RequestHandler::connectionCounters() const {
   return I->Pool.counters();
 }
--- a/packages/front/RequestHandler.h
+++ b/packages/front/RequestHandler.h
@@ -25,7 +25,7 @@
 public:
   RequestHandler(EventLoop &Loop, TimerQueue &Timers, HeaderNames Names,
                  ReplicaRegistry &Replicas, ForwardRules Rules, Random &Rng,
-                 Metrics &Meter);
+                 Metrics &Meter, UpstreamPoolOptions Connections = {});
   ~RequestHandler();
   RequestHandler(const RequestHandler &) = delete;
   RequestHandler &operator=(const RequestHandler &) = delete;
@@ -56,6 +56,8 @@
   /// Number of requests received.
   std::uint64_t handled() const;
   const UpstreamPoolCounters &connectionCounters() const;
+  /// Memory of the replies that are being read.
+  std::size_t bufferedBytes() const;
   /// Quarantine state of requests that crashed replicas.
   QuarantineGate &quarantine();
 
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -44,9 +44,9 @@
 
   Impl(EventLoop &Loop, TimerQueue &Timers, HeaderNames Names,
        ReplicaRegistry &Replicas, ForwardRules Rules, Random &Rng,
-       Metrics &Meter)
+       Metrics &Meter, UpstreamPoolOptions Connections)
       : Timers(Timers), Names(std::move(Names)),
-        Pool(Loop, Timers, {}), Shared{Replicas, Budgets, ServiceTimes, Rng,
+        Pool(Loop, Timers, Connections), Shared{Replicas, Budgets, ServiceTimes, Rng,
                                        Rules},
         Meter(Meter), Crashes(Pool, Timers), Gate(Loop, Meter) {}
   ~Impl() { Timers.cancel(AdmissionTimer); }
--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -4,7 +4,9 @@
 #include "http1/MessageReader.h"
 #include "http1/MessageText.h"
 #include "http1/StreamSocket.h"
+#include "shallotshift/telemetry.h"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <poll.h>
@@ -68,6 +70,7 @@
     return static_cast<double>(Open.size()) >
            CrowdedPart * static_cast<double>(Options.MaxConnections);
   }
+  void endLargest();
   void listen(const Endpoint &At);
   void accept();
   void add(asio::ip::tcp::socket Sock);
@@ -80,6 +83,7 @@
   asio::ip::tcp::acceptor Acceptor;
   std::unordered_set<ConnectionPtr> Open;
   std::size_t InFlight = 0;
+  std::size_t Buffered = 0; ///< By all connections.
   bool Closing = false;
   bool Stopping = false;
 };
@@ -99,6 +103,8 @@
   void refuse(ResultCode Code, std::string_view Detail);
   void gone();
   void closeNow();
+  void endForSize();
+  std::size_t held() const { return Held; }
   bool idle() const {
     return !Busy && Reader.state() == ReadState::Waiting && Ahead.empty() &&
            Socket->unsent() == 0;
@@ -114,6 +120,8 @@
   class CallerExchange;
 
   void data(std::string_view Bytes);
+  void hold(std::size_t Bytes);
+  void countBuffers();
   void parse(std::string_view Bytes);
   void handle();
   void wait(Duration D, ResultCode OnTimeout);
@@ -139,6 +147,7 @@
   bool Draining = false; ///< The last answer was given; what comes is dropped.
   bool SawContinue = false;
   TimerQueue::Key Timer = 0;
+  std::size_t Held = 0; ///< Counted in Impl::Buffered.
 };
 
 class Connection::CallerExchange : public Exchange {
@@ -205,13 +214,42 @@
     return;
   if (!Busy) {
     parse(Bytes);
+    countBuffers();
     return;
   }
   Ahead.append(Bytes);
+  countBuffers();
   if (Ahead.size() > MaxAheadBytes)
     gone();
 }
 
+void Connection::hold(std::size_t Bytes) {
+  S->Buffered += Bytes - Held;
+  Held = Bytes;
+}
+
+void Connection::countBuffers() {
+  if (!Socket->open())
+    return;
+  hold(Reader.heldBytes() + Ahead.capacity() + Socket->unsent());
+  if (S->Buffered > S->Options.MaxBufferedBytes)
+    S->endLargest();
+}
+
+/// It holds more than any other connection while all together hold too much.
+void Connection::endForSize() {
+  logEvent(LogLevel::Warn, "connection_too_large",
+           {{"bytes", std::to_string(Held)},
+            {"of", std::to_string(S->Buffered)},
+            {"unfinished", unfinished() ? "yes" : "no"}});
+  bool Refusable = unfinished();
+  hold(0);
+  if (!Refusable)
+    return gone();
+  Reader.take();
+  refuse(ResultCode::BuffersFull, "send a smaller body, or try again later");
+}
+
 void Connection::parse(std::string_view Bytes) {
   ReadState Before = Reader.state();
   std::size_t Used = Reader.feed(Bytes);
@@ -276,11 +314,13 @@
   wait(WriteTimeout, ResultCode::Ok);
   auto Self = shared_from_this();
   Socket->whenSent([Self, Close] { Self->afterReply(Close); });
+  countBuffers();
 }
 
 void Connection::afterReply(bool Close) {
   if (!Socket->open())
     return;
+  countBuffers();
   if (Close) {
     Busy = false;
     Socket->closeSending();
@@ -318,6 +358,7 @@
 
 void Connection::closeNow() {
   S->Timers.cancel(Timer);
+  hold(0);
   Socket->close();
   S->Open.erase(shared_from_this());
 }
@@ -333,6 +374,12 @@
   accept();
 }
 
+void CallerServer::Impl::endLargest() {
+  ConnectionPtr Largest = *std::ranges::max_element(
+      Open, {}, [](const ConnectionPtr &C) { return C->held(); });
+  Largest->endForSize();
+}
+
 void CallerServer::Impl::accept() {
   Acceptor.async_accept([Weak = weak_from_this()](const asio::error_code &E,
                                                   asio::ip::tcp::socket Sock) {
@@ -424,4 +471,6 @@
 
 std::size_t CallerServer::inFlight() const { return I->InFlight; }
 
+std::size_t CallerServer::bufferedBytes() const { return I->Buffered; }
+
 } // namespace shallot
--- a/packages/http1/CallerServer.h
+++ b/packages/http1/CallerServer.h
@@ -28,6 +28,10 @@
   Duration HeaderTimeout = Seconds(5);
   Duration IdleTimeout = Seconds(30);
   std::size_t MaxConnections = 3000;
+  /// Memory of requests that are being read and of answers that their callers
+  /// have not taken. Beyond it the connection that holds most is ended: with
+  /// BuffersFull if its request has not been read whole.
+  std::size_t MaxBufferedBytes = 16 << 20;
 
   friend bool operator==(const CallerServerOptions &,
                          const CallerServerOptions &) = default;
@@ -69,6 +73,8 @@
   void refuseUnfinished(ResultCode Code, std::string_view Detail);
   std::size_t connections() const;
   std::size_t inFlight() const;
+  /// Memory that counts toward MaxBufferedBytes.
+  std::size_t bufferedBytes() const;
 
   struct Impl;
 
--- a/packages/http1/MessageReader.cpp
+++ b/packages/http1/MessageReader.cpp
@@ -12,6 +12,10 @@
 constexpr int SkipBody = 1;
 constexpr int Stop = -1;
 
+/// A reply is announced by one or two of class 1xx. Without a bound, a server
+/// that sends nothing else keeps its reader busy for ever.
+constexpr unsigned MaxInterims = 16;
+
 } // namespace
 
 MessageReader::MessageReader(MessageKind Kind, MessageLimits Limits)
@@ -26,6 +30,8 @@
   State = ReadState::Waiting;
   M = Message();
   HeaderBytes = 0;
+  Interims = 0;
+  LengthKnown = false;
   InValue = false;
   NoBody = false;
 }
@@ -118,6 +124,7 @@
     R.M.Status = static_cast<int>(P->status_code);
   R.M.Http10 = P->http_major < 1 || (P->http_major == 1 && P->http_minor == 0);
   bool HasLength = !(P->flags & F_CHUNKED) && P->content_length != UINT64_MAX;
+  R.LengthKnown = HasLength;
   if (HasLength && P->content_length > R.Limits.MaxBodyBytes) {
     R.State = ReadState::BodyTooLarge;
     return Stop;
@@ -141,6 +148,10 @@
   bool Interim =
       R.Kind == MessageKind::Reply && R.M.Status >= 100 && R.M.Status < 200;
   if (Interim) {
+    if (++R.Interims > MaxInterims) {
+      R.State = ReadState::Malformed;
+      return Stop;
+    }
     R.M = Message();
     R.InValue = false;
     R.State = ReadState::Waiting;
--- a/packages/http1/MessageReader.h
+++ b/packages/http1/MessageReader.h
@@ -65,6 +65,10 @@
   void feedEnd();
 
   ReadState state() const { return State; }
+  /// The length of the body is known before it has come.
+  bool lengthKnown() const { return LengthKnown; }
+  /// Memory that the message takes so far, in bytes.
+  std::size_t heldBytes() const { return M.Body.capacity() + HeaderBytes; }
   /// The whole message; the reader is then ready for the next.
   Message take();
   /// What is known so far: the headers are in for Body.
@@ -95,6 +99,8 @@
   ReadState State = ReadState::Waiting;
   Message M;
   std::size_t HeaderBytes = 0;
+  unsigned Interims = 0; ///< 1xx replies before this one.
+  bool LengthKnown = false;
   bool InValue = false;
   bool NoBody = false;
 };
--- a/packages/http1/StreamSocket.cpp
+++ b/packages/http1/StreamSocket.cpp
@@ -142,7 +142,7 @@
 void StreamSocket::whenSent(std::function<void()> Fn) {
   if (unsent() == 0)
     Fn();
-  else
+  else if (!Ended)
     OnSent = std::move(Fn);
 }
 
--- a/packages/http1/StreamSocket.h
+++ b/packages/http1/StreamSocket.h
@@ -53,7 +53,8 @@
   bool write(std::string Bytes);
   /// Bytes that the kernel has not taken yet.
   std::size_t unsent() const { return Queue.size() - QueueAt; }
-  /// Calls \p Fn when unsent() has come to 0; at once when it is.
+  /// Calls \p Fn when unsent() has come to 0; at once when it is. Not after
+  /// close() if it is not.
   void whenSent(std::function<void()> Fn);
   /// Ends the sending side; the other end sees all that was written.
   void closeSending();
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -28,6 +28,7 @@
 /// Why a call was lost.
 constexpr std::string_view Reset = "reset";
 constexpr std::string_view ClosedEarly = "closed early";
+constexpr std::string_view TooLarge = "too large";
 
 Duration keepAliveOf(const HttpHeaders &Headers) {
   std::string_view Value = headerValue(Headers, "Keep-Alive");
@@ -60,6 +61,7 @@
     Callback Done;
     bool Sent = false;
     Instant SentAt;
+    std::size_t Held = 0; ///< Counted in Buffered.
     TimerQueue::Key ConnectTimer = 0;
     std::function<void(ConnectEnd)> Trial;
 
@@ -84,6 +86,8 @@
   void whole(const LinkPtr &L, bool Rest);
   void finish(const LinkPtr &L, UpstreamReply Reply);
   void lose(const LinkPtr &L, std::string_view Why);
+  void hold(Link &L, std::size_t Bytes);
+  void loseLargest();
   void keep(const LinkPtr &L);
   void forget(const LinkPtr &L);
   void close(const LinkPtr &L);
@@ -95,6 +99,7 @@
   UpstreamPoolCounters Counters;
   std::map<Endpoint, std::vector<LinkPtr>> Idle; ///< Last used at the back.
   std::size_t IdleCount = 0;
+  std::size_t Buffered = 0; ///< By the replies that are being read.
   std::unordered_map<CallId, LinkPtr> Calls;
   CallId LastCall = 0;
 };
@@ -206,15 +211,40 @@
     whole(L, Used < Bytes.size());
     return;
   case ReadState::Malformed:
+    lose(L, "bad bytes");
+    return;
   case ReadState::HeadersTooLarge:
   case ReadState::BodyTooLarge:
-    lose(L, "bad bytes");
+    ++Counters.TooLarge;
+    lose(L, TooLarge);
     return;
   default:
+    hold(*L, L->Reader->heldBytes());
+    if (Buffered > Options.MaxBufferedBytes)
+      loseLargest();
     return;
   }
 }
 
+void UpstreamPool::Impl::hold(Link &L, std::size_t Bytes) {
+  Buffered += Bytes - L.Held;
+  L.Held = Bytes;
+}
+
+/// Of the replies whose end is not in sight, if there are any: those without
+/// end are among them.
+void UpstreamPool::Impl::loseLargest() {
+  auto Rank = [](const auto &Call) {
+    const Link &L = *Call.second;
+    return std::pair(L.Held > 0 && !L.Reader->lengthKnown(), L.Held);
+  };
+  auto Largest = std::ranges::max_element(Calls, {}, Rank);
+  if (Largest == Calls.end())
+    return;
+  ++Counters.TooLarge;
+  lose(LinkPtr(Largest->second), TooLarge);
+}
+
 void UpstreamPool::Impl::ended(const LinkPtr &L, StreamEnd How) {
   if (!L->Call) {
     close(L);
@@ -232,6 +262,7 @@
 /// \p Rest: the connection is of no further use whatever the reply says.
 void UpstreamPool::Impl::whole(const LinkPtr &L, bool Rest) {
   Message M = L->Reader->take();
+  hold(*L, 0);
   std::string_view Echo = headerValue(M.Headers, L->Request.EchoName);
   if (!L->Request.EchoName.empty() && !Echo.empty() &&
       Echo != L->Request.EchoValue) {
@@ -291,6 +322,7 @@
 
 void UpstreamPool::Impl::close(const LinkPtr &L) {
   Timers.cancel(L->ConnectTimer);
+  hold(*L, 0);
   L->Socket->close();
   forget(L);
 }
@@ -406,6 +438,8 @@
 
 std::size_t UpstreamPool::idle() const { return I->IdleCount; }
 
+std::size_t UpstreamPool::bufferedBytes() const { return I->Buffered; }
+
 const UpstreamPoolCounters &UpstreamPool::counters() const {
   return I->Counters;
 }
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -69,6 +69,9 @@
 struct UpstreamPoolOptions {
   Duration ConnectTimeout = Millis(250);
   std::size_t MaxReplyBytes = 16 << 20;
+  /// Memory of all replies that are being read. Beyond it the largest is given
+  /// up, which is not an honest one when replicas send without end.
+  std::size_t MaxBufferedBytes = 16 << 20;
   /// Idle connections that are kept over all replicas.
   std::size_t MaxIdle = 1500;
 
@@ -84,6 +87,7 @@
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
   std::uint64_t Stray = 0; ///< Bytes that belonged to no request.
+  std::uint64_t TooLarge = 0; ///< Replies given up for their size.
 };
 
 class UpstreamPool {
@@ -112,6 +116,8 @@
   /// the paths may have forgotten them.
   void closeIdle();
   std::size_t idle() const;
+  /// Memory of the replies that are being read.
+  std::size_t bufferedBytes() const;
   const UpstreamPoolCounters &counters() const;
 
 private:
