fleet: a daemon that was paused judges silent peers again

Cause: after a pause nobody was accused until two peers, or all that are known, had answered. When all are gone nobody ever answers, so they stayed live.

Change: nobody is accused for 2 s after a pause; then silent peers are judged as always. All evidence that counts began after the pause: its probe is dropped and running suspicions are delayed by it. When no peer is left, there is none to catch up with, and the daemon shows itself again.

mayAct() stays false until then, as before.

--- a/packages/fleet/MembershipProbes.cpp
+++ b/packages/fleet/MembershipProbes.cpp
@@ -62,7 +62,7 @@
   const MemberRecord *R = Table.find(Done.Target.Host);
   bool Same = R && R->Update.Who.Id == Done.Target &&
               R->Update.Version == Done.Version && isLive(*R);
-  if (NeedsCatchUp || !Same || R->HeardAt > Done.SentAt)
+  if (Now < AccuseFrom || !Same || R->HeardAt > Done.SentAt)
     return;
   MemberUpdate Accusation = R->Update;
   Accusation.ObservedHealth = Health::Suspect;
@@ -172,7 +172,7 @@
 //===----------------------------------------------------------------------===//
 
 void Membership::Impl::tickSuspects(Instant Now) {
-  if (NeedsCatchUp)
+  if (Now < AccuseFrom)
     return;
   std::vector<HostId> Due;
   const MemberRecord *ToProbe = nullptr;
--- a/packages/fleet/MembershipState.h
+++ b/packages/fleet/MembershipState.h
@@ -191,6 +191,7 @@
   bool IsSuperseded = false;
   Instant NextCatchUpAt;
   std::uint64_t ResumeSequence = 0;
+  Instant AccuseFrom; ///< Nobody is accused before, after a pause.
   std::set<HostId> PeersSinceResume;
   Instant SelfFailedUntil;
   bool SelfShownFailed = false;
--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -21,6 +21,9 @@
 /// may have been paused too, for example on the same rack.
 constexpr std::size_t PeersAfterPause = 2;
 
+/// Time for peers that run to be heard after a pause, before any is accused.
+constexpr Duration ResumeGrace = Seconds(2);
+
 /// The most peers tracked since the last pause; no caller needs a higher count.
 constexpr std::size_t MaxPeersSinceResume = 64;
 
@@ -67,8 +70,11 @@
 /// that now belong to others. So the pause is not counted as silence of any
 /// member, and mayAct() is false until peers have answered requests sent after
 /// the pause. Datagrams that were queued in the socket meanwhile do not count.
+/// Peers that are silent after the pause are judged as always, if a little
+/// later: all of them may have gone meanwhile, and would be waited for for ever.
 void Membership::Impl::onResume(Duration Gap, Instant Now) {
   NeedsCatchUp = true;
+  AccuseFrom = Now + ResumeGrace;
   Probe.reset();
   HelperProbes.clear();
   PendingSyncs.clear();
--- a/tests/failure/PausedDaemonWaits.cpp
+++ b/tests/failure/PausedDaemonWaits.cpp
@@ -81,3 +81,18 @@
   CHECK(Bag.countEvents(MembershipEventKind::Failed) == 0);
   CHECK(Bag.agreed());
 }
+
+// Guards against a daemon that waits for ever for peers that are gone.
+TEST_CASE("a resumed daemon whose peers were lost meanwhile goes on alone") {
+  FleetBag Bag(6, 8);
+  Bag.startMet();
+  Bag.run(Seconds(5));
+  Bag.pause(2, Seconds(4));
+  Bag.run(Seconds(1));
+  for (std::size_t N : {0, 1, 3, 4, 5})
+    Bag.crash(N);
+  Bag.run(Seconds(3) + Seconds(40));
+  CHECK(Bag.at(2).peersKnown() == 0);
+  CHECK(Bag.at(2).mayAct(Bag.Now));
+  CHECK(Bag.seen(2, 2) == MemberState::Alive);
+}
