fleet, front, platform: parts of a fleet find each other in the store

What was seen: a machine was added after the loss of the machines that were its seeds.

Cause: the seeds of the first settings were the only way into the fleet, and a daemon that they did not answer took its view of one for the whole fleet, for every decision that needs the fleet's view. Changed settings were not used.

Change: - One record in the store names a few daemons that run. One daemon of each region watches it, one of a group writes it when too few of the group are in it, and who knows no other reads it. Its addresses only add members, and are asked under the daemon's name. - A daemon that knows no other acts as the owner of quotas only once it is known to be alone: it has written itself in place of all that did not answer, and no group has answered that write for a second.

Why this works: any group that reaches the store sees a write that does not name it, and answers; so a record that stands is proof for whoever could be asked. A store that fails leaves groups as they are.

--- a/packages/fleet/Membership.cpp
+++ b/packages/fleet/Membership.cpp
@@ -113,6 +113,12 @@
   return I->take(Before);
 }
 
+void Membership::setSeeds(std::vector<Endpoint> Seeds, Instant Now) {
+  I->Seeds = std::move(Seeds);
+  I->NextSeed = 0;
+  I->NextSeedAt = Now;
+}
+
 MembershipOutput Membership::setSelfState(MemberState State, Instant Now) {
   std::uint64_t Before = I->Table.view().Number;
   I->detectPause(Now);
--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -172,6 +172,8 @@
   /// Replaces the previous host list of the platform.
   MembershipOutput onHostList(const std::vector<ListedHost> &Hosts,
                               Instant Now);
+  /// Replaces the gossip endpoints of the seeds.
+  void setSeeds(std::vector<Endpoint> Seeds, Instant Now);
   /// Sets the state of this daemon (Starting, Alive, Leaving or Left) and
   /// notifies a few members at once. Has no effect once the state is Left.
   MembershipOutput setSelfState(MemberState State, Instant Now);
--- a/packages/fleet/MembershipState.h
+++ b/packages/fleet/MembershipState.h
@@ -134,7 +134,11 @@
   void applyHostList(const std::vector<ListedHost> &Hosts);
   const ListedHost *findListed(const HostId &Host) const;
   void applyListedState(const HostId &Host);
-  std::vector<Endpoint> unknownSeeds() const;
+  struct Seed {
+    Endpoint At;
+    DaemonId Who; ///< Empty: any daemon there.
+  };
+  std::vector<Seed> unknownSeeds() const;
   bool isLiveMemberAt(const Endpoint &E) const;
 
   // Shared.
--- a/packages/fleet/MembershipSync.cpp
+++ b/packages/fleet/MembershipSync.cpp
@@ -158,7 +158,7 @@
 void Membership::Impl::tickSeeds(Instant Now) {
   if (Now < NextSeedAt)
     return;
-  std::vector<Endpoint> Unknown = unknownSeeds();
+  std::vector<Seed> Unknown = unknownSeeds();
   bool IsAlone = peersHeard() == 0;
   double Senders = static_cast<double>(Table.live());
   double Count = std::max<double>(1, static_cast<double>(Unknown.size()));
@@ -170,25 +170,28 @@
   double Ms = toMillisF(Period) * (IsAlone ? 1 : Factor);
   NextSeedAt = Now + fromMillisF(Ms * (0.5 + uniform01(Rng)));
   std::size_t AtOnce = std::min(IsAlone ? SeedsPerAttempt : 1, Unknown.size());
-  for (std::size_t N = 0; N < AtOnce; ++N)
-    sendSyncRequest(Unknown[NextSeed++ % Unknown.size()], DaemonId(), Now);
+  for (std::size_t N = 0; N < AtOnce; ++N) {
+    const Seed &S = Unknown[NextSeed++ % Unknown.size()];
+    sendSyncRequest(S.At, S.Who, Now);
+  }
   if (!SeedsTried && NextSeed >= Unknown.size()) {
     SeedsTried = true;
     SeedsTriedAt = Now;
   }
 }
 
-/// Seeds without a live member, and listed hosts that are unknown or Left.
-/// Listed hosts that are Failed are probed as tombstones.
-std::vector<Endpoint> Membership::Impl::unknownSeeds() const {
-  std::vector<Endpoint> Unknown;
+/// Seeds without a live member, and listed hosts that are no live members. A
+/// listed host that was lost may be back at another address than its tombstone
+/// has.
+std::vector<Membership::Impl::Seed> Membership::Impl::unknownSeeds() const {
+  std::vector<Seed> Unknown;
   for (const Endpoint &E : Seeds)
     if (E != Self.Who.Gossip && !isLiveMemberAt(E))
-      Unknown.push_back(E);
+      Unknown.push_back({E, DaemonId()});
   for (const ListedHost &H : Listed) {
     const MemberRecord *R = Table.find(H.Host);
-    if (!R || visibleState(*R) == MemberState::Left)
-      Unknown.push_back(H.Gossip);
+    if (!R || !isLive(*R))
+      Unknown.push_back({H.Gossip, {H.Host, 0}});
   }
   return Unknown;
 }
--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -179,6 +179,10 @@
   const DaemonId &From = M.Sender.Who.Id;
   if (From == Self.Who.Id)
     return; // The seeds may include our own endpoint.
+  // A list may be old, and the address another fleet's by now.
+  bool ForAnother = !M.Target.Host.empty() && M.Target.Host != Self.Who.Id.Host;
+  if (M.Kind == GossipKind::SyncRequest && ForAnother)
+    return;
   LastHeardAt = Now;
   applyUpdate(M.Sender, From.Host, Now);
   Table.recordContact(M, Now);
--- a/packages/fleet/include/shallotshift/fleet.h
+++ b/packages/fleet/include/shallotshift/fleet.h
@@ -1,7 +1,8 @@
 //===- shallotshift/fleet.h - Membership and configuration ------*- C++ -*-===//
 //
 // The public header of package fleet: group membership and failure detection
-// (Membership.h, GossipMessage.h), the addresses that callers connect to
+// (Membership.h, GossipMessage.h) and how its
+// parts find each other (Rendezvous.h), the addresses that callers connect to
 // (EntryDirectory.h) and the hosts that serve them (EntryHostChoice.h,
 // LoadLevel.h), the start and shutdown of a daemon (Lifecycle.h), and the
 // distribution of the configuration (ConfigSync.h, WatcherChoice.h).
@@ -17,6 +18,7 @@
 #include "fleet/Lifecycle.h"
 #include "fleet/LoadLevel.h"
 #include "fleet/Membership.h"
+#include "fleet/Rendezvous.h"
 #include "fleet/StopSequence.h"
 #include "fleet/WatcherChoice.h"
 
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -160,9 +160,24 @@
   publishRevisions();
   apply(Members.setSelfLoad(Load, Loop.now()));
   apply(Members.setSelfStoreAccess(Access, {}, Loop.now()));
+  apply(Members.onHostList(Contacts, Loop.now()));
   OnChanged();
 }
 
+void FleetLink::setContacts(const std::vector<ListedHost> &Now) {
+  if (Now == Contacts)
+    return;
+  Contacts = Now;
+  apply(Members.onHostList(Contacts, Loop.now()));
+}
+
+void FleetLink::setSeeds(const std::vector<Endpoint> &Seeds) {
+  if (Seeds == Set.Seeds)
+    return;
+  Set.Seeds = Seeds;
+  Members.setSeeds(gossipSeeds(Set), Loop.now());
+}
+
 FleetShare FleetLink::sharing() const {
   return sharingAmongEntryHosts(view(), Set.Host, Set.Here.Reg);
 }
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -74,6 +74,15 @@
   /// Whether the view holds (almost) all of the fleet: no new member was found
   /// for ViewQuietTime, or the view is settled.
   bool viewComplete(Instant Now) const;
+  /// Asks \p Contacts as the seeds are asked, besides these.
+  void setContacts(const std::vector<ListedHost> &Contacts);
+  /// Asks these seeds from now on.
+  void setSeeds(const std::vector<Endpoint> &Seeds);
+  /// Whether no other live daemon is known.
+  bool alone() const { return Members.peersKnown() == 0; }
+  /// Whether that is known to be true of the whole fleet (Rendezvous.h).
+  bool confirmedAlone() const { return ConfirmedAlone; }
+  void setConfirmedAlone(bool Is) { ConfirmedAlone = Is; }
   /// This daemon as it announces itself.
   const Member &self() const { return Members.self(); }
   /// Daemons that share the connections to replicas and the retry allowance.
@@ -115,6 +124,8 @@
   Instant LastTick;
   ReadRevisions Announced;
   std::uint64_t SupersedingIncarnation = 0;
+  std::vector<ListedHost> Contacts;
+  bool ConfirmedAlone = true; ///< Until somebody knows better.
 };
 
 } // namespace shallot
--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -87,11 +87,22 @@
   Instant Now = Loop.now();
   if (!Fleet.mayAct(Now) || Fleet.self().State == MemberState::Left)
     return false;
-  if (Fleet.view().Members.size() == 1)
-    return Fleet.settled(Now);
+  if (Fleet.alone())
+    return Fleet.settled(Now) && Fleet.confirmedAlone();
   return Now - std::max(Fleet.heardAt(), HeardAt) < MaxOwnerSilence;
 }
 
+/// A daemon that is alone has been so since before that was confirmed: what it
+/// waits for as an owner began then.
+void QuotaLink::setMayGrant(bool May) {
+  bool SeemsAlone = Fleet.alone() && Fleet.settled(Loop.now());
+  if (!SeemsAlone)
+    AloneSince.reset();
+  else if (!AloneSince)
+    AloneSince = now();
+  Agent.setMayGrant(May, May ? AloneSince.value_or(now()) : now());
+}
+
 /// A daemon that did not run for a time may have lost its accounts meanwhile,
 /// whatever it finds in its sockets.
 void QuotaLink::refresh() {
@@ -99,7 +110,7 @@
                 Loop.now() - CheckedAt >= MaxOwnerSilence;
   CheckedAt = Loop.now();
   Agent.setSelf(Fleet.self().Id);
-  Agent.setMayGrant(!Paused && mayGrant(), now());
+  setMayGrant(!Paused && mayGrant());
   Agent.setViewComplete(Fleet.viewComplete(Loop.now()));
   Agent.setHeardAt(now() - (Loop.now() - std::max(Fleet.heardAt(), HeardAt)));
   if (std::exchange(ViewIsNew, false))
--- a/packages/front/QuotaLink.h
+++ b/packages/front/QuotaLink.h
@@ -53,6 +53,7 @@
   void tick();
   void schedule();
   bool mayGrant() const;
+  void setMayGrant(bool May);
   void refresh();
   void receive(const QuotaMessage &M);
   void apply(const QuotaOutput &Out);
@@ -68,6 +69,8 @@
   Instant TimerAt;
   Instant HeardAt;   ///< A message on quotas.
   Instant CheckedAt; ///< Of mayGrant().
+  /// When the view began to show no other daemon; not set while it shows one.
+  std::optional<Instant> AloneSince;
   bool Enforces = false;
   bool ViewIsNew = true;
 };
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -11,6 +11,7 @@
 
 #include "front/FeedServer.h"
 #include "front/FeedTiming.h"
+#include "front/RendezvousLink.h"
 #include "front/StoreAccessLink.h"
 #include "front/StoreObjectApplier.h"
 #include "front/WatchedKind.h"
@@ -39,6 +40,7 @@
                     evacuationWatchOptions(), evacuationHooks()),
         Sync(Loop, S, Schema.QuarantineKind, D.quarantine().table(),
              D.random()),
+        Meeting(Loop, S, D, Schema.RendezvousKind),
         Access(Loop, S, D, Schema.ConfigKind,
                [this](Duration Took) { renewHanging(Took); }),
         Server(
@@ -118,6 +120,7 @@
 
   void advance() {
     Server.tick();
+    Meeting.tick();
     if (!AllListed)
       updateViewComplete();
     D.fleet().announce(readRevisions());
@@ -383,6 +386,7 @@
   Kind Evacuations; ///< Not started where zones are not evacuated.
   std::vector<NamedKind> Kinds;
   QuarantineSync<Store, EventLoop> Sync;
+  RendezvousLink<Store> Meeting;
   StoreAccessLink<Store> Access;
   FeedServer Server;
   /// How long the watcher of a region may be behind its peers before it tests
--- a/packages/front/StoreObjectApplier.h
+++ b/packages/front/StoreObjectApplier.h
@@ -25,6 +25,8 @@
   std::string ConfigName; ///< The only object of that kind in use.
   std::string ReplicaKind;
   std::string QuarantineKind; ///< Defined by this project.
+  /// The same, of the record in which daemons find each other; empty: none.
+  std::string RendezvousKind;
   /// Objects are named after zones; empty where zones are not evacuated.
   std::string EvacuationKind;
   std::function<Result<ServingConfig>(const KindObject &)> ReadConfig;
