--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -4,8 +4,9 @@
 // something may be served (AllowedRegions.h), time without a
 // clock (Time.h), numbered result codes (ResultCode.h), results (Result.h),
 // header lines (HttpHeader.h), the query of a URL (QueryText.h), counted
-// faults of this program (Faults.h), hashing (Hash.h), random numbers that are passed in (Random.h), bounded rates
-// (TokenBucket.h) and the order of a store's changes (StoreRevision.h).
+// faults of this program (Faults.h), hashing (Hash.h), random numbers that are
+// passed in (Random.h), bounded rates (TokenBucket.h) and the order of a
+// store's changes (StoreRevision.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_BASE_H
--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -71,7 +71,8 @@
 /// member, and mayAct() is false until peers have answered requests sent after
 /// the pause. Datagrams that were queued in the socket meanwhile do not count.
 /// Peers that are silent after the pause are judged as always, if a little
-/// later: all of them may have gone meanwhile, and would be waited for for ever.
+/// later: all of them may have gone meanwhile, and would be waited for for
+/// ever.
 void Membership::Impl::onResume(Duration Gap, Instant Now) {
   NeedsCatchUp = true;
   AccuseFrom = Now + ResumeGrace;
--- a/packages/fleet/Rendezvous.cpp
+++ b/packages/fleet/Rendezvous.cpp
@@ -101,7 +101,8 @@
 }
 
 std::size_t Rendezvous::ownContacts() const {
-  return static_cast<std::size_t>(std::ranges::count(Seen, true, &Contact::Live));
+  return static_cast<std::size_t>(
+      std::ranges::count(Seen, true, &Contact::Live));
 }
 
 bool Rendezvous::mustRead(Instant Now) const {
--- a/packages/fleet/Rendezvous.h
+++ b/packages/fleet/Rendezvous.h
@@ -57,8 +57,8 @@
   /// Applies the fleet as \p Self, a daemon in this view, sees it. Call it when
   /// the view has changed, and after read() and written().
   void setView(const FleetView &View, const Member &Self, Instant Now);
-  /// Whether it waits for changes of the record, instead of reading it from time
-  /// to time.
+  /// Whether it waits for changes of the record, instead of reading it from
+  /// time to time.
   bool watches() const { return Watches && !Alone; }
   bool mustRead(Instant Now) const;
   bool mustWrite(Instant Now) const;
--- a/packages/front/RendezvousLink.h
+++ b/packages/front/RendezvousLink.h
@@ -149,9 +149,9 @@
   FrontDaemon &D;
   std::string Kind;
   Rendezvous R;
-  std::uint64_t ViewNumber = 0; ///< Of the view that was applied last.
+  std::uint64_t ViewNumber = 0;        ///< Of the view that was applied last.
   std::optional<StoreRevision> ReadAt; ///< To watch on from.
-  std::optional<KindObject> Held; ///< The record, as it was read last.
+  std::optional<KindObject> Held;      ///< The record, as it was read last.
   bool Reading = false;
   bool Writing = false;
 };
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -130,8 +130,8 @@
   for (UpstreamPool::CallId &Call : J->Calls)
     Pool.drop(std::exchange(Call, 0));
   countAnswered(J);
-  J->E->reply(writeOwnAnswer({ResultCode::Internal, {}, "see its log"},
-                             J->Name.Id));
+  J->E->reply(
+      writeOwnAnswer({ResultCode::Internal, {}, "see its log"}, J->Name.Id));
   Jobs.erase(J);
 }
 
--- a/packages/front/RequestHandlerImpl.h
+++ b/packages/front/RequestHandlerImpl.h
@@ -37,7 +37,7 @@
     TicketId Ticket = 0; ///< In Admission; 0: holds no place there.
     /// Waits for a token of its organisation's quota under this id; 0: no.
     TicketId QuotaTicket = 0;
-    bool HasToken = false; ///< Of its organisation's quota.
+    bool HasToken = false;  ///< Of its organisation's quota.
     bool Unanswered = true; ///< It is counted as such.
   };
   using JobPtr = std::shared_ptr<Job>;
@@ -46,8 +46,8 @@
        ReplicaRegistry &Replicas, ForwardRules Rules, Random &Rng,
        Metrics &Meter, UpstreamPoolOptions Connections)
       : Timers(Timers), Names(std::move(Names)),
-        Pool(Loop, Timers, Connections), Shared{Replicas, Budgets, ServiceTimes, Rng,
-                                       Rules},
+        Pool(Loop, Timers, Connections), Shared{Replicas, Budgets, ServiceTimes,
+                                                Rng, Rules},
         Meter(Meter), Crashes(Pool, Timers), Gate(Loop, Meter) {}
   ~Impl() { Timers.cancel(AdmissionTimer); }
   Impl(const Impl &) = delete;
--- a/packages/http1/StreamSocket.cpp
+++ b/packages/http1/StreamSocket.cpp
@@ -61,17 +61,16 @@
 }
 
 void StreamSocket::readMore() {
-  Socket.async_read_some(
-      asio::buffer(Buffer),
-      [Self = shared_from_this()](const asio::error_code &E, std::size_t Size) {
-        if (Self->Ended)
-          return;
-        BusyTime Busy(Self->Loop);
-        // Whoever failed on these bytes can't go on behind them.
-        if (!contain("connection", {}, [&] { Self->received(E, Size); }))
-          contain("connection's end", {},
-                  [&] { Self->ended(StreamEnd::Broken); });
-      });
+  Socket.async_read_some(asio::buffer(Buffer), [Self = shared_from_this()](
+                                                   const asio::error_code &E,
+                                                   std::size_t Size) {
+    if (Self->Ended)
+      return;
+    BusyTime Busy(Self->Loop);
+    // Whoever failed on these bytes can't go on behind them.
+    if (!contain("connection", {}, [&] { Self->received(E, Size); }))
+      contain("connection's end", {}, [&] { Self->ended(StreamEnd::Broken); });
+  });
 }
 
 void StreamSocket::received(const asio::error_code &E, std::size_t Size) {
--- a/packages/http1/UpstreamPool.h
+++ b/packages/http1/UpstreamPool.h
@@ -86,7 +86,7 @@
 struct UpstreamPoolCounters {
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
-  std::uint64_t Stray = 0; ///< Bytes that belonged to no request.
+  std::uint64_t Stray = 0;    ///< Bytes that belonged to no request.
   std::uint64_t TooLarge = 0; ///< Replies given up for their size.
 };
 
--- a/tests/RendezvousFleet.h
+++ b/tests/RendezvousFleet.h
@@ -80,9 +80,8 @@
   void take(std::size_t N, Rendezvous &R) {
     Held[N] = Stored;
     R.read(Stored, Bag.Now, Bag.Now);
-    Bag.change(N, [&](Membership &M) {
-      return M.onHostList(R.contacts(), Bag.Now);
-    });
+    Bag.change(
+        N, [&](Membership &M) { return M.onHostList(R.contacts(), Bag.Now); });
     setView(N, R);
   }
   void setView(std::size_t N, Rendezvous &R) {
--- a/tests/TestMain.cpp
+++ b/tests/TestMain.cpp
@@ -10,7 +10,8 @@
   doctest::Context Tests(Count, Words);
   int Failed = Tests.run();
   if (std::uint64_t Faults = shallot::takeFaults(); Faults > 0) {
-    std::cerr << Faults << " faults were contained (see internal_error above)\n";
+    std::cerr << Faults
+              << " faults were contained (see internal_error above)\n";
     Failed = 1;
   }
   return Failed;
--- a/tests/failure/ConnectionsAreFreed.cpp
+++ b/tests/failure/ConnectionsAreFreed.cpp
@@ -25,9 +25,9 @@
     });
   });
   REQUIRE(Server);
-  for (const char *Bytes :
-       {"", "GET /half", "bad bytes\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
-        "GET /close HTTP/1.1\r\nHost: h\r\n\r\n"})
+  for (const char *Bytes : {"", "GET /half", "bad bytes\r\n\r\n",
+                            "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                            "GET /close HTTP/1.1\r\nHost: h\r\n\r\n"})
     for (int N = 0; N < Connections; ++N) {
       RawCaller C(Loop, At);
       C.write(Bytes);
--- a/tests/failure/FaultsCostOneRequest.cpp
+++ b/tests/failure/FaultsCostOneRequest.cpp
@@ -50,8 +50,14 @@
     });
     REQUIRE(C);
     Handler.install(std::make_shared<const ServingConfig>(std::move(*C)));
-    Replicas.put({UpstreamId("i-1"), ServiceName("s"), At,
-                  AvailabilityZone("z"), Region("r"), 8, false, {}},
+    Replicas.put({UpstreamId("i-1"),
+                  ServiceName("s"),
+                  At,
+                  AvailabilityZone("z"),
+                  Region("r"),
+                  8,
+                  false,
+                  {}},
                  Loop.now());
   }
 
--- a/tests/failure/MessagesWithoutEnd.cpp
+++ b/tests/failure/MessagesWithoutEnd.cpp
@@ -56,22 +56,20 @@
     send(P);
   }
   void send(const PeerPtr &P) {
-    asio::async_write(P->Socket, asio::buffer(P->Output),
-                      [this, P](auto E, std::size_t) {
-                        if (E) {
-                          ++Ended;
-                          return;
-                        }
-                        if (P->Endless)
-                          P->Output = "1000\r\n" + std::string(4096, 'x') +
-                                      "\r\n";
-                        else
-                          P->Output = std::string(
-                              std::min<std::size_t>(P->Left, 4096), 'y');
-                        P->Left -= P->Endless ? 0 : P->Output.size();
-                        if (!P->Output.empty())
-                          send(P);
-                      });
+    asio::async_write(
+        P->Socket, asio::buffer(P->Output), [this, P](auto E, std::size_t) {
+          if (E) {
+            ++Ended;
+            return;
+          }
+          if (P->Endless)
+            P->Output = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+          else
+            P->Output = std::string(std::min<std::size_t>(P->Left, 4096), 'y');
+          P->Left -= P->Endless ? 0 : P->Output.size();
+          if (!P->Output.empty())
+            send(P);
+        });
   }
 
   asio::ip::tcp::acceptor Acceptor;
--- a/tests/failure/PartsOfAFleetMeet.cpp
+++ b/tests/failure/PartsOfAFleetMeet.cpp
@@ -49,7 +49,9 @@
 
 TEST_CASE("groups that have forgotten each other") {
   OldFleet F(12, 12, 1);
-  F.Bag.Faults.Cut = [](std::size_t A, std::size_t B) { return A % 2 != B % 2; };
+  F.Bag.Faults.Cut = [](std::size_t A, std::size_t B) {
+    return A % 2 != B % 2;
+  };
   F.run(Seconds(30));
   // As if the tombstones had expired.
   for (std::size_t N = 0; N < 12; ++N)
@@ -132,8 +134,8 @@
   OldFleet F(6, 7, 1);
   RendezvousRecord Copy = *F.Stored;
   // The address is that of a daemon of another fleet by now.
-  Copy.Contacts = {{HostId("gone"), F.Bag.member(6).Gossip,
-                    F.Bag.member(6).Zone, false}};
+  Copy.Contacts = {
+      {HostId("gone"), F.Bag.member(6).Gossip, F.Bag.member(6).Zone, false}};
   F.Bag.start(6);
   auto Alone = attempt([&] {
     return Membership::make({}, F.Bag.member(6), {}, F.Bag.Rng, F.Bag.Now);
