forward: a failure of a replica is no promise that an action has not run

What callers saw: a replica ran a booking and failed it with 503, without stating that it had not run it.

Change: such a failure of an action is answered as unknown (504, SS3004). All other failures, and those of requests that may be repeated, are relayed as they are.

Test: forward_failure, ActionsAreForwardedOnce.

--- a/packages/forward/ForwardAnswer.cpp
+++ b/packages/forward/ForwardAnswer.cpp
@@ -26,6 +26,11 @@
 /// allowed regions must restart first, which takes longer than a probe.
 constexpr Duration NoAllowedReplicaRetry = Seconds(1);
 
+/// Statuses by which callers know that a request has not run and never will.
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 } // namespace
 
 LocalAnswer stopRefusal() {
@@ -161,10 +166,26 @@
                              [](const Part &P) { return P.MayHaveRun == 0; });
 }
 
+/// Relays the replica's failure as it is, but not to the caller of an action a
+/// status that promises "not run": the reply does not state that, and the
+/// caller would book again what may have been booked.
+void ForwardRun::relayFailure(RunOutput &Out, Instant Now) {
+  ReplicaReply &R = Parts.front().Reply;
+  if (Request.Matched->Kind == RetrySemantics::Idempotent ||
+      !promisesNotRun(R.Status)) {
+    finish(Out, RelayedAnswer{std::move(R)}, Now);
+    return;
+  }
+  std::string Why = fmt::format(
+      "the replica answered {} and does not say that it has not run the action",
+      R.Status);
+  finish(Out, LocalAnswer{ResultCode::OutcomeUnknown, {}, std::move(Why)}, Now);
+}
+
 void ForwardRun::answerFailure(RunOutput &Out, Instant Now, bool TimedOut) {
   cancelUnstarted(Out, Now);
   if (!Fan && Parts.front().HasReply) {
-    finish(Out, RelayedAnswer{std::move(Parts.front().Reply)}, Now);
+    relayFailure(Out, Now);
     return;
   }
   bool NothingRan = nothingRan();
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -311,6 +311,7 @@
   bool hasMinCoverage() const;
   bool nothingRan() const;
   void answerParts(RunOutput &Out, Instant Now);
+  void relayFailure(RunOutput &Out, Instant Now);
   void answerFailure(RunOutput &Out, Instant Now, bool TimedOut);
   void finish(RunOutput &Out, ForwardAnswer Answer, Instant Now);
   void dropOpen(RunOutput &Out, Instant Now);
--- a/tests/failure/ActionsAreForwardedOnce.cpp
+++ b/tests/failure/ActionsAreForwardedOnce.cpp
@@ -95,3 +95,22 @@
   REQUIRE(Out.Answer);
   CHECK(std::get<RelayedAnswer>(*Out.Answer).Reply.Status == 500);
 }
+
+// Guards against "not run" for an action that ran and whose replica then
+// failed.
+TEST_CASE_FIXTURE(ForwardFixture, "a replica's failure is no promise that an "
+                                  "action has not run") {
+  add("a-1", "a", "here");
+  for (int Status : {408, 421, 429, 500, 503}) {
+    ForwardRun Action =
+        run(route(ServiceName("a"), RetrySemantics::AtMostOnce));
+    Action.begin(Shared, Now);
+    RunOutput Out = Action.replied(Shared, 0, answered("busy", Status), Now);
+    if (Status == 500) {
+      REQUIRE(Out.Answer);
+      CHECK(std::holds_alternative<RelayedAnswer>(*Out.Answer));
+      continue;
+    }
+    CHECK(own(Out).Code == ResultCode::OutcomeUnknown);
+  }
+}
