http1: requests that were handed on count toward the memory of callers

A body of up to 256 KB stays in memory until its request is answered, and was counted only while it arrived. It counts until the answer now. What is ended beyond the bound is the connection that holds most besides such a request, and none that holds less than 32 KB, so that small requests are not ended for what others have handed on.

--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -29,6 +29,9 @@
 constexpr double CrowdedPart = 0.5;
 /// Bytes of further requests that are kept while one is being answered.
 constexpr std::size_t MaxAheadBytes = 64 << 10;
+/// A connection that holds less is not ended for its size: it would free little
+/// while requests that were handed on hold the rest.
+constexpr std::size_t LeastEndedBytes = 32 << 10;
 /// stopAccepting() takes what is in the kernel's queue, for at most this many
 /// turns of the loop.
 constexpr int MostAcceptRounds = 1000;
@@ -104,6 +107,7 @@
   void gone();
   void closeNow();
   void endForSize();
+  /// What ending it would free: not a request that has been handed on.
   std::size_t held() const { return Held; }
   bool idle() const {
     return !Busy && Reader.state() == ReadState::Waiting && Ahead.empty() &&
@@ -121,6 +125,7 @@
 
   void data(std::string_view Bytes);
   void hold(std::size_t Bytes);
+  void holdRequest(std::size_t Bytes);
   void countBuffers();
   void parse(std::string_view Bytes);
   void handle();
@@ -147,7 +152,8 @@
   bool Draining = false; ///< The last answer was given; what comes is dropped.
   bool SawContinue = false;
   TimerQueue::Key Timer = 0;
-  std::size_t Held = 0; ///< Counted in Impl::Buffered.
+  std::size_t Held = 0;        ///< Counted in Impl::Buffered.
+  std::size_t HeldRequest = 0; ///< The same, of the request that is answered.
 };
 
 class Connection::CallerExchange : public Exchange {
@@ -228,6 +234,11 @@
   Held = Bytes;
 }
 
+void Connection::holdRequest(std::size_t Bytes) {
+  S->Buffered += Bytes - HeldRequest;
+  HeldRequest = Bytes;
+}
+
 void Connection::countBuffers() {
   if (!Socket->open())
     return;
@@ -296,6 +307,7 @@
   R.Target = std::move(M.Target);
   R.Headers = std::move(M.Headers);
   R.Body = std::move(M.Body);
+  holdRequest(R.Body.capacity());
   R.Arrived = S->Timers.now();
   Busy = true;
   ToHead = R.Method == "HEAD";
@@ -306,6 +318,7 @@
 }
 
 void Connection::answer(const CallerReply &Reply) {
+  holdRequest(0);
   bool Close = Reply.Close || CloseBehind || S->Closing || S->crowded();
   Busy = true;
   Draining = Close;
@@ -359,6 +372,7 @@
 void Connection::closeNow() {
   S->Timers.cancel(Timer);
   hold(0);
+  holdRequest(0);
   Socket->close();
   S->Open.erase(shared_from_this());
 }
@@ -375,9 +389,10 @@
 }
 
 void CallerServer::Impl::endLargest() {
-  ConnectionPtr Largest = *std::ranges::max_element(
-      Open, {}, [](const ConnectionPtr &C) { return C->held(); });
-  Largest->endForSize();
+  auto HeldBy = [](const ConnectionPtr &C) { return C->held(); };
+  auto Largest = std::ranges::max_element(Open, {}, HeldBy);
+  if (Largest != Open.end() && (*Largest)->held() >= LeastEndedBytes)
+    ConnectionPtr(*Largest)->endForSize();
 }
 
 void CallerServer::Impl::accept() {
--- a/packages/http1/CallerServer.h
+++ b/packages/http1/CallerServer.h
@@ -28,9 +28,10 @@
   Duration HeaderTimeout = Seconds(5);
   Duration IdleTimeout = Seconds(30);
   std::size_t MaxConnections = 3000;
-  /// Memory of requests that are being read and of answers that their callers
-  /// have not taken. Beyond it the connection that holds most is ended: with
-  /// BuffersFull if its request has not been read whole.
+  /// Memory of requests and of answers that their callers have not taken.
+  /// Beyond it the connection that holds most, besides a request that was
+  /// handed on, is ended: with BuffersFull if its request has not been read
+  /// whole.
   std::size_t MaxBufferedBytes = 16 << 20;
 
   friend bool operator==(const CallerServerOptions &,
