http1: new limits hold from the next request of an open connection on

Cause: the reader takes the limits when it hands a request on, so it had those of before for the request that followed.

Change: connections that wait for a request take new limits at once; a request that has begun keeps its own.

Test: http1_failure, BytesStayInOrder, new limits hold from the next request of an open connection on.

--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -107,6 +107,7 @@
   void gone();
   void closeNow();
   void endForSize();
+  void limitsChanged();
   /// What ending it would free: not a request that has been handed on.
   std::size_t held() const { return Held; }
   bool idle() const {
@@ -247,6 +248,11 @@
     S->endLargest();
 }
 
+void Connection::limitsChanged() {
+  if (Reader.state() == ReadState::Waiting)
+    Reader.setLimits(limitsOf(S->Options));
+}
+
 /// It holds more than any other connection while all together hold too much.
 void Connection::endForSize() {
   logEvent(LogLevel::Warn, "connection_too_large",
@@ -457,7 +463,11 @@
 }
 
 void CallerServer::setOptions(CallerServerOptions Options) {
+  if (I->Options == Options)
+    return;
   I->Options = Options;
+  for (const ConnectionPtr &C : I->Open)
+    C->limitsChanged();
 }
 
 void CallerServer::closeAfterReply() { I->Closing = true; }
--- a/tests/failure/BytesStayInOrder.cpp
+++ b/tests/failure/BytesStayInOrder.cpp
@@ -32,6 +32,24 @@
 
 } // namespace
 
+// Guards against limits that only the request after the next one meets.
+TEST_CASE_FIXTURE(PipelineFixture,
+                  "new limits hold from the next request of an open connection "
+                  "on") {
+  RawCaller C(Loop, At);
+  C.read();
+  C.write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil([&] { return Got.size() == 1; });
+  Got[0]->reply({200, {}, "ok", false});
+  CallerServerOptions Small;
+  Small.MaxBodyBytes = Inside.size() - 1;
+  Server->setOptions(Small);
+  runUntil([&] { return C.status() == 200; });
+  C.write(UploadHead);
+  runUntil([&] { return C.input().find("413") != std::string::npos; });
+  CHECK(Got.size() == 1);
+}
+
 TEST_CASE_FIXTURE(PipelineFixture,
                   "a body that comes while the answer before is being sent "
                   "stays behind its head") {
