store: a page from a source that is behind the first page starts the list again

Cause: the pages of a list may come from two sources. When the second was behind the first, its page lacked what changed between the two revisions, and the watch went on from the first.

Change: such a list is begun again.

Test: store tests, KindWatchMissesNothing, a later page comes from a source that is behind.

--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -139,8 +139,11 @@
   void takePage(KindPage Page) {
     if (std::exchange(FirstPage, false))
       ListRevision = Page.Revision;
-    // The store was restored between two pages.
-    if (Page.Revision.Epoch != ListRevision.Epoch)
+    // The store was restored between two pages, or this one comes from a source
+    // that is behind the first: what changed between the two revisions is in
+    // neither page, and the watch goes on behind it.
+    if (Page.Revision.Epoch != ListRevision.Epoch ||
+        Page.Revision < ListRevision)
       return again([this] { list(); });
     ListAge = Page.Age;
     std::string Last;
--- a/tests/failure/KindWatchMissesNothing.cpp
+++ b/tests/failure/KindWatchMissesNothing.cpp
@@ -85,6 +85,23 @@
       Things{{"a", 1}, {"t0", 77}, {"t2", 2}, {"t3", 3}, {"t4", 4}, {"t5", 5}});
 }
 
+// Guards against changes between the revisions of two pages that are missed.
+TEST_CASE_FIXTURE(WatchFixture, "a later page comes from a source that is "
+                                "behind") {
+  for (int I = 0; I < 5; ++I)
+    S.put("t" + std::to_string(I), I);
+  S.takeCopy();
+  S.put("t4", 40);
+  S.BetweenPages = [this] {
+    S.answerFromCopy();
+    S.BetweenPages = nullptr;
+  };
+  W.start();
+  S.runFor(Seconds(5));
+  CHECK(Held.size() == 5);
+  CHECK(Held.at("t4") == 40);
+}
+
 TEST_CASE_FIXTURE(WatchFixture, "dropped history is listed anew") {
   S.put("x", 1);
   W.start();
