--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -71,8 +71,7 @@
 /// member, and mayAct() is false until peers have answered requests sent after
 /// the pause. Datagrams that were queued in the socket meanwhile do not count.
 /// Peers that are silent after the pause are judged as always, if a little
-/// later: all of them may have gone meanwhile, and would be waited for for
-/// ever.
+/// later: all of them may have gone meanwhile, and none would ever answer.
 void Membership::Impl::onResume(Duration Gap, Instant Now) {
   NeedsCatchUp = true;
   AccuseFrom = Now + ResumeGrace;
--- a/packages/fleet/Rendezvous.cpp
+++ b/packages/fleet/Rendezvous.cpp
@@ -62,6 +62,10 @@
   return {M.Id.Host, M.Gossip, M.Zone, false};
 }
 
+bool isContactOf(const ListedHost &H, const Member &M) {
+  return H.Host == M.Id.Host && H.Gossip == M.Gossip;
+}
+
 } // namespace
 
 void Rendezvous::setView(const FleetView &View, const Member &Self,
@@ -71,14 +75,14 @@
   LiveCount = 1;
   Watches = Writes = true;
   for (Contact &C : Seen)
-    C.Live = C.At == Candidates.front();
+    C.Live = isContactOf(C.At, Self);
   std::set<AvailabilityZone> Zones{Self.Zone};
   for (const Member &M : View.Members) {
     if (M.Id.Host == Self.Id.Host || !isLiveState(M.State))
       continue;
     ++LiveCount;
     for (Contact &C : Seen)
-      C.Live = C.Live || C.At == contactOf(M);
+      C.Live = C.Live || isContactOf(C.At, M);
     // Of other zones first, as a zone may be lost as a whole.
     if (Candidates.size() < MaxContacts && Zones.insert(M.Zone).second)
       Candidates.push_back(contactOf(M));
@@ -86,10 +90,14 @@
     Writes = Writes && !isRegionBefore(M, Self);
   }
   Writes = Writes && Watches;
-  for (const Member &M : View.Members)
-    if (Candidates.size() < ProposedContacts && isLiveState(M.State) &&
-        std::ranges::find(Candidates, contactOf(M)) == Candidates.end())
+  for (const Member &M : View.Members) {
+    if (Candidates.size() >= ProposedContacts)
+      break;
+    bool Has = std::ranges::any_of(
+        Candidates, [&](const ListedHost &H) { return isContactOf(H, M); });
+    if (!Has && isLiveState(M.State))
       Candidates.push_back(contactOf(M));
+  }
   bool WasAlone = std::exchange(Alone, LiveCount == 1);
   if (Alone && (!WasAlone || AloneSince == Instant()))
     AloneSince = Now;
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -25,6 +25,10 @@
 /// Where it names none.
 constexpr Duration UsualKeepAlive = Seconds(20);
 
+/// A reply of unknown length that has taken less is not given up before larger
+/// ones: it would free little.
+constexpr std::size_t LeastEndless = 64 << 10;
+
 /// Why a call was lost.
 constexpr std::string_view Reset = "reset";
 constexpr std::string_view ClosedEarly = "closed early";
@@ -236,7 +240,8 @@
 void UpstreamPool::Impl::loseLargest() {
   auto Rank = [](const auto &Call) {
     const Link &L = *Call.second;
-    return std::pair(L.Held > 0 && !L.Reader->lengthKnown(), L.Held);
+    bool Endless = L.Held >= LeastEndless && !L.Reader->lengthKnown();
+    return std::pair(Endless, L.Held);
   };
   auto Largest = std::ranges::max_element(Calls, {}, Rank);
   if (Largest == Calls.end())
