--- a/packages/fleet/Rendezvous.cpp
+++ b/packages/fleet/Rendezvous.cpp
@@ -173,8 +173,8 @@
   Known = true;
 }
 
-void Rendezvous::read(std::optional<RendezvousRecord> Found, Instant Asked,
-                      Instant Now) {
+void Rendezvous::read(const std::optional<RendezvousRecord> &Found,
+                      Instant Asked, Instant Now) {
   RendezvousRecord R = Found.value_or(RendezvousRecord());
   if (WrittenAt && R != Record) {
     WrittenAt.reset();
--- a/packages/fleet/Rendezvous.h
+++ b/packages/fleet/Rendezvous.h
@@ -68,7 +68,8 @@
   void readStarted(Instant Now);
   /// The record as the store has it; nothing: there is none. \p Asked is when
   /// the store was asked.
-  void read(std::optional<RendezvousRecord> Found, Instant Asked, Instant Now);
+  void read(const std::optional<RendezvousRecord> &Found, Instant Asked,
+            Instant Now);
   void readFailed(Instant Now);
   void writeStarted(Instant Now);
   /// The record was written as proposed.
--- a/packages/front/RendezvousLink.h
+++ b/packages/front/RendezvousLink.h
@@ -99,7 +99,7 @@
     std::optional<RendezvousRecord> Found;
     if (Held)
       Found = readRendezvous(*Held);
-    R.read(std::move(Found), Asked, Loop.now());
+    R.read(Found, Asked, Loop.now());
     D.fleet().setContacts(R.contacts());
     update();
   }
--- a/tests/failure/RoutesChangeUnderWaitingRequests.cpp
+++ b/tests/failure/RoutesChangeUnderWaitingRequests.cpp
@@ -54,7 +54,7 @@
     runFor(Millis(30));
     REQUIRE_FALSE(Waits);
     REQUIRE(Pay.Seen.empty());
-    Store.put("config", "main", Next);
+    Store.put("config", "main", std::move(Next));
     runUntil([&] { return Daemon->configVersion() == 9; });
     std::optional<HttpReply> Other;
     ask("/x/other", "key-b", Other);
