fleet: nobody looks in the rendezvous before most of a large fleet has met

A daemon that knows no other looks at 1.9 s now, gives the contacts 0.4 s, and is known to be alone by 3.7 s; until then an owner of quotas waits in any case in a deployment whose other zones show nobody.

--- a/packages/fleet/Rendezvous.cpp
+++ b/packages/fleet/Rendezvous.cpp
@@ -17,15 +17,15 @@
 /// A daemon that nobody has answered for this long after its start looks in the
 /// record: longer than it takes the seeds of a large fleet to answer all that
 /// start together.
-constexpr Duration LookAfter = Millis(800);
+constexpr Duration LookAfter = Millis(1900);
 /// The same for those that watch it. Members of a fleet that starts know each
 /// other by then, so few take themselves for the first of their region.
 constexpr Duration WatchAfter = Seconds(5);
 /// A daemon that seems alone writes this long after the last other was lost, or
 /// after its start.
-constexpr Duration WriteAfter = Millis(1200);
+constexpr Duration WriteAfter = Millis(2200);
 /// Time for a contact to answer.
-constexpr Duration ContactTime = Millis(700);
+constexpr Duration ContactTime = Millis(400);
 
 /// Period in which a daemon that knows of no other reads the record, until that
 /// is confirmed and from then on.
