forward, front, store: a vanished replica is held from when it may have left

With a drain time of 3 s and a source of the store's data that was away for more than 0.5 s, the last replica of a service was used for longer than it serves on.

Cause: the hold was counted from the news, not from when the entry may have been removed, and each loss of the feed counted as an outage of the store, also that of one peer.

Change: a watch tells since when a change may have happened: the present, or the last word of the store if a call was lost or given up since. A replica is held for no longer than it serves on from then, less 0.5 s. The longer hold after an outage needs an outage of the store: it did not answer this daemon, or two peers in turn had no fresh data.

Why this works: an open call is answered at once, so a change is old only if no call was open all the time, and the watch knows when that was.

--- a/packages/forward/ReplicaRegistry.cpp
+++ b/packages/forward/ReplicaRegistry.cpp
@@ -19,6 +19,9 @@
 /// fraction of all of them, however idle the others are, so that a faulty
 /// daemon leaves some for them.
 constexpr double MaxDaemonFraction = 0.6;
+/// How long after it was chosen a replica may get a request: the time to open
+/// a connection and the way there.
+constexpr Duration SendMargin = Millis(500);
 /// Round-trip times until the first connection is measured: within a zone, a
 /// region, and the country.
 Duration initialRtt(Distance D) {
@@ -110,25 +113,26 @@
   return Rtt;
 }
 
-void ReplicaRegistry::markVanished(Slot &S, Instant Now) {
+void ReplicaRegistry::markVanished(Slot &S, Instant Now, Instant Since) {
   if (!S.Registered)
     return;
   S.Registered = false;
   S.VanishedInOutage = StoreIsLost;
-  S.HeldUntil = std::max(Now + Options.LapseHold,
-                         StoreRecoveredAt + Options.RecoveryGrace);
+  S.HeldUntil = std::max(
+      std::min(Now + Options.LapseHold, Since + Options.ServesOn - SendMargin),
+      StoreRecoveredAt + Options.RecoveryGrace);
   Vanished.insert(S.Ptr->entry().Id);
   Incarnations.removed(S.Ptr->entry().Id, Now);
 }
 
-void ReplicaRegistry::remove(const UpstreamId &Id, Instant Now) {
+void ReplicaRegistry::remove(const UpstreamId &Id, Instant Now, Instant Since) {
   auto At = ById.find(Id);
   if (At != ById.end())
-    markVanished(At->second, Now);
+    markVanished(At->second, Now, Since);
 }
 
-void ReplicaRegistry::replaceAll(std::vector<ReplicaEntry> Entries,
-                                 Instant Now) {
+void ReplicaRegistry::replaceAll(std::vector<ReplicaEntry> Entries, Instant Now,
+                                 Instant Since) {
   std::unordered_set<UpstreamId> Listed;
   for (ReplicaEntry &E : Entries) {
     Listed.insert(E.Id);
@@ -136,7 +140,7 @@
   }
   for (auto &[Id, S] : ById)
     if (!Listed.contains(Id))
-      markVanished(S, Now);
+      markVanished(S, Now, Since);
 }
 
 void ReplicaRegistry::setEvacuated(std::set<AvailabilityZone> Zones,
@@ -176,14 +180,14 @@
 
 void ReplicaRegistry::storeLost() { StoreIsLost = true; }
 
-void ReplicaRegistry::storeRecovered(Instant Now) {
-  if (!StoreIsLost)
+void ReplicaRegistry::storeRecovered(Instant Now, bool WasDown) {
+  if (!std::exchange(StoreIsLost, false))
     return;
-  StoreIsLost = false;
-  StoreRecoveredAt = Now;
+  if (WasDown)
+    StoreRecoveredAt = Now;
   for (const UpstreamId &Id : Vanished) {
     Slot &S = ById.at(Id);
-    if (std::exchange(S.VanishedInOutage, false))
+    if (std::exchange(S.VanishedInOutage, false) && WasDown)
       S.HeldUntil = std::max(S.HeldUntil, Now + Options.RecoveryGrace);
   }
 }
--- a/packages/forward/ReplicaRegistry.h
+++ b/packages/forward/ReplicaRegistry.h
@@ -9,7 +9,9 @@
 //   entry vanished        the replica left without notice, or its entry lapsed
 //                         because the store could not be reached. It is used
 //                         only while its service has no usable registered
-//                         replica, and only for LapseHold; if it vanished in
+//                         replica, and only for LapseHold, and not for as
+//                         long as a replica serves on that has left since
+//                         registrations were read last; if it vanished in
 //                         or right after an outage of the store, until
 //                         RecoveryGrace after the end of that outage, by when
 //                         live replicas have registered again. A later outage
@@ -80,6 +82,8 @@
   /// How long a vanished replica may be used for a service that has no other
   /// replica. Well below the time for which a leaving replica still serves.
   Duration LapseHold = Seconds(2);
+  /// How long a replica serves on after its entry was removed.
+  Duration ServesOn = Seconds(3);
   /// Vanished replicas are held at least until this long after an outage of the
   /// store: entries of live ones are back about two seconds after it.
   Duration RecoveryGrace = Millis(2500);
@@ -113,12 +117,21 @@
 
   /// Replaces all registrations; replicas that are not in \p Entries have
   /// vanished.
-  void replaceAll(std::vector<ReplicaEntry> Entries, Instant Now);
+  void replaceAll(std::vector<ReplicaEntry> Entries, Instant Now) {
+    replaceAll(std::move(Entries), Now, Now);
+  }
   void put(ReplicaEntry Entry, Instant Now);
-  void remove(const UpstreamId &Id, Instant Now);
-  /// The store became unreachable, or reachable again.
+  void remove(const UpstreamId &Id, Instant Now) { remove(Id, Now, Now); }
+  /// The same where the news is late: replicas may have vanished at any time
+  /// from \p Since on.
+  void replaceAll(std::vector<ReplicaEntry> Entries, Instant Now,
+                  Instant Since);
+  void remove(const UpstreamId &Id, Instant Now, Instant Since);
+  /// The store became unreachable, or reachable again. \p WasDown: to all, so
+  /// that registrations of live replicas lapsed; without it, only the source
+  /// through which this daemon reads the store was lost.
   void storeLost();
-  void storeRecovered(Instant Now);
+  void storeRecovered(Instant Now, bool WasDown = true);
   /// Replicas of \p Zones get no new sends until a call without their zone.
   void setEvacuated(std::set<AvailabilityZone> Zones, Instant Now);
   /// Whether the set of evacuated zones is known.
@@ -188,7 +201,7 @@
   bool inWarmup(const Replica &R, const ServiceInfo &Info, Instant Now) const;
   bool ownsWarmupOf(const Replica &R) const;
   bool warmupAdmits(Replica &R, const ServiceInfo &Info, Instant Now) const;
-  void markVanished(Slot &S, Instant Now);
+  void markVanished(Slot &S, Instant Now, Instant Since);
 
   Location Here;
   ReplicaRegistryOptions Options;
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -189,6 +189,7 @@
   // A replica that disappeared may have begun to drain shortly before that was
   // observed.
   O.LapseHold = std::min(O.LapseHold, Set.DrainDuration / 2);
+  O.ServesOn = Set.DrainDuration;
   O.AwaitEvacuations = Set.Evacuation.has_value();
   O.Warmup = Set.Warmup;
   O.ShareObservations = Set.Reports.has_value();
--- a/packages/front/RelayedStore.h
+++ b/packages/front/RelayedStore.h
@@ -154,6 +154,10 @@
 
   /// True when the source of the last call may be unavailable.
   bool lost() const { return Last && Sources.lost(*Last); }
+  /// Whether the store itself failed before the last fresh reply: it did not
+  /// answer this daemon, or two peers in turn had no fresh data either. One
+  /// peer without may be the only one that lost it.
+  bool storeWasDown() const { return WasDown; }
   /// True when the last call was made to the store itself.
   bool direct() const { return Last && Last->direct(); }
   /// True while the first reply of the store to a daemon that took over its
@@ -233,9 +237,23 @@
       Sources.recordSuccess(Source);
     else
       Sources.recordFailure(Source, Rng, Loop.now());
+    recordOutage(Source, Fresh, bool(Got));
     return Fresh;
   }
 
+  void recordOutage(const FeedSource &Source, bool Fresh, bool Replied) {
+    if (Fresh) {
+      WasDown = std::exchange(Down, false);
+      StalePeer.reset();
+    } else if (Source.direct()) {
+      Down = true;
+    } else if (Replied) {
+      const HostId &Host = Source.Peer->Id.Host;
+      Down = Down || (StalePeer && *StalePeer != Host);
+      StalePeer = Host;
+    }
+  }
+
   void callPeer(const FeedSource &Source, const FeedRequest &Q,
                 Duration Timeout, HttpClient::Callback Done) {
     HttpRequest R;
@@ -284,9 +302,12 @@
   Random &Rng;
   Metrics &Meter;
   bool Listed = false;
-  bool Unanswered = false;        ///< The latest call got no reply.
-  std::uint64_t Epoch = 0;        ///< Of the last reply.
-  std::optional<FeedSource> Last; ///< Source of the latest call.
+  bool Unanswered = false;         ///< The latest call got no reply.
+  bool Down = false;               ///< The store, since the last fresh reply.
+  bool WasDown = false;            ///< See storeWasDown().
+  std::optional<HostId> StalePeer; ///< The last one, since then.
+  std::uint64_t Epoch = 0;         ///< Of the last reply.
+  std::optional<FeedSource> Last;  ///< Source of the latest call.
   HttpClient::TransferId Call = 0;
   Instant CallBegan;
   bool IsFirstCall = false; ///< To the store, by a daemon that took over.
--- a/packages/front/ServingFeed.h
+++ b/packages/front/ServingFeed.h
@@ -267,9 +267,12 @@
   KindWatchHooks replicaHooks() {
     KindWatchHooks H;
     H.All = [this](const std::vector<KindObject> &Now) {
-      Entries.applyReplicaList(Now, Replicas.watch().revision());
+      Entries.applyReplicaList(Now, Replicas.watch().revision(),
+                               Replicas.watch().changedSince());
+    };
+    H.Changed = [this](const KindChange &C) {
+      Entries.applyReplica(C, Replicas.watch().changedSince());
     };
-    H.Changed = [this](const KindChange &C) { Entries.applyReplica(C); };
     H.Away = [this](const Error &Why) {
       logStoreLost("replicas", Why);
       D.replicas().storeLost();
@@ -277,7 +280,7 @@
     };
     H.Back = [this] {
       logStoreRegained("replicas");
-      D.replicas().storeRecovered(Loop.now());
+      D.replicas().storeRecovered(Loop.now(), Replicas.storeWasDown());
       renewFailedWatches();
     };
     reportRestores(H, "replicas");
--- a/packages/front/StoreObjectApplier.cpp
+++ b/packages/front/StoreObjectApplier.cpp
@@ -42,7 +42,8 @@
 }
 
 void StoreObjectApplier::applyReplicaList(const std::vector<KindObject> &Now,
-                                          StoreRevision Revision) {
+                                          StoreRevision Revision,
+                                          Instant Since) {
   std::vector<ReplicaEntry> Entries;
   for (const KindObject &O : Now)
     if (auto E = read(O))
@@ -50,19 +51,19 @@
   logEvent(LogLevel::Info, "replicas_listed",
            {{"count", std::to_string(Entries.size())},
             {"revision", Revision.str()}});
-  D.replicas().replaceAll(std::move(Entries), Loop.now());
+  D.replicas().replaceAll(std::move(Entries), Loop.now(), Since);
   D.replicasListed();
 }
 
-void StoreObjectApplier::applyReplica(const KindChange &C) {
+void StoreObjectApplier::applyReplica(const KindChange &C, Instant Since) {
   if (C.Removed) {
-    removeReplica(C.Object);
+    removeReplica(C.Object, Since);
     return;
   }
   auto E = read(C.Object);
   if (!E) {
     // As in a list, an entry that cannot be decoded names no replica.
-    D.replicas().remove(UpstreamId(C.Object.Name), Loop.now());
+    D.replicas().remove(UpstreamId(C.Object.Name), Loop.now(), Since);
     return;
   }
   logEvent(LogLevel::Info, E->Leaving ? "replica_leaving" : "replica_ready",
@@ -78,16 +79,17 @@
 /// A peer's reply shows only the last change of an object, so the change to
 /// leaving may have been missed. The removed object tells: a replica that was
 /// leaving has left, and its entry did not lapse.
-void StoreObjectApplier::removeReplica(const KindObject &Last) {
+void StoreObjectApplier::removeReplica(const KindObject &Last, Instant Since) {
   auto E = attempt([&] { return Schema.ReadReplica(Last); });
   bool WasLeaving = E && E->Leaving;
   logEvent(LogLevel::Info, "replica_vanished",
            {{"replica", Last.Name},
             {"revision", Last.Revision.str()},
-            {"was_leaving", WasLeaving ? "yes" : "no"}});
+            {"was_leaving", WasLeaving ? "yes" : "no"},
+            {"at_most_ms_ago", std::to_string(toMillis(Loop.now() - Since))}});
   if (WasLeaving)
     D.replicas().put(std::move(*E), Loop.now());
-  D.replicas().remove(UpstreamId(Last.Name), Loop.now());
+  D.replicas().remove(UpstreamId(Last.Name), Loop.now(), Since);
 }
 
 bool StoreObjectApplier::configOutlives(const KindObject &Held,
--- a/packages/front/StoreObjectApplier.h
+++ b/packages/front/StoreObjectApplier.h
@@ -43,10 +43,11 @@
 
   /// Installs \p O if it is the configuration in use.
   void applyConfig(const KindObject &O);
-  /// Replaces all replicas with the registrations listed at \p Revision.
+  /// Replaces all replicas with the registrations listed at \p Revision. What
+  /// changed, changed at any time from \p Since on.
   void applyReplicaList(const std::vector<KindObject> &Now,
-                        StoreRevision Revision);
-  void applyReplica(const KindChange &C);
+                        StoreRevision Revision, Instant Since);
+  void applyReplica(const KindChange &C, Instant Since);
   /// Replaces all evacuations with those listed at \p Revision.
   void applyEvacuationList(const std::vector<KindObject> &Now,
                            StoreRevision Revision);
@@ -61,7 +62,7 @@
 private:
   std::optional<ReplicaEntry> read(const KindObject &O) const;
   /// \p Last is the removed object in its last state.
-  void removeReplica(const KindObject &Last);
+  void removeReplica(const KindObject &Last, Instant Since);
 
   EventLoop &Loop;
   FrontDaemon &D;
--- a/packages/front/WatchedKind.h
+++ b/packages/front/WatchedKind.h
@@ -50,6 +50,7 @@
     Source.onStoreCall(std::move(Fn));
   }
   bool renewing() const { return Source.renewing(); }
+  bool storeWasDown() const { return Source.storeWasDown(); }
   bool overdue(Duration Patience) const { return Source.overdue(Patience); }
   /// Called when the store has answered a trial, which took \p Took. Renews a
   /// call to the store that failed or hangs; \p Behind: peers have read more.
--- a/packages/store/KindWatch.h
+++ b/packages/store/KindWatch.h
@@ -31,6 +31,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace shallot {
@@ -91,9 +92,14 @@
   /// The last time at which the store is known to have answered this daemon or
   /// the source of its data.
   Instant heardAt() const { return HeardAt; }
+  /// Within All and Changed: the earliest time at which what they tell may have
+  /// happened. An open call is answered at once, so that is the present unless
+  /// a call was lost or given up since the last answer.
+  Instant changedSince() const { return MissedSince.value_or(T.now()); }
   /// Calls at once, without waiting for the open call: its source may be gone.
   void renew() {
     ++Call;
+    mayMiss();
     if (Listed)
       watch();
     else
@@ -121,7 +127,14 @@
     };
   }
 
+  /// Nobody has listened since the last answer.
+  void mayMiss() {
+    if (!MissedSince)
+      MissedSince = HeardAt;
+  }
+
   void list() {
+    mayMiss();
     MayResume = false;
     Pages.clear();
     FirstPage = true;
@@ -186,6 +199,7 @@
     if (Hooks.Withheld)
       for (const auto &[Name, O] : Recovery.withheld())
         Hooks.Withheld(O);
+    MissedSince.reset();
     Hooks.Advanced();
     if (Restored)
       settleLater();
@@ -244,6 +258,7 @@
     answered(Got.Age);
     for (const KindChange &C : Got.Changes)
       take(C);
+    MissedSince.reset();
     Cache.advance(Got.Revision);
     Hooks.Advanced();
     if (Got.Changes.empty())
@@ -274,6 +289,7 @@
   }
 
   template <typename F> void failed(const Error &Why, F Next) {
+    mayMiss();
     if (!std::exchange(Failing, true))
       Hooks.Away(Why);
     again(std::move(Next));
@@ -302,6 +318,7 @@
   bool Listed = false;
   bool Failing = false;
   Instant HeardAt{};
+  std::optional<Instant> MissedSince; ///< No call was open for all the time.
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
--- a/tests/FakeKindStore.h
+++ b/tests/FakeKindStore.h
@@ -25,14 +25,17 @@
   std::size_t PageSize = 3;
   unsigned Lists = 0;
   unsigned Watches = 0;
+  std::map<std::string, Instant> ChangedAt; ///< The last time, by name.
 
   void put(const std::string &Name, int Value) {
+    ChangedAt[Name] = now();
     KindObject O{Name, next(), Value};
     State.Objects[Name] = O;
     State.History.push_back({O, false});
     wake();
   }
   void remove(const std::string &Name) {
+    ChangedAt[Name] = now();
     KindObject O = State.Objects.at(Name);
     O.Revision = next();
     State.Objects.erase(Name);
--- a/tests/RawServer.h
+++ b/tests/RawServer.h
@@ -42,6 +42,10 @@
     accept();
   }
 
+  Endpoint endpoint() const {
+    auto At = Acceptor.local_endpoint();
+    return {At.address().to_string(), At.port()};
+  }
   /// Refuses connections from now on.
   void stopListening() {
     asio::error_code Ignored;
--- a/tests/failure/KindWatchMissesNothing.cpp
+++ b/tests/failure/KindWatchMissesNothing.cpp
@@ -19,6 +19,10 @@
   std::map<std::string, StoreRevision> Revisions;
   unsigned Away = 0, Back = 0, All = 0;
   bool WentBack = false;
+  /// No call is open for this long after changes, and a reply takes its time.
+  static constexpr Duration Unwatched = Millis(50);
+  bool SinceIsTooLate = false; ///< A change came from before changedSince().
+  Duration Late{};             ///< Of the last change, at most.
   KindWatch<FakeKindStore, FakeKindStore> W{S, S, "things", {}, Rng, hooks()};
 
   KindWatchHooks hooks() {
@@ -30,6 +34,10 @@
         hold(O);
     };
     H.Changed = [this](const KindChange &C) {
+      Instant Told = W.changedSince();
+      SinceIsTooLate =
+          SinceIsTooLate || Told > S.ChangedAt[C.Object.Name] + Unwatched;
+      Late = S.now() - Told;
       if (C.Removed)
         Held.erase(C.Object.Name);
       else
@@ -181,5 +189,27 @@
     CAPTURE(Seed);
     CHECK(F.Held == Expected);
     CHECK_FALSE(F.WentBack);
+    CHECK_FALSE(F.SinceIsTooLate);
   }
 }
+
+// Guards against an old change that is taken for a new one.
+TEST_CASE_FIXTURE(WatchFixture,
+                  "a change tells since when it may have happened") {
+  S.put("t1", 1);
+  W.start();
+  S.runFor(Seconds(1));
+  S.put("t1", 2);
+  S.runFor(Millis(100));
+  CHECK(Late == Duration(0));
+  S.Trouble = [](bool) { return ResultCode::PlatformDown; };
+  W.renew();
+  S.runFor(Millis(500));
+  S.put("t1", 3);
+  S.runFor(Millis(500));
+  S.Trouble = [](bool) { return ResultCode::Ok; };
+  S.runFor(Seconds(1));
+  CHECK(Held.at("t1") == 3);
+  CHECK(Late >= Millis(500));
+  CHECK_FALSE(SinceIsTooLate);
+}
--- a/tests/failure/MissedLeaving.cpp
+++ b/tests/failure/MissedLeaving.cpp
@@ -17,7 +17,7 @@
     C.Object.Content = Pay.registration(State);
     C.Removed = true;
     StoreSchema Schema = wire::storeSchema(Set);
-    StoreObjectApplier(Loop, *Daemon, Schema).applyReplica(C);
+    StoreObjectApplier(Loop, *Daemon, Schema).applyReplica(C, Loop.now());
   }
 };
 
--- a/tests/failure/VanishedReplicasStandIn.cpp
+++ b/tests/failure/VanishedReplicasStandIn.cpp
@@ -95,6 +95,24 @@
   CHECK(Replicas.size() == 0);
 }
 
+// Guards against sends to a replica that left while nobody told this daemon.
+TEST_CASE_FIXTURE(ReplicaFixture,
+                  "a replica that vanished while the feed was lost is held "
+                  "for no longer than it serves on") {
+  const ReplicaRegistryOptions Usual;
+  Instant LastHeard = Now;
+  Replicas.storeLost();
+  SUBCASE("for less than that") { Now += Millis(1200); }
+  SUBCASE("for longer") { Now += Millis(3200); }
+  Replicas.storeRecovered(Now, false);
+  Replicas.remove(UpstreamId("near"), Now, LastHeard);
+  Replicas.remove(UpstreamId("far"), Now, LastHeard);
+  for (; Now < LastHeard + Seconds(6); Now += Millis(100))
+    CHECK((Now < LastHeard + Usual.ServesOn || chosen() == "none"));
+  Replicas.expire(Now);
+  CHECK(Replicas.size() == 0);
+}
+
 TEST_CASE_FIXTURE(ReplicaFixture,
                   "a leaving replica gets nothing, not even alone") {
   add("near", "a", "here", true);
--- a/tests/platform.cmake
+++ b/tests/platform.cmake
@@ -25,6 +25,7 @@
           failure/LargeChangeOnASlowLink.cpp
           failure/ManyPeersOfASmallHost.cpp
           failure/MoreChangesThanAReplyHolds.cpp
+          failure/OutageOrLostSource.cpp
           failure/PeerConnectionsFallSilent.cpp)
 shallot_test(places_failure PACKAGES platform LIBRARIES standin_core
   LABELS failure
