forward, front: replies that are kept take little memory

What was read: the bound of memory ends with a reply's reading. Parts of a search of up to 64 KB each were kept while others were awaited, failures with all of their body (up to an eighth of the process's memory), and so was the failure of a replica while another was asked: 12 callers whose first replica fails with 10 MB and whose second hangs would take 120 MB, of 112.

Change: of a part of over 4 KB only the records that can be in the answer are kept, and nothing of a failure's body. An emptied string keeps its buffer under assignment, which the tests found: it is swapped.

Why this is enough: what is kept is at most 4 KB a part and 64 KB a request, and requests in flight are bounded.

--- a/packages/forward/ForwardRun.cpp
+++ b/packages/forward/ForwardRun.cpp
@@ -20,7 +20,9 @@
 constexpr Duration ObjectiveMargin = Millis(9);
 /// The body of a part that is kept as it came; of a larger one only the records
 /// that can be in the answer.
-constexpr std::size_t MaxPartBytes = 64 << 10;
+constexpr std::size_t MaxPartBytes = 4 << 10;
+/// The body of a replica's failure that is kept while another replica is asked.
+constexpr std::size_t MaxFailureBytes = 64 << 10;
 /// Time left of the deadline when an error is sent.
 constexpr Duration DeadlineMargin = Millis(12);
 
@@ -386,6 +388,13 @@
   return L;
 }
 
+std::size_t ForwardRun::keptBytes() const {
+  std::size_t Sum = 0;
+  for (const Part &P : Parts)
+    Sum += P.Reply.Body.capacity();
+  return Sum;
+}
+
 void ForwardRun::recordResult(ForwardShared &S, const SendState &X, Part &P,
                               SendResult &Result, Instant Now) {
   switch (Result.How) {
@@ -412,15 +421,27 @@
     return; // The other send of a hedged pair was first.
   P.HasReply = true;
   P.Reply = std::move(*Result.Reply);
-  if (!isUsable(P.Reply))
-    return;
+  bool Usable = isUsable(P.Reply);
   // The other parts may be long in coming, and no more than this is used.
-  if (Fan && P.Reply.Body.size() > MaxPartBytes)
+  if (Fan && !Usable)
+    std::string().swap(P.Reply.Body); // An assignment would keep its memory.
+  else if (Fan && P.Reply.Body.size() > MaxPartBytes)
     P.Reply.Body = greatestRecords({P.Reply.Body}, Fan->MaxRecords);
+  if (!Usable)
+    return;
   P.Succeeded = true;
   ++Stats.PartsSucceeded;
 }
 
+/// What is kept until another replica has answered is not bounded by the memory
+/// for replies. Without it, the request ends with an answer of the daemon.
+void ForwardRun::dropLargeFailure(Part &P) {
+  if (Answered || P.Succeeded || P.Reply.Body.size() <= MaxFailureBytes)
+    return;
+  std::string().swap(P.Reply.Body);
+  P.HasReply = false;
+}
+
 RunOutput ForwardRun::replied(ForwardShared &S, unsigned Send,
                               SendResult Result, Instant Now) {
   RunOutput Out;
@@ -466,6 +487,7 @@
   else if (Now < AnswerDeadline)
     sendNext(S, Index, Result.How, Out, Now);
   answerIfReady(Out, Now);
+  dropLargeFailure(Parts[Index]);
   return Out;
 }
 
--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -233,6 +233,8 @@
   }
   /// A send of it succeeded.
   bool succeeded() const { return Stats.PartsSucceeded > 0; }
+  /// Memory of the replies that are kept until the answer is known.
+  std::size_t keptBytes() const;
   /// Something was sent to a replica, or may have been.
   bool reachedReplicas() const { return Stats.Sends > Stats.NotSent; }
   /// The load that it observed at replicas, for admission control.
@@ -288,6 +290,7 @@
                          Instant Now) const;
   void retryPart(ForwardShared &S, unsigned Index, SendStatus Last,
                  RunOutput &Out, Instant Now);
+  void dropLargeFailure(Part &P);
   bool suspected() const;
   bool crashLimitReached() const;
   bool maySendWhileSuspected() const;
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -348,6 +348,8 @@
   Meter.gauge("shallot_upstream_replies_too_large", {}, double(C.TooLarge));
   Meter.gauge("shallot_buffered_bytes", {{"of", "replies"}},
               double(Requests.bufferedBytes()));
+  Meter.gauge("shallot_buffered_bytes", {{"of", "kept"}},
+              double(Requests.keptBytes()));
   Meter.gauge("shallot_buffered_bytes", {{"of", "callers"}},
               double(Callers->bufferedBytes()));
   Meter.gauge("shallot_internal_errors", {}, double(faultCount()));
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -375,6 +375,13 @@
   return I->Pool.bufferedBytes();
 }
 
+std::size_t RequestHandler::keptBytes() const {
+  std::size_t Sum = 0;
+  for (const Impl::JobPtr &J : I->Jobs)
+    Sum += J->Run.keptBytes();
+  return Sum;
+}
+
 const UpstreamPoolCounters &RequestHandler::connectionCounters() const {
   return I->Pool.counters();
 }
--- a/packages/front/RequestHandler.h
+++ b/packages/front/RequestHandler.h
@@ -58,6 +58,8 @@
   const UpstreamPoolCounters &connectionCounters() const;
   /// Memory of the replies that are being read.
   std::size_t bufferedBytes() const;
+  /// The same of those that wait for others of the same request.
+  std::size_t keptBytes() const;
   /// Quarantine state of requests that crashed replicas.
   QuarantineGate &quarantine();
 
--- a/tests/failure/ActionsAreForwardedOnce.cpp
+++ b/tests/failure/ActionsAreForwardedOnce.cpp
@@ -96,6 +96,27 @@
   CHECK(std::get<RelayedAnswer>(*Out.Answer).Reply.Status == 500);
 }
 
+// Guards against failures that take all memory while other replicas are asked.
+TEST_CASE_FIXTURE(ForwardFixture,
+                  "a large failure is relayed or dropped, and not kept") {
+  add("a-1", "a", "here");
+  add("a-2", "a", "there");
+  const std::string Large(1 << 20, 'x');
+  ForwardRun Retried = run(route(ServiceName("a")));
+  Retried.begin(Shared, Now);
+  RunOutput Out = Retried.replied(Shared, 0, answered(Large, 500), Now);
+  REQUIRE(Out.Start.size() == 1);
+  CHECK(Retried.keptBytes() < Large.size());
+  Out = Retried.replied(Shared, 1, ended(SendStatus::Lost), Now);
+  CHECK(own(Out).Code == ResultCode::ConnectionClosed);
+  ForwardRun Last = run(route(ServiceName("a")));
+  Last.begin(Shared, Now);
+  Last.replied(Shared, 0, ended(SendStatus::Lost), Now);
+  Out = Last.replied(Shared, 1, answered(Large, 500), Now);
+  REQUIRE(Out.Answer);
+  CHECK(std::get<RelayedAnswer>(*Out.Answer).Reply.Body == Large);
+}
+
 // Guards against "not run" for an action that ran and whose replica then
 // failed.
 TEST_CASE_FIXTURE(ForwardFixture, "a replica's failure is no promise that an "
--- a/tests/failure/PartsAreMissing.cpp
+++ b/tests/failure/PartsAreMissing.cpp
@@ -122,6 +122,17 @@
       1);
 }
 
+// Guards against parts that take all memory while others are awaited.
+TEST_CASE_FIXTURE(ShardFixture, "of a large part only records are kept") {
+  const std::string Large(1 << 20, 'x');
+  ForwardRun R = search(1.0);
+  R.begin(Shared, Now);
+  R.replied(Shared, 0, answered(Large), Now + Millis(3));
+  R.replied(Shared, 1, answered(Large), Now + Millis(3));
+  R.replied(Shared, 2, answered(Large, 500), Now + Millis(3));
+  CHECK(R.keptBytes() < 3 * (4 << 10));
+}
+
 TEST_CASE_FIXTURE(ShardFixture, "a shard without replicas is refused at once") {
   for (const char *Zone : {"here", "there", "yonder"})
     add(std::string("d") + Zone, "d", Zone, true);
