front: a new configuration is compared with waiting requests only

A version that is installed was compared, route by route, with each request in flight, although only those that still wait can be refused. With thousands of routes and a thousand requests that is millions of comparisons at once on each daemon. Requests that were sent are passed over first.

--- a/packages/forward/ForwardRun.h
+++ b/packages/forward/ForwardRun.h
@@ -221,6 +221,8 @@
   Instant nextTick() const;
   bool begun() const { return !Parts.empty(); }
   bool answered() const { return Answered; }
+  /// Not sent yet, and not answered either.
+  bool waits() const { return !begun() && !Answered; }
   /// Answered, and no send is open.
   bool done() const { return Answered && OpenSends == 0; }
   const ForwardRequest &request() const { return Request; }
--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -269,7 +269,7 @@
 
 /// Rejects \p J if it waits for a token, a trial or admission.
 void RequestHandler::Impl::rejectWaiting(const JobPtr &J, LocalAnswer A) {
-  if (J->Run.begun() || J->Run.answered())
+  if (!J->Run.waits())
     return;
   cancelQuotaWait(J);
   Timers.cancel(J->Timer);
@@ -288,6 +288,8 @@
 void RequestHandler::Impl::rejectChanged() {
   std::vector<JobPtr> Now(Jobs.begin(), Jobs.end());
   for (const JobPtr &J : Now) {
+    if (!J->Run.waits())
+      continue;
     const ForwardRequest &R = J->Run.request();
     if (!Config->keeps(*R.Matched, R.Caller))
       rejectWaiting(J, routeChangedRefusal());
