http1: header lines count with the memory that they take

What was read: a head of many short lines counted with its bytes, at most 64 KB, while each line takes 64 bytes besides them. 16,000 lines of 4 bytes, whose heads never end, take 1 MB a connection, so about a hundred callers or replies were enough for the smallest host, far below the bound that is counted.

Change: what a message takes includes its list of headers, while it arrives and while its request is answered. So the bound of memory for replies, and the one for callers, hold for heads as for bodies.

--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -305,6 +305,7 @@
 void Connection::handle() {
   S->Timers.cancel(Timer);
   SawContinue = false;
+  holdRequest(Reader.heldBytes());
   Message M = Reader.take();
   Reader.setLimits(limitsOf(S->Options));
   CloseBehind = !M.KeepAlive;
@@ -313,7 +314,6 @@
   R.Target = std::move(M.Target);
   R.Headers = std::move(M.Headers);
   R.Body = std::move(M.Body);
-  holdRequest(R.Body.capacity());
   R.Arrived = S->Timers.now();
   Busy = true;
   ToHead = R.Method == "HEAD";
--- a/packages/http1/MessageReader.h
+++ b/packages/http1/MessageReader.h
@@ -68,7 +68,10 @@
   /// The length of the body is known before it has come.
   bool lengthKnown() const { return LengthKnown; }
   /// Memory that the message takes so far, in bytes.
-  std::size_t heldBytes() const { return M.Body.capacity() + HeaderBytes; }
+  std::size_t heldBytes() const {
+    return M.Body.capacity() + M.Headers.capacity() * sizeof(HttpHeader) +
+           HeaderBytes;
+  }
   /// The whole message; the reader is then ready for the next.
   Message take();
   /// What is known so far: the headers are in for Body.
--- a/tests/failure/MessagesWithoutEnd.cpp
+++ b/tests/failure/MessagesWithoutEnd.cpp
@@ -125,6 +125,20 @@
   CHECK(R.state() == internal::ReadState::Malformed);
 }
 
+TEST_CASE("many short header lines count with the memory that they take") {
+  for (auto Kind :
+       {internal::MessageKind::Request, internal::MessageKind::Reply}) {
+    internal::MessageReader R(Kind, {});
+    R.feed(Kind == internal::MessageKind::Request ? "GET / HTTP/1.1\r\n"
+                                                  : "HTTP/1.1 200 OK\r\n");
+    constexpr std::size_t Lines = 10000;
+    for (std::size_t N = 0; N < Lines; ++N)
+      R.feed("a:\r\n");
+    REQUIRE(R.state() == internal::ReadState::Headers);
+    CHECK(R.heldBytes() >= Lines * sizeof(HttpHeader));
+  }
+}
+
 TEST_CASE_FIXTURE(EndlessFixture,
                   "requests that arrive without end are refused as not run, "
                   "the largest first, and others are served") {
