tests: real daemons among replicas, a store and callers that send without end

This plays the whole process: 60 readers of replicas that send without end in eight forms (chunks, no length, a length far beyond, header lines, one header line, heads of class 1xx, bytes behind an answer, a byte now and then), a second daemon whose store does the same, 12 bookers of whom one replica in three does, searches of sound replicas, and callers that send header lines and bodies.

Judged: less than the 112 MB of the smallest host, no daemon ends, nobody is answered later than the deadline and 0.5 s, no read is lost, nine in ten searches are served, and each booker meets the replica once at most.

--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -47,6 +47,14 @@
 set_tests_properties(restored_store_daemons PROPERTIES LABELS failure
   TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 
+# Real daemons, and replicas, a store and callers that send without end.
+add_test(NAME messages_without_end
+  COMMAND python3
+          ${CMAKE_CURRENT_LIST_DIR}/failure/messages_without_end.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(messages_without_end PROPERTIES LABELS failure
+  TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
 # The directory of real daemons that are stopped.
 add_test(NAME directory_until_the_end
   COMMAND python3
