--- a/tests/failure/PartsOfAFleetMeet.cpp
+++ b/tests/failure/PartsOfAFleetMeet.cpp
@@ -119,6 +119,19 @@
   CHECK(F.untilAgreed(Seconds(10)) < Seconds5);
 }
 
+TEST_CASE("a daemon that was cut off from a fleet and outlives it knows it") {
+  OldFleet F(6, 7, 1);
+  F.Bag.Faults.Cut = [](std::size_t A, std::size_t B) {
+    return (A == 6) != (B == 6);
+  };
+  F.start(6);
+  F.run(Seconds(70));
+  for (std::size_t N = 0; N < 6; ++N)
+    F.crash(N);
+  F.run(Seconds(12));
+  CHECK(F.confirmedAlone(6));
+}
+
 TEST_CASE("without the store nobody is known to be alone, and a fleet that "
           "runs stays whole") {
   OldFleet F(6, 7, 1);
