--- a/tests/failure/OutageOrLostSource.cpp
+++ b/tests/failure/OutageOrLostSource.cpp
@@ -12,7 +12,7 @@
 
 /// A peer that reads the store, as a daemon of the same region sees it.
 struct FeedPeer {
-  FeedPeer(EventLoop &Loop, const char *Host, double Capacity)
+  FeedPeer(EventLoop &Loop, const char *Host, std::uint32_t Capacity)
       : Server(Loop, freeEndpoint(ownLoopbackIp()),
                [this](const RawRequest &) { return Act; }) {
     Self.Id = {HostId(Host), 1};
