front: a queued request runs on as it began when its route changes

Suspected cause, from reading: a version that changes a route refused all its waiting requests at once, those in the queue of admission too, and each used up an attempt of its caller. Admission keeps the queues of dropped services, so these can run on under the configuration that they keep, as they did before.

Change: only requests that wait for a token or a trial are refused, as these would be offered to the new configuration. Tests: platform_failure, RoutesChangeUnderWaitingRequests; forward_failure, OverloadIsTurnedAway ("a waiting request whose route is removed is answered").

--- a/packages/front/RequestHandler.cpp
+++ b/packages/front/RequestHandler.cpp
@@ -282,13 +282,15 @@
     rejectWaiting(J, stopRefusal());
 }
 
-/// A request that was sent keeps the configuration that it began with. One that
-/// still waits would be admitted by the new one, which may lack its route or
-/// know another one of that name, so it goes on only if its route is unchanged.
+/// A request that was sent keeps the configuration that it began with, and so
+/// does one in the queue of admission, which keeps the queues of earlier ones.
+/// One that waits for a token or a trial would be offered to the new one, which
+/// may lack its route or know another one of that name, so it goes on only if
+/// its route is unchanged.
 void RequestHandler::Impl::rejectChanged() {
   std::vector<JobPtr> Now(Jobs.begin(), Jobs.end());
   for (const JobPtr &J : Now) {
-    if (!J->Run.waits())
+    if (!J->Run.waits() || J->Ticket != 0)
       continue;
     const ForwardRequest &R = J->Run.request();
     if (!Config->keeps(*R.Matched, R.Caller))
--- a/packages/front/RequestHandler.h
+++ b/packages/front/RequestHandler.h
@@ -34,8 +34,8 @@
   void limitBy(QuotaLink &Quotas);
   /// Applies \p Config to requests that arrive from now on. Earlier ones keep
   /// their configuration, but no longer use regions that \p Config forbids.
-  /// Those that still wait to be sent are refused as "not run" if \p Config
-  /// changed or removed their route.
+  /// Those that wait for a token or a trial are refused as "not run" if
+  /// \p Config changed or removed their route.
   void install(std::shared_ptr<const ServingConfig> Config);
   const std::shared_ptr<const ServingConfig> &config() const;
   /// Handles a request from a caller.
