--- a/packages/fleet/include/shallotshift/fleet.h
+++ b/packages/fleet/include/shallotshift/fleet.h
@@ -1,11 +1,11 @@
 //===- shallotshift/fleet.h - Membership and configuration ------*- C++ -*-===//
 //
 // The public header of package fleet: group membership and failure detection
-// (Membership.h, GossipMessage.h) and how its
-// parts find each other (Rendezvous.h), the addresses that callers connect to
-// (EntryDirectory.h) and the hosts that serve them (EntryHostChoice.h,
-// LoadLevel.h), the start and shutdown of a daemon (Lifecycle.h), and the
-// distribution of the configuration (ConfigSync.h, WatcherChoice.h).
+// (Membership.h, GossipMessage.h), how parts of a fleet find each other
+// (Rendezvous.h), the addresses that callers connect to (EntryDirectory.h) and
+// the hosts that serve them (EntryHostChoice.h, LoadLevel.h), the start and
+// shutdown of a daemon (Lifecycle.h), and the distribution of the configuration
+// (ConfigSync.h, WatcherChoice.h).
 //
 //===----------------------------------------------------------------------===//
 #ifndef SHALLOTSHIFT_FLEET_H
