telemetry, net, fleet, front: a process that ends leaves a word, and its peers say so

Callers saw connections closed, and nobody could say why: a signal, a crash, an early end and a kill for memory left the same trace, none.

What tells the hypotheses of the incident apart now: - process_started is the first line of each run, with the processor time that loading took; a run without it ended before main(). - crashed and uncaught_exception are the last line of a run that a fault ended. The handler uses calls that are safe there only, and the exit status stays. - memory_high is written before a kill for memory, shallot_peak_memory_bytes shows the growth. - member_ended: another daemon has started again and its run before had not announced that it leaves; shallot_member_ends_seen counts these. - ready says how long after the start.

fleet_failure, 'a quick restart replaces the old incarnation', counts the new event. No logic of serving is changed.

--- a/packages/fleet/Membership.cpp
+++ b/packages/fleet/Membership.cpp
@@ -16,10 +16,10 @@
 constexpr std::size_t NotifiedPeersAtEnd = 8;
 
 constexpr auto EventNames = std::to_array<std::string_view>(
-    {"member_joined", "member_restarted", "member_suspected", "member_refuted",
-     "member_failed", "member_recovered", "member_ready", "member_leaving",
-     "member_left", "member_forgotten", "self_accused", "self_paused",
-     "self_caught_up", "self_superseded", "member_table_full"});
+    {"member_joined", "member_restarted", "member_ended", "member_suspected",
+     "member_refuted", "member_failed", "member_recovered", "member_ready",
+     "member_leaving", "member_left", "member_forgotten", "self_accused",
+     "self_paused", "self_caught_up", "self_superseded", "member_table_full"});
 
 Result<void> checkOptions(const MembershipOptions &O) {
   if (O.MinPeriod < TickPeriod || O.MaxPeriod < O.MinPeriod)
@@ -62,6 +62,7 @@
 
 bool isWarning(MembershipEventKind Kind) {
   switch (Kind) {
+  case MembershipEventKind::Ended:
   case MembershipEventKind::Failed:
   case MembershipEventKind::Accused:
   case MembershipEventKind::Paused:
--- a/packages/fleet/Membership.h
+++ b/packages/fleet/Membership.h
@@ -95,6 +95,7 @@
 enum class MembershipEventKind : std::uint8_t {
   Joined,     ///< A new member was found.
   Restarted,  ///< A known host has a new incarnation.
+  Ended,      ///< With Restarted: its run before had not announced its end.
   Suspected,  ///< It did not answer; it may refute.
   Refuted,    ///< A suspect refuted the suspicion.
   Failed,     ///< A suspect did not refute in time.
--- a/packages/fleet/MembershipUpdates.cpp
+++ b/packages/fleet/MembershipUpdates.cpp
@@ -273,10 +273,15 @@
     emitEvent(Kind::Joined, Who, From, Origin);
     return applyListedState(Who.Host);
   }
-  if (NewRun)
+  if (NewRun) {
     emitEvent(Kind::Restarted, Who, From, Origin);
-  else if (Before.ObservedHealth == Health::Failed &&
-           After.Update.ObservedHealth != Health::Failed)
+    if (Before.Announced != MemberState::Leaving &&
+        Before.Announced != MemberState::Left)
+      emitEvent(
+          Kind::Ended, {Who.Host, Before.Incarnation}, From,
+          fmt::format("its last word was '{}'", stateName(Before.Announced)));
+  } else if (Before.ObservedHealth == Health::Failed &&
+             After.Update.ObservedHealth != Health::Failed)
     emitEvent(Kind::Recovered, Who, From, Origin);
   else if (Before.ObservedHealth == Health::Trusted &&
            After.Update.ObservedHealth == Health::Suspect)
--- a/packages/front/FleetLink.cpp
+++ b/packages/front/FleetLink.cpp
@@ -132,6 +132,8 @@
               {"evidence", E.Evidence}});
     if (E.Kind == MembershipEventKind::Superseded)
       SupersedingIncarnation = E.Who.Incarnation;
+    if (E.Kind == MembershipEventKind::Ended)
+      ++EndsSeen;
   }
   for (const GossipSend &S : Out.Sends)
     Socket->send(S.To, S.Message);
--- a/packages/front/FleetLink.h
+++ b/packages/front/FleetLink.h
@@ -92,6 +92,8 @@
   double equalRetryPart() const;
   /// Sets the revisions that every membership message carries.
   void announce(const ReadRevisions &S);
+  /// How many runs of other daemons were seen to have ended unannounced.
+  std::uint64_t endsSeen() const { return EndsSeen; }
   /// Traffic counters of the membership protocol.
   const DatagramStats &traffic() const { return Socket->stats(); }
   /// Newest revision of each kind that any live peer has read.
@@ -124,6 +126,7 @@
   Instant LastTick;
   ReadRevisions Announced;
   std::uint64_t SupersedingIncarnation = 0;
+  std::uint64_t EndsSeen = 0;
   std::vector<ListedHost> Contacts;
   bool ConfirmedAlone = true; ///< Until somebody knows better.
 };
--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -51,6 +51,10 @@
 /// Time after start until a daemon knows its fleet: 295 hosts that start
 /// together know each other after this time.
 constexpr Duration FleetKnownAfter = Seconds(3);
+/// Part of the process's memory above which its growth is logged, and by how
+/// much it has grown from line to line.
+constexpr double HighMemoryPart = 0.75;
+constexpr std::size_t MemoryToldStep = 4 << 20;
 /// A daemon that starts with an older configuration than its peers waits this
 /// long for theirs before it lets callers in: two tries at a list, should one
 /// of the peers be gone.
@@ -129,6 +133,7 @@
   void housekeeping();
   void maintain();
   void measureLoad();
+  void checkMemory();
   void updateSharing(Instant Now);
   void updateWarmupSenders(Instant Now);
   void fleetChanged();
@@ -181,6 +186,7 @@
   LoadLevel Load;
   Instant LoadAt;
   Duration BusyBefore{};
+  std::size_t MemoryTold = 0; ///< By the last line on high memory.
 };
 
 ReplicaRegistryOptions
@@ -306,7 +312,8 @@
   Fleet->setState(MemberState::Alive);
   logEvent(LogLevel::Info, "ready",
            {{"config", std::to_string(Requests.config()->version())},
-            {"replicas", std::to_string(Replicas.size())}});
+            {"replicas", std::to_string(Replicas.size())},
+            {"after_ms", std::to_string(toMillis(Loop.now() - Started))}});
 }
 
 void FrontDaemon::Impl::readiness(const ServerRequest &R, const Responder &A) {
@@ -360,6 +367,8 @@
   std::uint64_t Version = Requests.config() ? Requests.config()->version() : 0;
   Meter.gauge("shallot_config_version", {}, double(Version));
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
+  Meter.gauge("shallot_member_ends_seen", {}, double(Fleet->endsSeen()));
+  Meter.gauge("shallot_peak_memory_bytes", {}, double(peakMemoryBytes()));
   Meter.gauge("shallot_load_millicores", {}, double(Fleet->self().Load));
   Requests.quarantine().writeGauges(Meter);
   Requests.writeGauges();
@@ -404,6 +413,7 @@
   if (Passed < LoadPeriod)
     return;
   updateWarmupSenders(Now);
+  checkMemory();
   Duration Busy = Loop.busy() - std::exchange(BusyBefore, Loop.busy());
   LoadAt = Now;
   std::uint32_t Before = Fleet->self().Load;
@@ -418,6 +428,19 @@
   Fleet->setLoad(Announced);
 }
 
+/// A process that takes too much is killed without a word; this is the line
+/// that it leaves before.
+void FrontDaemon::Impl::checkMemory() {
+  std::size_t Peak = peakMemoryBytes();
+  if (double(Peak) < HighMemoryPart * double(Set.MemoryBytes) ||
+      Peak < MemoryTold + MemoryToldStep)
+    return;
+  MemoryTold = Peak;
+  logEvent(LogLevel::Warn, "memory_high",
+           {{"bytes", std::to_string(Peak)},
+            {"of", std::to_string(Set.MemoryBytes)}});
+}
+
 /// A process that was frozen, or whose host was suspended, acts late on a
 /// signal. When it runs again, housekeeping may come before the signal, so the
 /// signal may be as old as the housekeeping before the last one.
--- a/packages/net/include/shallotshift/net.h
+++ b/packages/net/include/shallotshift/net.h
@@ -14,6 +14,7 @@
 #include "net/HttpServer.h"
 #include "net/HttpTypes.h"
 #include "net/Problem.h"
+#include "net/ProcessFigures.h"
 #include "net/SuspendedTime.h"
 #include "net/TcpOptions.h"
 
--- a/packages/telemetry/Log.cpp
+++ b/packages/telemetry/Log.cpp
@@ -1,6 +1,7 @@
 //===- Log.cpp ------------------------------------------------------------===//
 #include "telemetry/Log.h"
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <ctime>
@@ -24,6 +25,11 @@
 std::string Host;
 LogThrottle Throttle;
 
+/// Copy of Host that may be read while Lock is held. It is written once, before
+/// anything is served.
+std::array<char, 64> HostCopy;
+std::size_t HostCopySize = 0;
+
 std::string_view levelName(LogLevel Level) {
   switch (Level) {
   case LogLevel::Debug:
@@ -114,8 +120,14 @@
 void setLogHost(std::string NewHost) {
   std::lock_guard Guard(Lock);
   Host = std::move(NewHost);
+  HostCopySize = 0;
+  for (char C : Host)
+    if (isPlain(C) && HostCopySize < HostCopy.size())
+      HostCopy.at(HostCopySize++) = C;
 }
 
+std::string_view crashHost() { return {HostCopy.data(), HostCopySize}; }
+
 std::string formatEvent(LogLevel Level, std::string_view Event,
                         std::initializer_list<LogField> Fields) {
   std::string Line = "{";
--- a/packages/telemetry/Log.h
+++ b/packages/telemetry/Log.h
@@ -45,6 +45,10 @@
 /// Puts \p Host on every later line.
 void setLogHost(std::string Host);
 
+/// The same name for the handler of a signal: without characters that would
+/// need an escape, and cut at 64 bytes.
+std::string_view crashHost();
+
 /// The JSON object of one event, without its time stamp. Bytes that are not
 /// UTF-8 and characters outside of ASCII stand as escapes.
 std::string formatEvent(LogLevel Level, std::string_view Event,
--- a/programs/ShallotshiftdMain.cpp
+++ b/programs/ShallotshiftdMain.cpp
@@ -2,7 +2,9 @@
 // it is told to stop.
 #include "shallotshift/daemon.h"
 #include "shallotshift/front.h"
+#include "shallotshift/net.h"
 #include "shallotshift/platform.h"
+#include "shallotshift/telemetry.h"
 
 #include <cstdio>
 #include <fmt/core.h>
@@ -17,6 +19,16 @@
   return infoOf(E.Code).ExitCode;
 }
 
+/// The first line of every run: a run that ends without it has ended before
+/// main().
+void logStart(const Options &O, Duration BeforeMain) {
+  logEvent(
+      LogLevel::Info, "process_started",
+      {{"version", SHALLOT_VERSION},
+       {"settings", O.SettingsPath},
+       {"cpu_before_main_ms", fmt::format("{:.1f}", toMillisF(BeforeMain))}});
+}
+
 int checkFront(const std::string &Path) {
   auto Set = attempt([&] { return FrontSettings::load(Path); });
   if (!Set)
@@ -43,6 +55,8 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  Duration BeforeMain = processorTime();
+  logCrashes();
   auto O = attempt([&] { return Options::parse(Argc, Argv); });
   if (!O)
     return failWith(O.error());
@@ -54,6 +68,8 @@
     fmt::print("shallotshiftd {}\n", SHALLOT_VERSION);
     return 0;
   }
+  if (O->What == Options::Action::Front || O->What == Options::Action::Run)
+    logStart(*O, BeforeMain);
   if (O->What == Options::Action::Front)
     return servePlatform(O->SettingsPath);
   if (O->What == Options::Action::CheckFront)
--- a/tests/failure/RestartReplacesOldSelf.cpp
+++ b/tests/failure/RestartReplacesOldSelf.cpp
@@ -18,6 +18,7 @@
   Bag.run(Seconds(20));
   CHECK(Bag.countEvents(MembershipEventKind::Failed) == 0);
   CHECK(Bag.countEvents(MembershipEventKind::Restarted) == 5);
+  CHECK(Bag.countEvents(MembershipEventKind::Ended) == 5);
 }
 
 TEST_CASE("an old incarnation that learns of a later one may not act") {
