tests: daemons that do not start, or end by themselves (red)

Real daemons among signals in series and overlapping (while serving, from each millisecond of a start, through a stop, six starts at once on a quarter of a core each), held addresses, settings that come late, outputs that go away.

--- /dev/null
+++ b/tests/failure/daemons_end_as_told.py
@@ -0,0 +1,331 @@
+#!/usr/bin/env python3
+"""Guards against daemons that do not start, or end by themselves.
+
+    daemons_end_as_told.py BUILD SCENARIO
+"""
+
+import contextlib
+import json
+import os
+import pathlib
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "tools"))
+
+from deployment import Deployment  # noqa: E402
+from fleet import call, wait_until  # noqa: E402
+
+GRACE_S, END_S = 6, 8
+HELD_S = 0.5            # An address or a file is away for so long.
+READY_S = 10
+# Until the process has its actions: the code of its own, before any library.
+BEFORE_ACTIONS_MS = 3.0
+STARTS = range(0, 42)   # Milliseconds after that.
+FLEET = 6
+ENDING = ("HUP", "PIPE", "ALRM", "VTALRM", "PROF", "USR1", "USR2", "IO", "PWR",
+          "STKFLT", "XCPU", "XFSZ", "TSTP", "TTIN", "TTOU")
+REAL_TIME = (signal.SIGRTMIN, signal.SIGRTMAX)
+SERIES = ("HUP", "USR1", "PIPE", "HUP", "ALRM", "XFSZ")
+STOPPING = ("TERM", "INT", "QUIT")
+
+
+def number(name):
+    return getattr(signal, f"SIG{name}")
+
+
+def acts_on(child, what):
+    """Whether the process has an action of its own for a signal."""
+    status = pathlib.Path(f"/proc/{child.pid}/status").read_text()
+    masks = [int(status.split(f"Sig{name}:")[1].split()[0], 16)
+             for name in ("Ign", "Cgt")]
+    return bool((masks[0] | masks[1]) >> (what - 1) & 1)
+
+
+def processor_ms(child):
+    text = pathlib.Path(f"/proc/{child.pid}/schedstat").read_text()
+    return int(text.split()[0]) / 1e6
+
+
+class Ends(Deployment):
+    def lines(self, n, event=None):
+        """What a daemon has logged."""
+        text = self.path(f"front-{n}.log").read_text()
+        events = [json.loads(line) for line in text.splitlines()
+                  if line.startswith("{")]
+        return [e for e in events if event in (None, e["event"])]
+
+    def child(self, n):
+        return self.children[f"front-{n}"]
+
+    def start_guarded(self, n):
+        """Starts a daemon and returns when its actions are set, with the
+        processor time until then."""
+        self.start_daemon(n)
+        child = self.child(n)
+        while not (acts_on(child, signal.SIGHUP) and
+                   acts_on(child, signal.SIGTERM)):
+            assert child.poll() is None, f"front-{n} ended: {child.returncode}"
+        return processor_ms(child)
+
+    def settings_of(self, n):
+        return json.loads(pathlib.Path(self.settings(n)).read_text())
+
+    def check_runs(self, n, why):
+        code = self.child(n).poll()
+        assert code is None, f"{why}: front-{n} ended with {code}"
+        state = pathlib.Path(f"/proc/{self.child(n).pid}/stat").read_text()
+        assert state.rsplit(")", 1)[1].split()[0] != "T", f"{why}: it is stopped"
+
+    def check_serves(self, n, why):
+        wait_until(f"{why}: front-{n} is ready", READY_S,
+                   lambda: self.ready(n))
+
+    def check_ended(self, n, why, code=0, line="stopped"):
+        got = self.child(n).wait(END_S)
+        assert got == code, f"{why}: front-{n} ended with {got}, not {code}"
+        assert self.lines(n, line), f"{why}: front-{n} ended without '{line}'"
+
+    def check_stops(self, n, why):
+        self.signal(n, signal.SIGTERM)
+        self.check_ended(n, why)
+
+
+@contextlib.contextmanager
+def held(address, kind=socket.SOCK_STREAM):
+    """Another socket has the address."""
+    ip, port = address.split(":")
+    with socket.socket(socket.AF_INET, kind) as taken:
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        taken.bind((ip, int(port)))
+        if kind == socket.SOCK_STREAM:
+            taken.listen()
+        yield
+
+
+def signals_while_serving(ends):
+    ends.start_daemon(1)
+    ends.check_serves(1, "before all signals")
+    for what in [*map(number, ENDING), *REAL_TIME]:
+        for _ in range(3):
+            ends.signal(1, what)
+            time.sleep(0.02)
+        ends.check_runs(1, f"signal {what}")
+    ends.check_serves(1, "after all signals")
+    ends.check_stops(1, "after all signals")
+
+
+def signals_at_a_start(ends):
+    """Series of signals from each millisecond of a start on, a stop behind."""
+    used = []
+    for first_ms in STARTS[::FLEET]:
+        moments = dict(enumerate(range(first_ms, first_ms + FLEET), start=1))
+        for n, after_ms in moments.items():
+            used.append(ends.start_guarded(n))
+            time.sleep(after_ms / 1000)
+            for what in SERIES:
+                ends.signal(n, number(what))
+            time.sleep(0.01)
+            ends.check_runs(n, f"signals {after_ms} ms after the start")
+            ends.signal(n, number(STOPPING[after_ms % len(STOPPING)]))
+            ends.signal(n, signal.SIGHUP)
+        for n, after_ms in moments.items():
+            ends.check_ended(n, f"stopped {after_ms} ms after the start")
+    print(f"processor time until the actions: {sorted(used)[len(used) // 2]:.2f} "
+          f"ms at the middle, {max(used):.2f} at most")
+    assert min(used) <= BEFORE_ACTIONS_MS, used
+
+
+def signals_at_a_stop(ends):
+    """SIGHUP without pause until six daemons have stopped."""
+    ends.start_daemons()
+    for n in range(1, FLEET + 1):
+        ends.signal(n, signal.SIGTERM)
+    running = set(range(1, FLEET + 1))
+    while running:
+        for n in list(running):
+            if ends.child(n).poll() is not None:
+                running.discard(n)
+                ends.check_ended(n, "signals at a stop")
+                continue
+            ends.signal(n, signal.SIGHUP)
+            ends.signal(n, signal.SIGTERM)
+        time.sleep(0.0005)
+
+
+def signals_on_a_quarter(ends):
+    """Six daemons start at once on a quarter of a core each, four times."""
+    cores = sorted(os.sched_getaffinity(0))[:2]
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"],
+                             preexec_fn=lambda c=c: os.sched_setaffinity(0, {c}))
+            for c in cores]
+    used = []
+    try:
+        for play in range(4):
+            for n in range(1, FLEET + 1):
+                os.sched_setaffinity(0, {cores[n % len(cores)]})
+                ends.start_daemon(n)
+            os.sched_setaffinity(0, os.cpu_count() and range(os.cpu_count()))
+            waiting = set(range(1, FLEET + 1))
+            until = time.monotonic() + 0.5
+            while time.monotonic() < until:
+                for n in range(1, FLEET + 1):
+                    child = ends.child(n)
+                    if n in waiting and acts_on(child, signal.SIGHUP):
+                        used.append(processor_ms(child))
+                        waiting.discard(n)
+                    if n not in waiting:
+                        ends.signal(n, signal.SIGHUP)
+                        ends.signal(n, signal.SIGUSR1)
+                time.sleep(0.001)
+            for n in range(1, FLEET + 1):
+                ends.check_runs(n, f"six starts, play {play}")
+                ends.signal(n, signal.SIGTERM)
+            for n in range(1, FLEET + 1):
+                ends.check_ended(n, f"six starts, play {play}")
+    finally:
+        for child in busy:
+            child.kill()
+            child.wait()
+    print(f"processor time until the actions, on a quarter of a core: "
+          f"{sorted(used)[len(used) // 2]:.2f} ms at the middle, "
+          f"{max(used):.2f} at most")
+
+
+def addresses_away_at_a_start(ends):
+    settings = ends.settings_of(1)
+    stream, datagram = socket.SOCK_STREAM, socket.SOCK_DGRAM
+    for what, kind in [("callers", stream), ("readiness", stream),
+                       ("directory", stream), ("peers", stream),
+                       ("metrics", stream), ("gossip", datagram),
+                       ("quotas", datagram)]:
+        with held(settings[what], kind):
+            ends.start_daemon(1)
+            time.sleep(HELD_S)
+            ends.check_runs(1, f"address of {what} held")
+        ends.check_serves(1, f"address of {what} held")
+        wait_until(f"address of {what} is used", READY_S,
+                   lambda w=what, k=kind: in_use(settings[w], k))
+        # Ends it without the wait for callers.
+        ends.child(1).kill()
+        ends.child(1).wait()
+
+
+def in_use(address, kind):
+    try:
+        with held(address, kind):
+            return False
+    except OSError:
+        return True
+
+
+def metrics_away_for_good(ends):
+    with held(ends.settings_of(1)["metrics"]):
+        ends.start_daemons()
+        status, _ = call(f"{ends.ip(1)}:8225", "GET", "/resolve?name=search.example"
+                         "&region=r-south&zone=z-south")
+        assert status == 200, status
+        ends.check_stops(1, "metrics away")
+
+
+def settings_come_late(ends):
+    path = pathlib.Path(ends.settings(1))
+    whole = path.read_text()
+    for first in (None, "", whole[:len(whole) // 2]):
+        path.unlink(missing_ok=True)
+        if first is not None:
+            path.write_text(first)
+        ends.spawn("front-1", ends.build / "programs/shallotshiftd", "--front",
+                   path)
+        time.sleep(HELD_S)
+        ends.check_runs(1, "settings away")
+        ends.signal(1, signal.SIGHUP)
+        path.write_text(whole)
+        ends.check_serves(1, "settings came")
+        ends.child(1).kill()
+        ends.child(1).wait()
+    path.unlink()
+    ends.spawn("front-1", ends.build / "programs/shallotshiftd", "--front", path)
+    time.sleep(HELD_S)
+    ends.check_stops(1, "stopped while it waits for settings")
+
+
+def wrong_settings_end_it(ends):
+    path = pathlib.Path(ends.settings(1))
+    settings = json.loads(path.read_text())
+    path.write_text(json.dumps({**settings, "stop_grace_s": -1}))
+    ends.spawn("front-1", ends.build / "programs/shallotshiftd", "--front", path)
+    ends.check_ended(1, "a wrong value", 2, "start_failed")
+    assert "stop_grace_s" in ends.lines(1, "start_failed")[-1]["why"]
+
+
+def output_goes_away(ends):
+    """The reader of a pipe ends, a file is at its limit, nothing is open."""
+    command = [str(ends.build / "programs/shallotshiftd"), "--front",
+               ends.settings(1)]
+
+    def few_bytes():
+        resource.setrlimit(resource.RLIMIT_FSIZE, (300, 300))
+
+    def no_streams():
+        for stream in range(3):
+            os.close(stream)
+
+    read, write = os.pipe()
+    plays = [("a pipe", {"stdout": write}),
+             ("a file", {"stdout": open(ends.path("front-1.log"), "w"),
+                         "preexec_fn": few_bytes}),
+             ("nothing", {"preexec_fn": no_streams, "close_fds": True})]
+    for what, streams in plays:
+        ends.children["front-1"] = subprocess.Popen(command, **streams)
+        if what == "a pipe":
+            os.close(write)
+            time.sleep(0.2)
+            os.close(read)
+        ends.check_serves(1, f"output: {what}")
+        for _ in range(5):
+            ends.signal(1, signal.SIGHUP)
+            time.sleep(0.02)
+            ends.check_runs(1, f"output: {what}")
+        ends.check_serves(1, f"output: {what}")
+        ends.signal(1, signal.SIGTERM)
+        code = ends.child(1).wait(END_S)
+        assert code == 0, f"output: {what}: ended with {code}"
+
+
+def crashes_leave_a_line(ends):
+    for what in ("SEGV", "ABRT", "BUS"):
+        ends.start_daemons()
+        ends.signal(1, number(what))
+        ends.check_ended(1, what, -number(what), "crashed")
+        assert ends.lines(1, "crashed")[-1]["signal"] == what
+
+
+SCENARIOS = {
+    "signals": (signals_while_serving, signals_at_a_start, signals_at_a_stop,
+                signals_on_a_quarter),
+    "starts": (addresses_away_at_a_start, metrics_away_for_good,
+               settings_come_late, wrong_settings_end_it),
+    "outputs": (output_goes_away, crashes_leave_a_line),
+}
+
+
+def main():
+    build, scenario = sys.argv[1:]
+    for play in SCENARIOS[scenario]:
+        fleet = FLEET if scenario == "signals" else 1
+        net = f"127.{63 + sorted(SCENARIOS).index(scenario)}.0"
+        with Ends(build, net, daemons=fleet) as ends:
+            ends.put_config(ends.config(7))
+            began = time.monotonic()
+            play(ends)
+            print(f"{play.__name__}: held, {time.monotonic() - began:.1f} s",
+                  flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -55,6 +55,15 @@
 set_tests_properties(messages_without_end PROPERTIES LABELS failure
   TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 
+# Real daemons among signals, held addresses, late settings and lost outputs.
+foreach(SCENARIO signals starts outputs)
+  add_test(NAME daemons_end_as_told_${SCENARIO}
+    COMMAND python3 ${CMAKE_CURRENT_LIST_DIR}/failure/daemons_end_as_told.py
+            ${CMAKE_BINARY_DIR} ${SCENARIO})
+  set_tests_properties(daemons_end_as_told_${SCENARIO} PROPERTIES LABELS failure
+    TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+endforeach()
+
 # The directory of real daemons that are stopped.
 add_test(NAME directory_until_the_end
   COMMAND python3
