net: standard streams that are closed lead to /dev/null

Started without standard streams, a daemon gave their numbers to the first things that it opened. Its log lines then went into these: into its pipe of signals, where each byte reads as a signal, or into a socket.

guardProcess() opens /dev/null for each stream that is closed, before it opens anything else.

--- a/packages/net/ProcessGuard.cpp
+++ b/packages/net/ProcessGuard.cpp
@@ -39,9 +39,17 @@
   ::sigaction(Signal, &Next, nullptr);
 }
 
+void keepStandardStreams() {
+  for (int Stream = STDIN_FILENO; Stream <= STDERR_FILENO; ++Stream)
+    if (::fcntl(Stream, F_GETFD) < 0 && errno == EBADF)
+      // The lowest free number is that of the stream.
+      (void)::open("/dev/null", O_RDWR);
+}
+
 } // namespace
 
 int guardProcess() {
+  keepStandardStreams();
   int Ends[2] = {-1, -1};
   if (::pipe2(Ends, O_CLOEXEC | O_NONBLOCK) != 0)
     return -1;
--- a/packages/net/ProcessGuard.h
+++ b/packages/net/ProcessGuard.h
@@ -28,8 +28,10 @@
 
 namespace shallot {
 
-/// Sets the actions. Returns the descriptor from which signals are read, one
-/// byte each, or -1 if there is none; errno says why.
+/// Sets the actions, and opens /dev/null for standard streams that are closed:
+/// a socket that took their numbers would get the log. Returns the descriptor
+/// from which signals are read, one byte each, or -1 if there is none; errno
+/// says why.
 int guardProcess();
 
 /// The descriptor of guardProcess(), which is called if it has not been.
