net, front, platform, programs: a start waits for what is away for a moment

Callers saw a daemon missing from its zone, and the platform one that did not start: an address that another socket held for half a second, the metrics port taken for good, settings that were absent or cut short while they were written: each ended the process at once, with 7 or 2 and no second try.

Cause: each thing that a start needs was asked for once, and any failure ended the process, whether it would pass, concerned only a part, or was a mistake.

Change: net/StartRetry holds the one rule. Each other address is tried for as long as the process runs, and everything that has one is served meanwhile: without readiness, directory, peers, quotas or reports a daemon still answers callers. A value that is wrong by itself fails the start at once, as before. A stop during the wait ends it with 0.

Why callers and gossip: without the first nobody can be served, and without the second a daemon takes itself for the only one and the limits of replicas for its own.

--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <list>
 #include <optional>
 
 namespace shallot {
@@ -126,7 +127,10 @@
     return Set.Retries.Window + ViewPropagationTime;
   }
   Result<void> open();
-  Result<void> openHttp();
+  void openServers();
+  void openWhenFree(std::string_view Name, const Endpoint &At,
+                    StartRetry::BeginFn Open);
+  std::size_t addressesAwaited() const;
   void directory(const ServerRequest &R, const Responder &A);
   void readiness(const ServerRequest &R, const Responder &A);
   void scrape(const Responder &A);
@@ -165,6 +169,7 @@
   std::unique_ptr<HttpServer> Readiness;
   std::unique_ptr<HttpServer> MetricsServer;
   std::unique_ptr<HttpServer> Peers;
+  std::list<StartRetry> Addresses; ///< All but those of callers and gossip.
   HttpServer::Handler PeerHandler;
   std::function<void()> FleetChangedFn;
   Instant FleetAppliedAt;
@@ -202,49 +207,66 @@
   return O;
 }
 
-Result<void> FrontDaemon::Impl::openHttp() {
-  auto Serve = [&](const Endpoint &At, HttpServer::Handler Fn) {
-    return HttpServer::open(Loop, At, questionLimits(), std::move(Fn));
-  };
-  BOOST_LEAF_ASSIGN(
-      Readiness,
-      Serve(Set.Readiness, [this](const ServerRequest &R, const Responder &A) {
-        readiness(R, A);
-      }));
-  BOOST_LEAF_ASSIGN(
-      Directory,
-      Serve(Set.Directory, [this](const ServerRequest &R, const Responder &A) {
-        directory(R, A);
-      }));
-  BOOST_LEAF_ASSIGN(
-      MetricsServer,
-      Serve(Set.Metrics,
-            [this](const ServerRequest &, const Responder &A) { scrape(A); }));
-  BOOST_LEAF_ASSIGN(Peers, Serve(Set.Peers, [this](const ServerRequest &R,
-                                                   const Responder &A) {
-                      if (PeerHandler)
-                        PeerHandler(R, A);
-                      else
-                        A.reply(problemReply(ResultCode::NotReady, "starting"));
-                    }));
-  return {};
+/// Opens what the daemon can serve without as soon as its address is free.
+void FrontDaemon::Impl::openWhenFree(std::string_view Name, const Endpoint &At,
+                                     StartRetry::BeginFn Open) {
+  std::string What = "address " + At.str() + " (" + std::string(Name) + ")";
+  Addresses.emplace_back(Loop, std::move(What), std::move(Open));
+  Addresses.back().start();
 }
 
+std::size_t FrontDaemon::Impl::addressesAwaited() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Addresses, [](const StartRetry &R) { return !R.done(); }));
+}
+
+void FrontDaemon::Impl::openServers() {
+  using Slot = std::unique_ptr<HttpServer> Impl::*;
+  auto Serve = [this](std::string_view Name, const Endpoint &At, Slot Server,
+                      const HttpServer::Handler &Fn) {
+    openWhenFree(Name, At, [this, At, Server, Fn]() -> Result<void> {
+      BOOST_LEAF_ASSIGN(this->*Server,
+                        HttpServer::open(Loop, At, questionLimits(), Fn));
+      return {};
+    });
+  };
+  Serve(
+      "readiness", Set.Readiness, &Impl::Readiness,
+      [this](const ServerRequest &R, const Responder &A) { readiness(R, A); });
+  Serve(
+      "directory", Set.Directory, &Impl::Directory,
+      [this](const ServerRequest &R, const Responder &A) { directory(R, A); });
+  Serve("metrics", Set.Metrics, &Impl::MetricsServer,
+        [this](const ServerRequest &, const Responder &A) { scrape(A); });
+  Serve("peers", Set.Peers, &Impl::Peers,
+        [this](const ServerRequest &R, const Responder &A) {
+          if (PeerHandler)
+            PeerHandler(R, A);
+          else
+            A.reply(problemReply(ResultCode::NotReady, "starting"));
+        });
+}
+
+/// Without its callers a daemon can serve nobody, and without gossip it cannot
+/// tell how many share the limits of replicas.
 Result<void> FrontDaemon::Impl::open() {
   BOOST_LEAF_ASSIGN(
       Fleet, FleetLink::open(Loop, Set, Rng, [this] { fleetChanged(); }));
-  BOOST_LEAF_ASSIGN(Quotas, QuotaLink::open(Loop, Timers, Set, *Fleet));
-  Requests.limitBy(*Quotas);
-  if (Set.Reports) {
-    BOOST_LEAF_ASSIGN(Reports,
-                      ReplicaReportLink::open(Loop, Timers, *Set.Reports,
-                                              *Fleet, Replicas, Rng));
-  }
   BOOST_LEAF_ASSIGN(
       Callers,
       CallerServer::open(Loop, Timers, Set.Callers, callerOptions(Set, {}),
                          [this](const ExchangePtr &E) { Requests.handle(E); }));
-  BOOST_LEAF_CHECK(openHttp());
+  Quotas = std::make_unique<QuotaLink>(Loop, Timers, Set, *Fleet);
+  Requests.limitBy(*Quotas);
+  openWhenFree("quotas", Set.Quotas, [this] { return Quotas->listen(); });
+  if (Set.Reports)
+    openWhenFree("reports", *Set.Reports, [this]() -> Result<void> {
+      BOOST_LEAF_ASSIGN(Reports,
+                        ReplicaReportLink::open(Loop, Timers, *Set.Reports,
+                                                *Fleet, Replicas, Rng));
+      return {};
+    });
+  openServers();
   Fleet->start();
   housekeeping();
   return {};
@@ -367,6 +389,7 @@
   std::uint64_t Version = Requests.config() ? Requests.config()->version() : 0;
   Meter.gauge("shallot_config_version", {}, double(Version));
   Meter.gauge("shallot_members_seen", {}, double(Fleet->view().Members.size()));
+  Meter.gauge("shallot_addresses_awaited", {}, double(addressesAwaited()));
   Meter.gauge("shallot_member_ends_seen", {}, double(Fleet->endsSeen()));
   Meter.gauge("shallot_peak_memory_bytes", {}, double(peakMemoryBytes()));
   Meter.gauge("shallot_load_millicores", {}, double(Fleet->self().Load));
@@ -376,7 +399,7 @@
   Meter.gauge("shallot_membership_sent_bytes", {}, double(G.SentBytes));
   Meter.gauge("shallot_membership_received_bytes", {}, double(G.ReceivedBytes));
   Meter.gauge("shallot_membership_malformed", {}, double(G.Malformed));
-  const DatagramStats &Q = Quotas->traffic();
+  DatagramStats Q = Quotas->traffic();
   Meter.gauge("shallot_quota_sent_bytes", {}, double(Q.SentBytes));
   Meter.gauge("shallot_quota_received_bytes", {}, double(Q.ReceivedBytes));
   Meter.gauge("shallot_quota_malformed", {}, double(Q.Malformed));
@@ -473,8 +496,9 @@
 
 void FrontDaemon::Impl::advanceStop() {
   StopPhase Before = Stop->phase();
-  StopFacts Facts{Requests.inFlight(), Callers->connections(),
-                  Directory->openConnections() + Readiness->openConnections()};
+  StopFacts Facts{Requests.inFlight(), Callers->connections(), 0};
+  for (const HttpServer *S : {Directory.get(), Readiness.get()})
+    Facts.Lookups += S ? S->openConnections() : 0;
   StopPhase Phase = Stop->advance(Facts, Loop.now());
   if (Phase == StopPhase::Finishing)
     stopServing();
@@ -492,8 +516,11 @@
 /// A process that exits as soon as no caller request is left would cut off
 /// callers that have just queried the directory or just connected.
 void FrontDaemon::Impl::closeListeners() {
+  Addresses.clear();
   Callers->stopAccepting();
   for (HttpServer *S : {Directory.get(), Readiness.get()}) {
+    if (!S)
+      continue;
     S->closeAfterReply();
     S->stopAccepting();
   }
--- a/packages/front/FrontDaemon.h
+++ b/packages/front/FrontDaemon.h
@@ -51,8 +51,8 @@
 
 class FrontDaemon {
 public:
-  /// Listens on all addresses of \p Set. Fails with AddressInUse or
-  /// SettingsInvalid.
+  /// Listens on the addresses of callers and gossip, and on each other one as
+  /// soon as it is free. Fails with AddressInUse or SettingsInvalid.
   static Result<std::unique_ptr<FrontDaemon>> open(EventLoop &Loop,
                                                    const FrontSettings &Set,
                                                    FrontAdapter Adapter,
--- a/packages/front/QuotaLink.cpp
+++ b/packages/front/QuotaLink.cpp
@@ -36,7 +36,7 @@
 
 QuotaLink::QuotaLink(EventLoop &Loop, TimerQueue &Timers,
                      const FrontSettings &Set, FleetLink &Fleet)
-    : Loop(Loop), Timers(Timers), Port(Set.Quotas.Port), Fleet(Fleet),
+    : Loop(Loop), Timers(Timers), Address(Set.Quotas), Fleet(Fleet),
       Agent(Fleet.self().Id, Set.QuotaLimits) {
   Agent.setZones(zonesOf(Set));
   refresh();
@@ -44,21 +44,16 @@
 
 QuotaLink::~QuotaLink() { Timers.cancel(Timer); }
 
-Result<std::unique_ptr<QuotaLink>> QuotaLink::open(EventLoop &Loop,
-                                                   TimerQueue &Timers,
-                                                   const FrontSettings &Set,
-                                                   FleetLink &Fleet) {
-  std::unique_ptr<QuotaLink> L(new QuotaLink(Loop, Timers, Set, Fleet));
-  auto Read = [Raw = L.get()](std::span<const std::byte> Plain,
-                              const Endpoint &) {
+Result<void> QuotaLink::listen() {
+  auto Read = [this](std::span<const std::byte> Plain, const Endpoint &) {
     auto M = attempt([&] { return decodeQuota(Plain); });
     if (M)
-      Raw->receive(*M);
+      receive(*M);
     return bool(M);
   };
-  BOOST_LEAF_ASSIGN(L->Socket,
-                    DatagramSocket::open(Loop, Set.Quotas, "quotas", Read));
-  return L;
+  BOOST_LEAF_ASSIGN(Socket,
+                    DatagramSocket::open(Loop, Address, "quotas", Read));
+  return {};
 }
 
 /// Counts suspensions of the machine, in which tokens expire.
@@ -146,7 +141,8 @@
 
 void QuotaLink::apply(const QuotaOutput &Out) {
   for (const QuotaSend &S : Out.Sends)
-    Socket->send({S.To.Gossip.Ip, Port}, encodeQuota(S.Message));
+    if (Socket)
+      Socket->send({S.To.Gossip.Ip, Address.Port}, encodeQuota(S.Message));
   for (const QuotaOpening &O : Out.Opened)
     logEvent(LogLevel::Info, "quota_opened",
              {{"organisation", O.Name.str()},
--- a/packages/front/QuotaLink.h
+++ b/packages/front/QuotaLink.h
@@ -20,15 +20,16 @@
 public:
   using Callback = std::function<void(const AdmissionDecision &)>;
 
-  /// Opens the socket. Fails with AddressInUse.
-  static Result<std::unique_ptr<QuotaLink>> open(EventLoop &Loop,
-                                                 TimerQueue &Timers,
-                                                 const FrontSettings &Set,
-                                                 FleetLink &Fleet);
+  QuotaLink(EventLoop &Loop, TimerQueue &Timers, const FrontSettings &Set,
+            FleetLink &Fleet);
   ~QuotaLink();
   QuotaLink(const QuotaLink &) = delete;
   QuotaLink &operator=(const QuotaLink &) = delete;
 
+  /// Opens the socket. Until then messages are lost, as they may be on the way.
+  /// Fails with AddressInUse.
+  Result<void> listen();
+
   /// Enforces the quotas of \p Callers from now on.
   void install(const Organisations &Callers);
   /// Applies the fleet's current view.
@@ -43,12 +44,11 @@
   /// Returns the token of a request that was not sent.
   void putBack(const Tenant &Name);
 
-  const DatagramStats &traffic() const { return Socket->stats(); }
+  DatagramStats traffic() const {
+    return Socket ? Socket->stats() : DatagramStats();
+  }
 
 private:
-  QuotaLink(EventLoop &Loop, TimerQueue &Timers, const FrontSettings &Set,
-            FleetLink &Fleet);
-
   Instant now() const;
   void tick();
   void schedule();
@@ -60,7 +60,7 @@
 
   EventLoop &Loop;
   TimerQueue &Timers;
-  std::uint16_t Port;
+  Endpoint Address; ///< All daemons use the same port.
   FleetLink &Fleet;
   QuotaAgent Agent;
   std::unique_ptr<DatagramSocket> Socket;
--- a/packages/net/include/shallotshift/net.h
+++ b/packages/net/include/shallotshift/net.h
@@ -16,6 +16,7 @@
 #include "net/Problem.h"
 #include "net/ProcessFigures.h"
 #include "net/ProcessGuard.h"
+#include "net/StartRetry.h"
 #include "net/SuspendedTime.h"
 #include "net/TcpOptions.h"
 
--- a/programs/ShallotshiftdMain.cpp
+++ b/programs/ShallotshiftdMain.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdio>
 #include <fmt/core.h>
+#include <memory>
 #include <random>
 
 using namespace shallot;
@@ -47,19 +48,38 @@
   return 0;
 }
 
-int serve(const Settings &Set) {
-  setLogLevel(Set.Level);
-  setLogHost(Set.Host.str());
-  EventLoop Loop;
+std::uint64_t randomSeed() {
   std::random_device Entropy;
-  std::uint64_t Seed = (std::uint64_t(Entropy()) << 32) | Entropy();
-  auto D = attempt([&] { return Daemon::start(Loop, Set, Seed); });
-  if (!D)
-    return failWith(D.error());
-  Loop.onStopSignal([&] { (*D)->requestStop(); });
+  return (std::uint64_t(Entropy()) << 32) | Entropy();
+}
+
+/// Runs a daemon of the product's own interface.
+int serve(const std::string &Path) {
+  EventLoop Loop;
+  std::unique_ptr<Daemon> D;
+  int ExitCode = 0;
+  StartRetry Start(Loop, "settings, own addresses", [&]() -> Result<void> {
+    BOOST_LEAF_AUTO(Set, Settings::load(Path));
+    setLogLevel(Set.Level);
+    setLogHost(Set.Host.str());
+    BOOST_LEAF_ASSIGN(D, Daemon::start(Loop, std::move(Set), randomSeed()));
+    return {};
+  });
+  Start.limitTo(StartWait, [&](const Error &Why) {
+    ExitCode = failWith(Why);
+    Loop.post([&] { Loop.stop(); });
+  });
+  Loop.onStopSignal([&] {
+    if (D)
+      return D->requestStop();
+    Start.cancel();
+    Loop.stop();
+  });
+  Start.start();
   Loop.run();
-  logEvent(LogLevel::Info, "stopped");
-  return 0;
+  if (ExitCode == 0)
+    logEvent(LogLevel::Info, "stopped");
+  return ExitCode;
 }
 
 int run(int Argc, char **Argv) {
@@ -80,15 +100,14 @@
     return servePlatform(O->SettingsPath);
   if (O->What == Options::Action::CheckFront)
     return checkFront(O->SettingsPath);
+  if (O->What == Options::Action::Run)
+    return serve(O->SettingsPath);
   auto Set = attempt([&] { return Settings::load(O->SettingsPath); });
   if (!Set)
     return failWith(Set.error());
-  if (O->What == Options::Action::Check) {
-    fmt::print("{}: the settings of {} are good\n", O->SettingsPath,
-               Set->Host.str());
-    return 0;
-  }
-  return serve(*Set);
+  fmt::print("{}: the settings of {} are good\n", O->SettingsPath,
+             Set->Host.str());
+  return 0;
 }
 
 } // namespace
--- a/tests/net.cmake
+++ b/tests/net.cmake
@@ -5,7 +5,8 @@
           failure/NetCallersDoNotHoldUpOthers.cpp
           failure/NetLargeRepliesAreWaitedFor.cpp
           failure/NetNotRunIsProven.cpp
-          failure/NetSecondStopSignal.cpp failure/NetSilentConnection.cpp)
+          failure/NetSecondStopSignal.cpp failure/NetSilentConnection.cpp
+          failure/StartsAreTriedAgain.cpp)
 shallot_test(net_error PACKAGES net LABELS error
   SOURCES error/NetBadRequests.cpp)
 shallot_bench(bench_net PACKAGES net SOURCES performance/BenchNet.cpp)
