net: a reply that ends within its head has not arrived

Callers of the product's own interface got a success without records when an upstream stopped in the middle of its answer's head and closed.

Cause: libcurl takes a reply that ends between two header lines for one without a body, and HttpClient passed it on: the status was 200, the body empty, the failure none. A reply of 72 bytes counted as whole when it was cut after any of its bytes 17 to 67. Replicas of front daemons are read by http1/MessageReader, which refuses such a reply; the store's and peers' replies of front daemons come through HttpClient, and an empty body was no JSON there.

Change: a reply has arrived only if the empty line behind its headers has come. Otherwise its connection closed early, which promises nothing of the request.

--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -100,7 +100,8 @@
   std::uint32_t Generation = 0;
   Repeat Rule = Repeat::Idempotent;
   std::size_t MaxBytes = 0;
-  std::size_t Bytes = 0; ///< Of the reply, headers and body.
+  std::size_t Bytes = 0;  ///< Of the reply, headers and body.
+  bool HeadWhole = false; ///< The empty line behind the headers has come.
   Instant Started{};
   Instant LastByte{}; ///< Of the reply.
   Duration Stall{0};  ///< As in HttpRequest.
@@ -140,8 +141,10 @@
   std::string_view Line(Data, Size);
   if (Line.starts_with("HTTP/")) {
     T.Reply.Headers.clear(); // What came before was a 1xx.
+    T.HeadWhole = false;
     return Size;
   }
+  T.HeadWhole = T.HeadWhole || trimmed(Line).empty();
   std::size_t Colon = Line.find(':');
   if (Colon != std::string_view::npos)
     T.Reply.Headers.push_back({std::string(trimmed(Line.substr(0, Colon))),
@@ -305,6 +308,7 @@
   T.Id = (static_cast<TransferId>(++T.Generation) << 32) | T.Slot;
   T.MaxBytes = Limits.MaxReplyBytes;
   T.Bytes = 0;
+  T.HeadWhole = false;
   T.Clock = &Loop;
   T.Started = Loop.now();
   T.LastByte = T.Started;
@@ -335,6 +339,10 @@
 
 void HttpClient::Impl::fillReply(Transfer &T, CURLcode Code) {
   T.Reply.Failure = failureOf(T.Easy, Code);
+  // libcurl takes a reply that ends between two header lines for one without a
+  // body.
+  if (T.Reply.Failure == ResultCode::Ok && !T.HeadWhole)
+    T.Reply.Failure = ResultCode::ConnectionClosed;
   T.Reply.Status = static_cast<int>(infoLong(T.Easy, CURLINFO_RESPONSE_CODE));
   T.Reply.NewConnection = openedConnection(T.Easy);
   T.Reply.Took = Loop.now() - T.Started;
--- a/tests/RawServer.h
+++ b/tests/RawServer.h
@@ -29,7 +29,7 @@
   std::string Body;
 };
 
-enum class RawAct { Answer, Close, Reset, Silent };
+enum class RawAct { Answer, AnswerAndClose, Close, Reset, Silent };
 
 class RawServer {
 public:
@@ -121,11 +121,12 @@
 
   void act(const PeerPtr &P, RawAct What) {
     asio::error_code Ignored;
-    if (What == RawAct::Answer)
+    if (What == RawAct::Answer || What == RawAct::AnswerAndClose)
       asio::write(P->Socket, asio::buffer(Answer), Ignored);
     if (What == RawAct::Reset)
       P->Socket.set_option(asio::socket_base::linger(true, 0));
-    if (What == RawAct::Close || What == RawAct::Reset)
+    if (What == RawAct::Close || What == RawAct::Reset ||
+        What == RawAct::AnswerAndClose)
       P->Socket.close(Ignored);
   }
 
