tests, standins: odd entries of other writers, and heads cut short of replicas

entries_of_other_writers, real daemons: 51 odd entries (nested up to what a value of the store holds, numbers beyond every type, ports and addresses that are none) in each of five kinds that daemons read, in watches and in lists (one daemon is killed and lists anew), and passed on from daemon to daemon. No daemon ends; each goes on to take in a new configuration, a replica that leaves and one that comes. It passes on the current code: depth, size and each value are bounded where a reply is read. The stand-in of the store can hold any text as an object's content.

http1_failure, 'closed within its head it is lost': a replica's reply cut after each byte of its head.

--- a/standins/KindService.cpp
+++ b/standins/KindService.cpp
@@ -114,9 +114,10 @@
 }
 
 Result<void> KindService::control(const Json &Orders) {
-  BOOST_LEAF_CHECK(checkFields(
-      Orders, {"mode", "busy_kind", "slow_ms", "lose_write_replies", "hide_era",
-               "drop_history", "take_copy", "restore_copy", "remove"}));
+  BOOST_LEAF_CHECK(
+      checkFields(Orders, {"mode", "busy_kind", "slow_ms", "lose_write_replies",
+                           "hide_era", "drop_history", "take_copy",
+                           "restore_copy", "remove", "put_text"}));
   KindFaults F = Faults;
   std::string Mode(textOf(F.Mode));
   bool Drop = false;
@@ -133,6 +134,8 @@
   BOOST_LEAF_CHECK(readField(Orders, "restore_copy", Restore));
   BOOST_LEAF_CHECK(readField(Orders, "remove", Gone));
   BOOST_LEAF_ASSIGN(F.Mode, modeOf(Mode));
+  if (Orders.contains("put_text"))
+    BOOST_LEAF_CHECK(putText(Orders["put_text"]));
   if (Take)
     takeCopy();
   if (Restore)
@@ -145,11 +148,29 @@
   return {};
 }
 
+/// Puts an object whose content is any text, which need not be JSON.
+Result<void> KindService::putText(const Json &Order) {
+  std::string Kind;
+  std::string Name;
+  std::string Text;
+  BOOST_LEAF_CHECK(checkFields(Order, {"kind", "name", "text"}));
+  BOOST_LEAF_CHECK(readField(Order, "kind", Kind));
+  BOOST_LEAF_CHECK(readField(Order, "name", Name));
+  BOOST_LEAF_CHECK(readField(Order, "text", Text));
+  std::string Mark = "@text " + std::to_string(Texts.size());
+  Texts.emplace("\"" + Mark + "\"", std::move(Text));
+  put(Kind, Name, Mark);
+  return {};
+}
+
 void KindService::reply(const WireConnectionPtr &C, int Status,
                         const Json &Body) {
   WireReply R;
   R.Status = Status;
   R.Body = Body.dump();
+  for (const auto &[Mark, Text] : Texts)
+    if (std::size_t At = R.Body.find(Mark); At != std::string::npos)
+      R.Body.replace(At, Mark.size(), Text);
   if (!Faults.HideEra)
     R.Headers.push_back({EraHeader, std::to_string(Objects.era())});
   if (Faults.SlowMs == 0)
--- a/standins/KindService.h
+++ b/standins/KindService.h
@@ -86,6 +86,7 @@
   bool tryAnswer(const Waiter &W, bool Anyway);
   void wake();
   void reply(const WireConnectionPtr &C, int Status, const Json &Body);
+  Result<void> putText(const Json &Order);
 
   asio::io_context &Io;
   KindObjects Objects;
@@ -95,6 +96,8 @@
   std::uint64_t LastWaiter = 0;
   std::uint64_t Calls = 0;
   std::map<std::string, std::uint64_t> Watches; ///< By kind.
+  /// What answers hold in place of these strings, quotes included.
+  std::map<std::string, std::string> Texts;
   WireServer Server;
 };
 
--- a/tests/failure/RepliesWithoutLength.cpp
+++ b/tests/failure/RepliesWithoutLength.cpp
@@ -1,6 +1,5 @@
-// A reply may have no length and end with its connection. When the replica
-// closes in order it is whole; when the connection is reset on the way it is
-// not, and must not look so to the caller.
+// Guards against a reply that ends too early with its connection and looks
+// whole.
 #include "NetFixture.h"
 #include "shallotshift/http1.h"
 
@@ -11,6 +10,8 @@
 
 namespace {
 
+const std::string Whole = "HTTP/1.1 200 OK\r\nServer: r\r\n\r\nhalf or whole";
+
 struct EndingServer : NetFixture {
   TimerQueue Timers{Loop};
   Endpoint At = freeEndpoint("127.0.0.1");
@@ -20,18 +21,17 @@
   asio::ip::tcp::socket Peer{Loop.context()};
   std::array<char, 4096> Scratch;
 
-  UpstreamReply exchange(bool Reset) {
-    Acceptor.async_accept(Peer, [this, Reset](const asio::error_code &E) {
+  UpstreamReply exchange(bool Reset, std::string Sent = Whole) {
+    Acceptor.async_accept(Peer, [=, this](const asio::error_code &E) {
       REQUIRE_FALSE(E);
-      Peer.async_read_some(
-          asio::buffer(Scratch),
-          [this, Reset](const asio::error_code &, std::size_t) {
-            asio::write(Peer, asio::buffer(std::string(
-                                  "HTTP/1.1 200 OK\r\n\r\nhalf or whole")));
-            if (Reset)
-              Peer.set_option(asio::socket_base::linger(true, 0));
-            Loop.after(Millis(20), [this] { Peer.close(); });
-          });
+      Peer.async_read_some(asio::buffer(Scratch),
+                           [=, this](const asio::error_code &, std::size_t) {
+                             asio::write(Peer, asio::buffer(Sent));
+                             if (Reset)
+                               Peer.set_option(
+                                   asio::socket_base::linger(true, 0));
+                             Loop.after(Millis(20), [this] { Peer.close(); });
+                           });
     });
     UpstreamRequest R;
     R.To = At;
@@ -55,3 +55,11 @@
 TEST_CASE_FIXTURE(EndingServer, "reset it is lost") {
   CHECK(exchange(true).How == CallEnd::Lost);
 }
+
+TEST_CASE_FIXTURE(EndingServer, "closed within its head it is lost") {
+  std::size_t HeadBytes = Whole.find("half");
+  for (std::size_t Size = 0; Size < HeadBytes; ++Size) {
+    CAPTURE(Size);
+    CHECK(exchange(false, Whole.substr(0, Size)).How != CallEnd::Answered);
+  }
+}
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -64,6 +64,14 @@
     TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 endforeach()
 
+# Real daemons and odd entries of other writers in the store.
+add_test(NAME entries_of_other_writers
+  COMMAND python3
+          ${CMAKE_CURRENT_LIST_DIR}/failure/entries_of_other_writers.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(entries_of_other_writers PROPERTIES LABELS failure
+  TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
 # The directory of real daemons that are stopped.
 add_test(NAME directory_until_the_end
   COMMAND python3
