--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -139,9 +139,9 @@
                    "--listen", self.control_at, "--config", config)
         wait_until("stand-ins", 10, lambda: self.get("counts"))
 
-    def start_daemon(self, n):
+    def start_daemon(self, n, settings=None):
         self.spawn(f"front-{n}", self.build / "programs/shallotshiftd",
-                   "--front", self.settings(n))
+                   "--front", settings or self.settings(n))
 
     def ready(self, n):
         return call(f"{self.ip(n)}:{READINESS}", "GET", "/readiness",
--- a/tools/soakkit/faults.py
+++ b/tools/soakkit/faults.py
@@ -11,6 +11,7 @@
 
 from deployment import EVACUATION_MS, HEARTBEAT_S, ZONES
 from soakkit.proxy import DOWN, UP
+from soakkit.starts import StartTroubles
 
 # Seconds without new disturbances before the end, in which all must be well.
 QUIET_END = 8.0
@@ -47,10 +48,12 @@
         self.moments = schedule(rng, seconds)
         self.busy = set()  # Daemons and replicas that something happens to.
         self.notes = []
+        self.starts = StartTroubles(self, world.seed, QUIET_START,
+                                    seconds - QUIET_END)
 
     async def run(self):
         began = time.monotonic()
-        running = []
+        running = [asyncio.ensure_future(self.starts.run())]
         for at, kind, length in self.moments:
             await asyncio.sleep(max(0, began + at - time.monotonic()))
             self.notes.append(f"{at:.2f} {kind} {length:.2f}")
--- a/tools/soakkit/world.py
+++ b/tools/soakkit/world.py
@@ -132,16 +132,20 @@
         if again:
             await self.restart(n)
 
-    async def kill(self, n):
+    async def kill(self, n, start=None):
         child = self.child(n)
         self.expected_exit.add(n)
         child.kill()
         child.wait()
-        await self.restart(n)
+        await self.restart(n, start)
 
-    async def restart(self, n):
+    async def restart(self, n, start=None):
+        """`start` starts it in place of start_daemon()."""
         await asyncio.sleep(RESTART_SECONDS)
-        self.start_daemon(n)
+        if start:
+            await start(n)
+        else:
+            self.start_daemon(n)
         self.expected_exit.discard(n)
         await self.started(n)
 
