--- a/tests/failure/daemons_end_as_told.py
+++ b/tests/failure/daemons_end_as_told.py
@@ -1,13 +1,16 @@
 #!/usr/bin/env python3
 """Guards against daemons that do not start, or end by themselves.
 
-    daemons_end_as_told.py BUILD SCENARIO
+    daemons_end_as_told.py BUILD SCENARIO [LIVES]
+
+SCENARIO fleet plays LIVES lives of six daemons, 36 by default.
 """
 
 import contextlib
 import json
 import os
 import pathlib
+import random
 import resource
 import signal
 import socket
@@ -18,7 +21,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "tools"))
 
 from deployment import Deployment  # noqa: E402
-from fleet import call, wait_until  # noqa: E402
+from fleet import Fleet, call, wait_until  # noqa: E402
 
 GRACE_S, END_S = 6, 8
 HELD_S = 0.5            # An address or a file is away for so long.
@@ -310,26 +313,108 @@
         assert ends.lines(1, "crashed")[-1]["signal"] == what
 
 
+def own_interface(build):
+    """The product's own daemon holds the same."""
+    with Fleet(build, daemons=1, net="127.0.37") as fleet:
+        for what in [*map(number, ENDING), number("HUP"), *REAL_TIME]:
+            fleet.signal(1, what)
+            time.sleep(0.02)
+        assert call(fleet.entry(1), "GET", "/livez")[0] == 200, "after signals"
+        for address in (fleet.entry(1), "127.0.37.1:7102"):
+            fleet.kill(1)
+            with held(address):
+                fleet.start_daemon(1)
+                time.sleep(HELD_S)
+                code = fleet.children["entry-1"].poll()
+                assert code is None, f"{address} held: ended with {code}"
+            wait_until(f"{address} held: lives", READY_S,
+                       lambda: call(fleet.entry(1), "GET", "/livez")[0] == 200)
+        for _ in range(3):
+            fleet.signal(1, signal.SIGTERM)
+        code = fleet.children["entry-1"].wait(60)
+        assert code == 0, f"ended with {code} after SIGTERM"
+
+
+class Life:
+    """One daemon of a fleet, started, signalled, and stopped or killed."""
+
+    def __init__(self, ends, n, rng):
+        self.ends, self.n, self.rng = ends, n, rng
+        self.lives = 0
+        self.begin()
+
+    def begin(self):
+        self.lives += 1
+        self.ends.start_guarded(self.n)
+        self.stop_at = time.monotonic() + self.rng.choice(
+            [0, self.rng.uniform(0, 0.1), self.rng.uniform(0, 1.5)])
+        self.told = None
+
+    def step(self):
+        """Returns whether the life has ended."""
+        child = self.ends.child(self.n)
+        code = child.poll()
+        if code is not None:
+            assert code == self.told, f"front-{self.n} ended with {code}"
+            if code == 0:
+                last = self.ends.lines(self.n)[-1]["event"]
+                assert last == "stopped", f"front-{self.n}: last line {last}"
+            return True
+        if time.monotonic() >= self.stop_at and self.told is None:
+            kill = self.rng.random() < 0.3
+            self.told = -signal.SIGKILL if kill else 0
+            child.send_signal(signal.SIGKILL if kill else number(
+                self.rng.choice(STOPPING)))
+        elif self.rng.random() < 0.2:
+            child.send_signal(number(self.rng.choice(ENDING)))
+        return False
+
+
+def fleet_of_lives(ends, lives, seed=1):
+    rng = random.Random(seed)
+    running = [Life(ends, n, rng) for n in range(1, FLEET + 1)]
+    begun = FLEET
+    while running:
+        for life in list(running):
+            if not life.step():
+                continue
+            if begun < lives:
+                begun += 1
+                life.begin()
+            else:
+                running.remove(life)
+        time.sleep(0.002)
+    print(f"{begun} lives, none ended by itself")
+
+
 SCENARIOS = {
+    "fleet": (fleet_of_lives,),
+    "outputs": (output_goes_away, crashes_leave_a_line),
+    "own": (own_interface,),
     "signals": (signals_while_serving, signals_at_a_start, signals_at_a_stop,
                 signals_on_a_quarter),
     "starts": (addresses_away_at_a_start, metrics_away_for_good,
                settings_come_late, wrong_settings_end_it),
-    "outputs": (output_goes_away, crashes_leave_a_line),
 }
 
 
+def run(build, scenario, play, lives):
+    if scenario == "own":
+        return play(build)
+    fleet = FLEET if scenario in ("fleet", "signals") else 1
+    net = f"127.{63 + sorted(SCENARIOS).index(scenario)}.0"
+    with Ends(build, net, daemons=fleet) as ends:
+        ends.put_config(ends.config(7))
+        return play(ends, lives) if scenario == "fleet" else play(ends)
+
+
 def main():
-    build, scenario = sys.argv[1:]
+    build, scenario, *lives = sys.argv[1:]
     for play in SCENARIOS[scenario]:
-        fleet = FLEET if scenario == "signals" else 1
-        net = f"127.{63 + sorted(SCENARIOS).index(scenario)}.0"
-        with Ends(build, net, daemons=fleet) as ends:
-            ends.put_config(ends.config(7))
-            began = time.monotonic()
-            play(ends)
-            print(f"{play.__name__}: held, {time.monotonic() - began:.1f} s",
-                  flush=True)
+        began = time.monotonic()
+        run(build, scenario, play, int(*lives or [36]))
+        print(f"{play.__name__}: held, {time.monotonic() - began:.1f} s",
+              flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -56,7 +56,7 @@
   TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 
 # Real daemons among signals, held addresses, late settings and lost outputs.
-foreach(SCENARIO signals starts outputs)
+foreach(SCENARIO signals starts outputs own fleet)
   add_test(NAME daemons_end_as_told_${SCENARIO}
     COMMAND python3 ${CMAKE_CURRENT_LIST_DIR}/failure/daemons_end_as_told.py
             ${CMAKE_BINARY_DIR} ${SCENARIO})
