--- a/tests/failure/RepliesWithoutLength.cpp
+++ b/tests/failure/RepliesWithoutLength.cpp
@@ -21,7 +21,7 @@
   asio::ip::tcp::socket Peer{Loop.context()};
   std::array<char, 4096> Scratch;
 
-  UpstreamReply exchange(bool Reset, std::string Sent = Whole) {
+  UpstreamReply exchange(bool Reset, const std::string &Sent = Whole) {
     Acceptor.async_accept(Peer, [=, this](const asio::error_code &E) {
       REQUIRE_FALSE(E);
       Peer.async_read_some(asio::buffer(Scratch),
--- a/tests/failure/StartsAreTriedAgain.cpp
+++ b/tests/failure/StartsAreTriedAgain.cpp
@@ -7,7 +7,7 @@
 
 struct StartFixture : NetFixture {
   /// Starts with the outcomes of \p Codes in turn, then succeeds.
-  void start(std::vector<ResultCode> Codes, Duration Limit) {
+  void start(const std::vector<ResultCode> &Codes, Duration Limit) {
     Retry.emplace(Loop, "a test", [this, Codes]() -> Result<void> {
       if (Tries++ < Codes.size())
         return fail(Codes[Tries - 1], "away");
