base: attempt() keeps the text of an exception

Callers and operators saw "error without a code" for each exception inside of attempt(): a start that failed because the kernel gave no entropy or libcurl was not installed could not be told from any other.

Cause: boost::leaf::try_handle_all() catches exceptions when handlers match all errors, and the last handler, which names no type, gave the same text for each.

Change: that handler takes leaf::error_info and gives the exception's text where there is one.

"a fault of the program fails a start" (net_failure) failed before on the text and passes now. A handler with leaf::catch_ or a try block inside of attempt() was tried first: GCC 12 then reports values that may be uninitialised in packages/fleet, from inlining alone.

--- a/packages/base/Result.h
+++ b/packages/base/Result.h
@@ -21,6 +21,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
+#include <exception>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -80,7 +81,8 @@
 
 } // namespace internal
 
-/// Runs \p Fn, which returns Result<T>, and keeps its value or its error.
+/// Runs \p Fn, which returns Result<T>, and keeps its value or its error. An
+/// exception becomes an Internal error with the exception's text.
 template <typename F> auto attempt(F &&Fn) {
   using R = std::decay_t<decltype(Fn())>;
   using T = typename internal::ValueOf<R>::Type;
@@ -95,8 +97,11 @@
           return Attempt<T>(std::move(Outcome.value()));
       },
       [](const Error &E) { return Attempt<T>(E); },
-      [] {
-        return Attempt<T>(Error{ResultCode::Internal, "error without a code"});
+      [](const leaf::error_info &Info) {
+        const std::exception *Fault = Info.exception();
+        return Attempt<T>(
+            Error{ResultCode::Internal,
+                  Fault ? Fault->what() : "error without a code"});
       });
 }
 
--- a/tests/failure/StartsAreTriedAgain.cpp
+++ b/tests/failure/StartsAreTriedAgain.cpp
@@ -1,6 +1,8 @@
 // Guards against a start that ends because something is away for a moment.
 #include "NetFixture.h"
 
+#include <stdexcept>
+
 using namespace shallot;
 
 namespace {
@@ -51,6 +53,20 @@
   CHECK(Tries == TriesThen);
 }
 
+TEST_CASE_FIXTURE(StartFixture, "a fault of the program fails a start") {
+  Retry.emplace(Loop, "a test", []() -> Result<void> {
+    throw std::runtime_error("no entropy");
+  });
+  std::string Why;
+  Retry->limitTo(Seconds(60), [&](const Error &E) {
+    Failed = E.Code;
+    Why = E.Detail;
+  });
+  Retry->start();
+  CHECK(Failed == ResultCode::Internal);
+  CHECK(Why == "no entropy");
+}
+
 TEST_CASE_FIXTURE(StartFixture, "a start that is given up tries no more") {
   start(std::vector(100, ResultCode::AddressInUse), Seconds(60));
   Retry->cancel();
