net: a process that cannot read its signals does not start

A daemon whose duplicate of the signal pipe fails (no descriptor left) went on after the line "signals_unread": nothing could stop it in order any more, and whoever stopped it would have had to kill it.

--- a/packages/net/EventLoop.cpp
+++ b/packages/net/EventLoop.cpp
@@ -121,16 +121,12 @@
 }
 
 /// The descriptor is duplicated, since the process keeps its own beyond the
-/// loop.
+/// loop. Throws if that fails: nothing could stop the process in order.
 void EventLoop::listenForSignals() {
   if (I->Signals.is_open())
     return;
-  asio::error_code Failed;
-  I->Signals.assign(::dup(signalDescriptor()), Failed);
-  if (Failed)
-    logEvent(LogLevel::Error, "signals_unread", {{"why", Failed.message()}});
-  else
-    I->readSignals();
+  I->Signals.assign(::dup(signalDescriptor()));
+  I->readSignals();
 }
 
 void EventLoop::run() {
