peer: a fault of the thread of peers leaves its line

KjThread starts with all signals blocked, so that each reaches the main thread. That held for SEGV, BUS, FPE, ILL, ABRT and TRAP as well; the kernel ends a process at once for a fault whose signal is blocked, and the handler that writes "crashed" did not run.

These six stay open. They are raised by the thread itself, so they do not take a signal from the main thread. daemons_end_as_told_* and the peers' tests pass.

--- a/packages/peer/KjThread.cpp
+++ b/packages/peer/KjThread.cpp
@@ -99,6 +99,9 @@
   sigset_t All;
   sigset_t Before;
   sigfillset(&All);
+  // Faults of this thread leave their line (telemetry/CrashLine.h).
+  for (int Fault : {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT, SIGTRAP})
+    sigdelset(&All, Fault);
   pthread_sigmask(SIG_SETMASK, &All, &Before);
   auto Held = std::make_unique<Body>(kj::mv(Run));
   Thread = std::thread(
