--- a/packages/front/FrontDaemon.cpp
+++ b/packages/front/FrontDaemon.cpp
@@ -55,7 +55,7 @@
 /// Part of the process's memory above which its growth is logged, and by how
 /// much it has grown from line to line.
 constexpr double HighMemoryPart = 0.75;
-constexpr std::size_t MemoryToldStep = 4 << 20;
+constexpr std::size_t MemoryLogStep = 4 << 20;
 /// A daemon that starts with an older configuration than its peers waits this
 /// long for theirs before it lets callers in: two tries at a list, should one
 /// of the peers be gone.
@@ -191,7 +191,7 @@
   LoadLevel Load;
   Instant LoadAt;
   Duration BusyBefore{};
-  std::size_t MemoryTold = 0; ///< By the last line on high memory.
+  std::size_t MemoryLogged = 0; ///< In the last "memory_high" line.
 };
 
 ReplicaRegistryOptions
@@ -451,14 +451,13 @@
   Fleet->setLoad(Announced);
 }
 
-/// A process that takes too much is killed without a word; this is the line
-/// that it leaves before.
+/// A process that takes too much memory is killed and cannot log that itself.
 void FrontDaemon::Impl::checkMemory() {
   std::size_t Peak = peakMemoryBytes();
   if (double(Peak) < HighMemoryPart * double(Set.MemoryBytes) ||
-      Peak < MemoryTold + MemoryToldStep)
+      Peak < MemoryLogged + MemoryLogStep)
     return;
-  MemoryTold = Peak;
+  MemoryLogged = Peak;
   logEvent(LogLevel::Warn, "memory_high",
            {{"bytes", std::to_string(Peak)},
             {"of", std::to_string(Set.MemoryBytes)}});
--- a/packages/net/StartRetry.h
+++ b/packages/net/StartRetry.h
@@ -8,11 +8,8 @@
 //   settings: absent or cut short   nothing             start fails
 //   addresses without which the     nothing             start fails
 //   daemon can serve nobody
-//   any other address               all that has one    none: it is tried for
-//   as
-//                                                       long as the process
-//                                                       runs
-//   store, seeds, peers             503, "not ready"    none
+//   any other address               all but its own     no end
+//   store, seeds, peers             503, "not ready"    no end
 //   a setting with a wrong value                        start fails at once
 //
 // The first two are one StartRetry with StartWait, each other address is one
