--- a/tests/failure/daemons_end_as_told.py
+++ b/tests/failure/daemons_end_as_told.py
@@ -245,8 +245,7 @@
         path.unlink(missing_ok=True)
         if first is not None:
             path.write_text(first)
-        ends.spawn("front-1", ends.build / "programs/shallotshiftd", "--front",
-                   path)
+        ends.start_daemon(1, path)
         time.sleep(HELD_S)
         ends.check_runs(1, "settings away")
         ends.signal(1, signal.SIGHUP)
@@ -255,7 +254,7 @@
         ends.child(1).kill()
         ends.child(1).wait()
     path.unlink()
-    ends.spawn("front-1", ends.build / "programs/shallotshiftd", "--front", path)
+    ends.start_daemon(1, path)
     time.sleep(HELD_S)
     ends.check_stops(1, "stopped while it waits for settings")
 
@@ -264,7 +263,7 @@
     path = pathlib.Path(ends.settings(1))
     settings = json.loads(path.read_text())
     path.write_text(json.dumps({**settings, "stop_grace_s": -1}))
-    ends.spawn("front-1", ends.build / "programs/shallotshiftd", "--front", path)
+    ends.start_daemon(1, path)
     ends.check_ended(1, "a wrong value", 2, "start_failed")
     assert "stop_grace_s" in ends.lines(1, "start_failed")[-1]["why"]
 
@@ -313,6 +312,15 @@
         assert ends.lines(1, "crashed")[-1]["signal"] == what
 
 
+def high_memory_leaves_a_line(ends):
+    """A kill for memory would leave none."""
+    path = pathlib.Path(ends.settings(1))
+    settings = json.loads(path.read_text())
+    path.write_text(json.dumps({**settings, "memory_mb": 16}))
+    ends.start_daemon(1, path)
+    wait_until("memory_high", READY_S, lambda: ends.lines(1, "memory_high"))
+
+
 def own_interface(build):
     """The product's own daemon holds the same."""
     with Fleet(build, daemons=1, net="127.0.37") as fleet:
@@ -389,7 +397,8 @@
 
 SCENARIOS = {
     "fleet": (fleet_of_lives,),
-    "outputs": (output_goes_away, crashes_leave_a_line),
+    "outputs": (output_goes_away, crashes_leave_a_line,
+                high_memory_leaves_a_line),
     "own": (own_interface,),
     "signals": (signals_while_serving, signals_at_a_start, signals_at_a_stop,
                 signals_on_a_quarter),
