telemetry, peer: SIGSYS leaves a line as the other crashes do

SIGSYS (a system call that a filter refuses) was the one signal with a default action of ending the process that neither ProcessGuard nor CrashLine had; the daemon ended with status 31 and without a line.

It is a fault of the program or of its surroundings like SEGV, so it gets the same line, "crashed". daemons_end_as_told_outputs sends it to a real daemon; with the telemetry package before this change it fails on the line's signal.

--- a/packages/peer/KjThread.cpp
+++ b/packages/peer/KjThread.cpp
@@ -100,7 +100,7 @@
   sigset_t Before;
   sigfillset(&All);
   // Faults of this thread leave their line (telemetry/CrashLine.h).
-  for (int Fault : {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT, SIGTRAP})
+  for (int Fault : {SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT, SIGTRAP, SIGSYS})
     sigdelset(&All, Fault);
   pthread_sigmask(SIG_SETMASK, &All, &Before);
   auto Held = std::make_unique<Body>(kj::mv(Run));
--- a/packages/telemetry/CrashLine.cpp
+++ b/packages/telemetry/CrashLine.cpp
@@ -28,7 +28,8 @@
 constexpr std::array FatalSignals = {
     FatalSignal{SIGSEGV, "SEGV"}, FatalSignal{SIGBUS, "BUS"},
     FatalSignal{SIGFPE, "FPE"},   FatalSignal{SIGILL, "ILL"},
-    FatalSignal{SIGABRT, "ABRT"}, FatalSignal{SIGTRAP, "TRAP"}};
+    FatalSignal{SIGABRT, "ABRT"}, FatalSignal{SIGTRAP, "TRAP"},
+    FatalSignal{SIGSYS, "SYS"}};
 
 constexpr std::size_t StackBytes = 64 << 10;
 constexpr std::size_t LineBytes = 512;
--- a/tests/failure/daemons_end_as_told.py
+++ b/tests/failure/daemons_end_as_told.py
@@ -305,7 +305,7 @@
 
 
 def crashes_leave_a_line(ends):
-    for what in ("SEGV", "ABRT", "BUS"):
+    for what in ("SEGV", "ABRT", "BUS", "SYS"):
         ends.start_daemons()
         ends.signal(1, number(what))
         ends.check_ended(1, what, -number(what), "crashed")
