net: peak memory is that of this process alone

Operators saw "memory_high" and a wrong shallot_peak_memory_bytes on daemons that a large process had started: 859 MB where the daemon had had 14 MB. A false line is worse than none where it has to tell a kill for memory from other ends.

Cause: getrusage()'s ru_maxrss keeps, over exec, the peak of the memory that the process shared with or copied from its parent.

Nothing decides by this figure.

--- a/packages/net/ProcessFigures.cpp
+++ b/packages/net/ProcessFigures.cpp
@@ -2,15 +2,21 @@
 #include "net/ProcessFigures.h"
 
 #include <ctime>
-#include <sys/resource.h>
+#include <fstream>
+#include <string>
 
 namespace shallot {
 
+/// Not from getrusage(): its figure includes that of the process that started
+/// this one.
 std::size_t peakMemoryBytes() {
-  rusage Used{};
-  if (::getrusage(RUSAGE_SELF, &Used) != 0)
-    return 0;
-  return static_cast<std::size_t>(Used.ru_maxrss) << 10;
+  std::ifstream Status("/proc/self/status");
+  for (std::string Word; Status >> Word;) {
+    std::size_t KiloBytes = 0;
+    if (Word == "VmHWM:" && Status >> KiloBytes)
+      return KiloBytes << 10;
+  }
+  return 0;
 }
 
 Duration processorTime() {
--- a/tests/failure/daemons_end_as_told.py
+++ b/tests/failure/daemons_end_as_told.py
@@ -321,6 +321,14 @@
     wait_until("memory_high", READY_S, lambda: ends.lines(1, "memory_high"))
 
 
+def memory_of_who_starts_it_is_not_its_own(ends):
+    large = bytearray(b"x" * (300 << 20))
+    ends.start_daemon(1)
+    ends.check_serves(1, f"started beside {len(large)} bytes")
+    time.sleep(1.5)
+    assert not ends.lines(1, "memory_high"), ends.lines(1, "memory_high")
+
+
 def own_interface(build):
     """The product's own daemon holds the same."""
     with Fleet(build, daemons=1, net="127.0.37") as fleet:
@@ -398,7 +406,8 @@
 SCENARIOS = {
     "fleet": (fleet_of_lives,),
     "outputs": (output_goes_away, crashes_leave_a_line,
-                high_memory_leaves_a_line),
+                high_memory_leaves_a_line,
+                memory_of_who_starts_it_is_not_its_own),
     "own": (own_interface,),
     "signals": (signals_while_serving, signals_at_a_start, signals_at_a_stop,
                 signals_on_a_quarter),
