http1, base: one rule says which bytes are an answer

Callers saw an answer with status 000 ("HTTP/1.1 0 <unknown>", without body and length), and answers whose fields had a blank in their name, passed on or with a body that was not the replica's.

Cause: http_parser is built by Debian without its strict mode, and MessageReader took what it let pass: a status of any one to three digits and of four with a zero in front, blanks in names of fields (so "Content-Length : 3" and "Transfer-Encoding : chunked" were fields without meaning and the body ended elsewhere), control bytes in a reason, any version, other bytes in place of the line end behind a chunk and behind its size, other transfer codings in front of chunked, and a length in a reply of class 1xx, of 204 and of 304, which took the next bytes for a body.

Change: base/HttpHead has the rule for a head (RFC 9110; RFC 9112: status line, fields, framing) and for the lines of a chunked body, without I/O, line by line, so that every reader can go by it. MessageReader cuts bytes into lines and bodies and asks it. What breaks the rule is lost for the request that was sent (another attempt for a read, an unknown outcome for an action, a part left out of a search), its connection is closed, and "bad_reply" says which value broke which rule. http_parser could not be told to do this: its mode is set when it is built, and its callbacks see neither the digits of the status nor the lines of chunks.

A folded line is joined by one blank (it was joined without any). Trailers are checked and no longer merged into the head (RFC 9110, 6.5.1): "Not-Executed" behind a body that ran was a proof that it had not. 101 is refused, as no request asks for it.

Test: http1_failure, BrokenReplies: 74 heads and 21 chunked bodies that are refused, 31 replies that stay answers.

--- a/packages/base/include/shallotshift/base.h
+++ b/packages/base/include/shallotshift/base.h
@@ -3,8 +3,9 @@
 // The public header of package base: names of things (Ids.h), where
 // something may be served (AllowedRegions.h), time without a
 // clock (Time.h), numbered result codes (ResultCode.h), results (Result.h),
-// header lines (HttpHeader.h), the query of a URL (QueryText.h), counted
-// faults of this program (Faults.h), hashing (Hash.h), random numbers that are
+// header lines (HttpHeader.h), the rule for heads of HTTP/1.1 messages
+// (HttpHead.h), the query of a URL (QueryText.h), counted faults of this
+// program (Faults.h), hashing (Hash.h), random numbers that are
 // passed in (Random.h), bounded rates (TokenBucket.h) and the order of a
 // store's changes (StoreRevision.h).
 //
@@ -15,6 +16,7 @@
 #include "base/AllowedRegions.h"
 #include "base/Faults.h"
 #include "base/Hash.h"
+#include "base/HttpHead.h"
 #include "base/HttpHeader.h"
 #include "base/Ids.h"
 #include "base/Member.h"
--- a/packages/http1/MessageReader.cpp
+++ b/packages/http1/MessageReader.cpp
@@ -1,166 +1,191 @@
 //===- MessageReader.cpp --------------------------------------------------===//
 #include "http1/MessageReader.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallot::internal {
 
 namespace {
 
-/// What on_headers_complete tells http_parser.
-constexpr int GoOn = 0;
-constexpr int SkipBody = 1;
-constexpr int Stop = -1;
+constexpr std::string_view LineEnd = "\r\n";
+/// Bytes of a field's line that are not counted: ": " and the line end.
+constexpr std::size_t FieldOverhead = 4;
 
-/// A reply is announced by one or two of class 1xx. Without a bound, a server
-/// that sends nothing else keeps its reader busy for ever.
-constexpr unsigned MaxInterims = 16;
+std::string_view withoutReturn(std::string_view Bytes) {
+  if (Bytes.ends_with('\r'))
+    Bytes.remove_suffix(1);
+  return Bytes;
+}
 
 } // namespace
 
 MessageReader::MessageReader(MessageKind Kind, MessageLimits Limits)
-    : Kind(Kind), Limits(Limits) {
-  reset();
-}
-
-void MessageReader::reset() {
-  http_parser_init(&Parser,
-                   Kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
-  Parser.data = this;
-  State = ReadState::Waiting;
-  M = Message();
-  HeaderBytes = 0;
-  Interims = 0;
-  LengthKnown = false;
-  InValue = false;
-  NoBody = false;
-}
-
-const http_parser_settings &MessageReader::callbacks() {
-  static const http_parser_settings Table = [] {
-    http_parser_settings S;
-    http_parser_settings_init(&S);
-    S.on_message_begin = &onStart;
-    S.on_url = &onTarget;
-    S.on_header_field = &onField;
-    S.on_header_value = &onValue;
-    S.on_headers_complete = &onHeaders;
-    S.on_body = &onBody;
-    S.on_message_complete = &onWhole;
-    return S;
-  }();
-  return Table;
-}
+    : Kind(Kind), Limits(Limits), Parser(Kind) {}
 
 std::size_t MessageReader::feed(std::string_view Bytes) {
-  if (State == ReadState::Waiting || State == ReadState::Headers ||
-      State == ReadState::Body) {
-    std::size_t Used =
-        http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
-    if (State == ReadState::Whole)
-      return Used; // Paused behind the last byte.
-    if (Parser.http_errno != HPE_OK &&
-        (State == ReadState::Waiting || State == ReadState::Headers ||
-         State == ReadState::Body))
-      State = Parser.http_errno == HPE_HEADER_OVERFLOW
-                  ? ReadState::HeadersTooLarge
-                  : ReadState::Malformed;
-    return Used;
+  std::size_t Used = 0;
+  while (reading() && Used < Bytes.size()) {
+    std::string_view Rest = Bytes.substr(Used);
+    bool InBody = Next == Part::Bytes || Next == Part::ToClose;
+    Used += InBody ? readBody(Rest) : readLine(Rest);
   }
-  return 0;
+  return Used;
 }
 
 void MessageReader::feedEnd() {
-  if (State == ReadState::Headers || State == ReadState::Body)
-    http_parser_execute(&Parser, &callbacks(), nullptr, 0);
+  if (State == ReadState::Body && Next == Part::ToClose)
+    State = ReadState::Whole;
 }
 
 Message MessageReader::take() {
-  Message Out = std::move(M);
-  reset();
+  Message Out;
+  static_cast<HttpHead &>(Out) = std::move(Parser.head());
+  Out.KeepAlive = keepsConnection(Out);
+  Out.Body = std::move(Body);
+  Parser = HttpHeadParser(Kind);
+  State = ReadState::Waiting;
+  Next = Part::Head;
+  Left = 0;
+  Line.clear();
+  Body.clear();
+  HeaderBytes = 0;
+  Fault.clear();
   return Out;
 }
 
-bool MessageReader::headerBytes(std::size_t More) {
-  HeaderBytes += More;
-  if (HeaderBytes <= Limits.MaxHeaderBytes)
-    return true;
-  State = ReadState::HeadersTooLarge;
-  return false;
+std::size_t MessageReader::readLine(std::string_view Bytes) {
+  std::size_t End = Bytes.find('\n');
+  if (End == std::string_view::npos) {
+    Line.append(Bytes);
+    checkPart(Bytes);
+    return Bytes.size();
+  }
+  std::string_view Piece = Bytes.substr(0, End + 1);
+  if (Line.empty()) {
+    readWhole(Piece);
+  } else {
+    Line.append(Piece);
+    readWhole(std::exchange(Line, {}));
+  }
+  return Piece.size();
 }
 
-int MessageReader::onStart(http_parser *P) {
-  of(P).State = ReadState::Headers;
-  return GoOn;
+/// Refuses what cannot become an allowed line before its end has come: a sender
+/// of other bytes may never send a line end. \p Added is the last part of Line.
+void MessageReader::checkPart(std::string_view Added) {
+  bool Blank = Kind == MessageKind::Request && withoutReturn(Line).empty();
+  if (State == ReadState::Waiting && !Blank)
+    State = ReadState::Headers;
+  if (!isFieldText(withoutReturn(Added)))
+    return malformed("a control byte in a line");
+  if (Next == Part::Head && !Parser.mayBegin(withoutReturn(Line)))
+    return malformed(Parser.fault());
+  if (Next == Part::ChunkEnd && !LineEnd.starts_with(Line))
+    return malformed("a chunk longer than its size");
+  if (HeaderBytes + Line.size() > Limits.MaxHeaderBytes)
+    State = ReadState::HeadersTooLarge;
 }
 
-int MessageReader::onTarget(http_parser *P, const char *At, std::size_t Size) {
-  of(P).M.Target.append(At, Size);
-  return of(P).headerBytes(Size) ? GoOn : Stop;
+void MessageReader::readWhole(std::string_view Text) {
+  switch (Next) {
+  case Part::ChunkSize:
+    return readChunkSize(Text);
+  case Part::ChunkEnd:
+    Next = Part::ChunkSize;
+    if (Text != LineEnd)
+      malformed("a chunk longer than its size");
+    return;
+  default:
+    return readField(Text);
+  }
 }
 
-int MessageReader::onField(http_parser *P, const char *At, std::size_t Size) {
-  MessageReader &R = of(P);
-  if (R.M.Headers.empty() || R.InValue)
-    R.M.Headers.emplace_back();
-  R.InValue = false;
-  R.M.Headers.back().Name.append(At, Size);
-  return R.headerBytes(Size) ? GoOn : Stop;
+/// A line of the head or of the trailers.
+void MessageReader::readField(std::string_view Text) {
+  if (!count(std::max(Text.size(), FieldOverhead + 1) - FieldOverhead))
+    return;
+  bool Blank = Kind == MessageKind::Request && LineEnd.ends_with(Text);
+  if (State == ReadState::Waiting && !Blank)
+    State = ReadState::Headers;
+  if (!Parser.line(Text))
+    return malformed(Parser.fault());
+  if (Next == Part::Head && Parser.whole())
+    beginBody();
+  else if (Next == Part::Trailers && Parser.trailersEnded())
+    State = ReadState::Whole;
 }
 
-int MessageReader::onValue(http_parser *P, const char *At, std::size_t Size) {
-  MessageReader &R = of(P);
-  R.InValue = true;
-  R.M.Headers.back().Value.append(At, Size);
-  return R.headerBytes(Size) ? GoOn : Stop;
+void MessageReader::beginBody() {
+  State = ReadState::Body;
+  switch (head().End) {
+  case MessageEnd::Head:
+    State = ReadState::Whole;
+    return;
+  case MessageEnd::Length:
+    return expect(head().Length);
+  case MessageEnd::Chunks:
+    Next = Part::ChunkSize;
+    return;
+  case MessageEnd::Close:
+    Next = Part::ToClose;
+    return;
+  }
 }
 
-int MessageReader::onHeaders(http_parser *P) {
-  MessageReader &R = of(P);
-  R.State = ReadState::Body;
-  if (R.Kind == MessageKind::Request)
-    R.M.Method = http_method_str(static_cast<http_method>(P->method));
+void MessageReader::readChunkSize(std::string_view Text) {
+  std::optional<std::uint64_t> Size = chunkSize(Text);
+  if (!Size)
+    return malformed("a line that is no chunk size");
+  if (!count(Text.size() - std::min(Text.find(';'), Text.size())))
+    return;
+  if (*Size == 0)
+    Next = Part::Trailers;
   else
-    R.M.Status = static_cast<int>(P->status_code);
-  R.M.Http10 = P->http_major < 1 || (P->http_major == 1 && P->http_minor == 0);
-  bool HasLength = !(P->flags & F_CHUNKED) && P->content_length != UINT64_MAX;
-  R.LengthKnown = HasLength;
-  if (HasLength && P->content_length > R.Limits.MaxBodyBytes) {
-    R.State = ReadState::BodyTooLarge;
-    return Stop;
-  }
-  return R.NoBody ? SkipBody : GoOn;
+    expect(*Size);
 }
 
-int MessageReader::onBody(http_parser *P, const char *At, std::size_t Size) {
-  MessageReader &R = of(P);
-  if (R.M.Body.size() + Size > R.Limits.MaxBodyBytes) {
-    R.State = ReadState::BodyTooLarge;
-    return Stop;
-  }
-  R.M.Body.append(At, Size);
-  return GoOn;
+/// \p Size more bytes of the body follow.
+void MessageReader::expect(std::uint64_t Size) {
+  Next = Part::Bytes;
+  Left = Size;
+  if (Size > Limits.MaxBodyBytes - Body.size())
+    State = ReadState::BodyTooLarge;
 }
 
-int MessageReader::onWhole(http_parser *P) {
-  MessageReader &R = of(P);
-  // A 1xx reply announces another reply to the same request.
-  bool Interim =
-      R.Kind == MessageKind::Reply && R.M.Status >= 100 && R.M.Status < 200;
-  if (Interim) {
-    if (++R.Interims > MaxInterims) {
-      R.State = ReadState::Malformed;
-      return Stop;
-    }
-    R.M = Message();
-    R.InValue = false;
-    R.State = ReadState::Waiting;
-    return GoOn;
+std::size_t MessageReader::readBody(std::string_view Bytes) {
+  std::size_t Size = Bytes.size();
+  if (Next == Part::Bytes)
+    Size = static_cast<std::size_t>(std::min<std::uint64_t>(Left, Size));
+  if (Size > Limits.MaxBodyBytes - Body.size()) {
+    State = ReadState::BodyTooLarge;
+    return 0;
   }
-  R.M.KeepAlive = http_should_keep_alive(P) != 0 && P->upgrade == 0;
-  R.State = ReadState::Whole;
-  http_parser_pause(P, 1);
-  return GoOn;
+  Body.append(Bytes.substr(0, Size));
+  if (Next == Part::ToClose)
+    return Size;
+  Left -= Size;
+  if (Left > 0)
+    return Size;
+  if (head().End == MessageEnd::Chunks)
+    Next = Part::ChunkEnd;
+  else
+    State = ReadState::Whole;
+  return Size;
+}
+
+/// False when the lines of the message are longer than is allowed.
+bool MessageReader::count(std::size_t Size) {
+  HeaderBytes += Size;
+  if (HeaderBytes <= Limits.MaxHeaderBytes)
+    return true;
+  State = ReadState::HeadersTooLarge;
+  return false;
+}
+
+void MessageReader::malformed(std::string_view Why) {
+  State = ReadState::Malformed;
+  Fault = Why;
 }
 
 } // namespace shallot::internal
--- a/packages/http1/MessageReader.h
+++ b/packages/http1/MessageReader.h
@@ -1,8 +1,8 @@
 //===- MessageReader.h - Whole HTTP/1.1 messages from bytes -----*- C++ -*-===//
 //
-// Joins http_parser, the parser that RESTinio is built on, to values. One
-// reader reads one message after another from one connection; it stops at the
-// end of each, so that bytes behind it are never taken for a part of it.
+// Cuts a connection's bytes into messages, one after another; it stops at the
+// end of each, so that bytes behind it are never taken for a part of it. What a
+// message is, base/HttpHead.h decides.
 //
 // Why not RESTinio and libcurl on this path: RESTinio does not read while a
 // request is being handled, so a caller that leaves is not seen and its work
@@ -18,23 +18,16 @@
 
 #include "shallotshift/base.h"
 
-#include <http_parser.h>
-#include <optional>
 #include <string_view>
 
 namespace shallot::internal {
 
-enum class MessageKind : std::uint8_t { Request, Reply };
+using shallot::MessageKind;
 
-/// A message as it came. Method and Target are of a request, Status of a reply.
-struct Message {
-  std::string Method;
-  std::string Target;
-  int Status = 0;
-  HttpHeaders Headers;
+/// A message as it came, without trailers.
+struct Message : HttpHead {
   std::string Body;
   bool KeepAlive = false; ///< The connection may carry another message.
-  bool Http10 = false;
 };
 
 struct MessageLimits {
@@ -65,47 +58,59 @@
   void feedEnd();
 
   ReadState state() const { return State; }
+  /// Why the message is malformed, with the value that was wrong.
+  const std::string &fault() const { return Fault; }
   /// The length of the body is known before it has come.
-  bool lengthKnown() const { return LengthKnown; }
+  bool lengthKnown() const { return head().End == MessageEnd::Length; }
   /// Memory that the message takes so far, in bytes.
   std::size_t heldBytes() const {
-    return M.Body.capacity() + M.Headers.capacity() * sizeof(HttpHeader) +
-           HeaderBytes;
+    return Body.capacity() + Line.capacity() +
+           head().Headers.capacity() * sizeof(HttpHeader) + HeaderBytes;
   }
   /// The whole message; the reader is then ready for the next.
   Message take();
   /// What is known so far: the headers are in for Body.
-  const Message &soFar() const { return M; }
+  const HttpHead &head() const { return Parser.head(); }
   /// A reply to HEAD has headers like another, but no body.
-  void expectNoBody() { NoBody = true; }
+  void expectNoBody() { Parser.expectNoBody(); }
   void setLimits(MessageLimits L) { Limits = L; }
 
 private:
-  static int onStart(http_parser *P);
-  static int onTarget(http_parser *P, const char *At, std::size_t Size);
-  static int onField(http_parser *P, const char *At, std::size_t Size);
-  static int onValue(http_parser *P, const char *At, std::size_t Size);
-  static int onHeaders(http_parser *P);
-  static int onBody(http_parser *P, const char *At, std::size_t Size);
-  static int onWhole(http_parser *P);
-  static const http_parser_settings &callbacks();
-  static MessageReader &of(http_parser *P) {
-    return *static_cast<MessageReader *>(P->data);
-  }
+  /// What the next bytes are.
+  enum class Part : std::uint8_t {
+    Head,
+    Bytes, ///< Left of them, of the body or of a chunk.
+    ToClose,
+    ChunkSize,
+    ChunkEnd,
+    Trailers,
+  };
 
-  bool headerBytes(std::size_t More);
-  void reset();
+  std::size_t readLine(std::string_view Bytes);
+  std::size_t readBody(std::string_view Bytes);
+  void checkPart(std::string_view Added);
+  void readWhole(std::string_view Text);
+  void readField(std::string_view Text);
+  void readChunkSize(std::string_view Text);
+  void beginBody();
+  void expect(std::uint64_t Size);
+  bool count(std::size_t Size);
+  void malformed(std::string_view Why);
+  bool reading() const {
+    return State == ReadState::Waiting || State == ReadState::Headers ||
+           State == ReadState::Body;
+  }
 
   MessageKind Kind;
   MessageLimits Limits;
-  http_parser Parser{};
+  HttpHeadParser Parser;
   ReadState State = ReadState::Waiting;
-  Message M;
-  std::size_t HeaderBytes = 0;
-  unsigned Interims = 0; ///< 1xx replies before this one.
-  bool LengthKnown = false;
-  bool InValue = false;
-  bool NoBody = false;
+  Part Next = Part::Head;
+  std::uint64_t Left = 0; ///< For Part::Bytes.
+  std::string Line; ///< The beginning of a line whose end is not here yet.
+  std::string Body;
+  std::size_t HeaderBytes = 0; ///< Of head, trailers and chunk extensions.
+  std::string Fault;
 };
 
 } // namespace shallot::internal
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -3,6 +3,7 @@
 
 #include "http1/MessageReader.h"
 #include "http1/StreamSocket.h"
+#include "shallotshift/telemetry.h"
 
 #include <algorithm>
 #include <charconv>
@@ -215,6 +216,10 @@
     whole(L, Used < Bytes.size());
     return;
   case ReadState::Malformed:
+    logEvent(LogLevel::Warn, "bad_reply",
+             {{"from", L->To.str()},
+              {"id", L->Request.EchoValue},
+              {"why", L->Reader->fault()}});
     lose(L, "bad bytes");
     return;
   case ReadState::HeadersTooLarge:
--- a/tests/http1.cmake
+++ b/tests/http1.cmake
@@ -1,7 +1,8 @@
 shallot_test(http1_correctness PACKAGES http1 LABELS correctness
   SOURCES correctness/MessagesAsBytes.cpp)
 shallot_test(http1_failure PACKAGES http1 LABELS failure
-  SOURCES failure/BytesStayInOrder.cpp failure/CallersLeave.cpp
+  SOURCES failure/BrokenReplies.cpp failure/BytesStayInOrder.cpp
+          failure/CallersLeave.cpp
           failure/ConnectionsAreFreed.cpp failure/FaultsCostOneEvent.cpp
           failure/MessagesWithoutEnd.cpp
           failure/RepliesBeforeTheBodyIsRead.cpp
