net: the client over libcurl goes by the rule of heads

Answers of the store, of peers, of the directory and of the product's own upstreams come through HttpClient. It took what libcurl 7.88 lets pass: statuses 600 and 999, two blanks or a tab before the reason, HTTP/2.0, blanks, control bytes and separators in names of fields ("Content-Length : 3" before a body of two bytes), several lengths, lengths like "0x2", codings other than chunked; and it waited for its whole timeout after a 101.

Change: the header callback gives each line to HttpHeadParser, as MessageReader does; a line that breaks the rule ends the transfer as UpstreamBadReply, which promises nothing, and closes its connection. "bad_reply" says which value broke which rule, or libcurl's own words where libcurl refused it before.

Not covered: lines of chunks are read by libcurl and not shown to us.

Test: net_failure, BrokenRepliesToClients: 74 heads that are refused and 30 replies that stay answers.

--- a/packages/base/HttpHead.cpp
+++ b/packages/base/HttpHead.cpp
@@ -234,6 +234,7 @@
   if (!isToken(Name))
     return refuse("a field name that is no token", Name);
   FieldSeen = true;
+  ++Fields;
   if (Stored)
     Head.Headers.push_back(
         {std::string(Name), std::string(trimmed(Text.substr(Colon + 1)))});
--- a/packages/base/HttpHead.h
+++ b/packages/base/HttpHead.h
@@ -69,6 +69,9 @@
   /// What was read so far; complete once whole() is true.
   const HttpHead &head() const { return Head; }
   HttpHead &head() { return Head; }
+  /// Fields that were read: of the head, of 1xx heads before it and of the
+  /// trailers.
+  std::size_t fields() const { return Fields; }
   /// What was wrong and with which value; empty while nothing was.
   const std::string &fault() const { return Fault; }
 
@@ -88,7 +91,8 @@
   Place State = Place::StartLine;
   bool NoBody = false;
   bool FieldSeen = false; ///< In this head or these trailers.
-  unsigned Interims = 0;  ///< Replies of class 1xx before this one.
+  std::size_t Fields = 0;
+  unsigned Interims = 0; ///< Replies of class 1xx before this one.
   HttpHead Head;
   std::string Fault;
 };
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -4,8 +4,10 @@
 #include "net/Containment.h"
 #include "net/CurlLibrary.h"
 #include "net/CurlMulti.h"
+#include "shallotshift/telemetry.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <chrono>
 #include <utility>
@@ -17,7 +19,8 @@
 
 using internal::curl;
 
-/// A reply with more header lines is not an honest one.
+/// A reply with more fields is not an honest one. libcurl keeps each, also of
+/// trailers, in far more memory than its bytes take.
 constexpr std::size_t MaxReplyHeaders = 128;
 
 /// Header lines that libcurl adds on its own and that we do not want. Expect:
@@ -33,14 +36,6 @@
       Line += C;
 }
 
-std::string_view trimmed(std::string_view Text) {
-  constexpr std::string_view Blank = " \t\r\n";
-  std::size_t First = Text.find_first_not_of(Blank);
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(Blank) - First + 1);
-}
-
 long toCurlMillis(Duration D) {
   // 0 would mean "no limit" to libcurl.
   return static_cast<long>(std::max<std::int64_t>(1, toMillis(D)));
@@ -103,8 +98,9 @@
   std::uint32_t Generation = 0;
   Repeat Rule = Repeat::Idempotent;
   std::size_t MaxBytes = 0;
-  std::size_t Bytes = 0;  ///< Of the reply, headers and body.
-  bool HeadWhole = false; ///< The empty line behind the headers has come.
+  std::size_t Bytes = 0; ///< Of the reply, headers and body.
+  HttpHeadParser Head{MessageKind::Reply};
+  std::array<char, CURL_ERROR_SIZE> CurlError{}; ///< libcurl's words, or empty.
   Instant Started{};
   Instant LastByte{}; ///< Of the reply.
   Duration Stall{0};  ///< As in HttpRequest.
@@ -139,26 +135,15 @@
 
 std::size_t onHeader(char *Data, std::size_t, std::size_t Size, void *Self) {
   auto &T = *static_cast<Transfer *>(Self);
-  if (!fits(T, Size) || T.Reply.Headers.size() >= MaxReplyHeaders)
-    return 0;
-  std::string_view Line(Data, Size);
-  if (Line.starts_with("HTTP/")) {
-    T.Reply.Headers.clear(); // What came before was a 1xx.
-    T.HeadWhole = false;
-    return Size;
-  }
-  T.HeadWhole = T.HeadWhole || trimmed(Line).empty();
-  std::size_t Colon = Line.find(':');
-  if (Colon != std::string_view::npos)
-    T.Reply.Headers.push_back({std::string(trimmed(Line.substr(0, Colon))),
-                               std::string(trimmed(Line.substr(Colon + 1)))});
-  return Size;
+  bool Fits = fits(T, Size) && T.Head.fields() < MaxReplyHeaders;
+  return Fits && T.Head.line({Data, Size}) ? Size : 0;
 }
 
 /// Sets what is the same for every transfer.
 void setCommonOptions(Transfer &T, const HttpClientLimits &Limits) {
   CURL *E = T.Easy;
   curl().EasySetopt(E, CURLOPT_PRIVATE, &T);
+  curl().EasySetopt(E, CURLOPT_ERRORBUFFER, T.CurlError.data());
   curl().EasySetopt(E, CURLOPT_NOSIGNAL, 1L);
   curl().EasySetopt(E, CURLOPT_PROXY, "");
   curl().EasySetopt(E, CURLOPT_PROTOCOLS_STR, "http");
@@ -259,6 +244,14 @@
   }
 }
 
+void logBadReply(const Transfer &T) {
+  std::string Why = T.Head.fault();
+  if (Why.empty())
+    Why = T.Reply.TooLarge ? "too large" : T.CurlError.data();
+  logEvent(LogLevel::Warn, "bad_reply",
+           {{"from", T.Where.To.str()}, {"why", std::move(Why)}});
+}
+
 } // namespace
 
 struct HttpClient::Impl {
@@ -309,7 +302,8 @@
   T.Id = (static_cast<TransferId>(++T.Generation) << 32) | T.Slot;
   T.MaxBytes = Limits.MaxReplyBytes;
   T.Bytes = 0;
-  T.HeadWhole = false;
+  T.Head = HttpHeadParser(MessageKind::Reply);
+  T.CurlError[0] = 0;
   T.Clock = &Loop;
   T.Started = Loop.now();
   T.LastByte = T.Started;
@@ -339,8 +333,11 @@
   T.Reply.Failure = failureOf(T.Easy, Code);
   // libcurl takes a reply that ends between two header lines for one without a
   // body.
-  if (T.Reply.Failure == ResultCode::Ok && !T.HeadWhole)
+  if (T.Reply.Failure == ResultCode::Ok && !T.Head.whole())
     T.Reply.Failure = ResultCode::ConnectionClosed;
+  if (T.Reply.Failure == ResultCode::UpstreamBadReply)
+    logBadReply(T);
+  T.Reply.Headers = std::move(T.Head.head().Headers);
   T.Reply.Status = static_cast<int>(infoLong(T.Easy, CURLINFO_RESPONSE_CODE));
   T.Reply.NewConnection = openedConnection(T.Easy);
   T.Reply.Took = Loop.now() - T.Started;
@@ -406,6 +403,8 @@
   T.Done = std::move(Done);
   setUrl(T, Request);
   setMethod(T, Request.Method);
+  if (Request.Method == "HEAD")
+    T.Head.expectNoBody();
   setHeaders(T, Request.Headers);
   setRepeatRule(T);
   // libcurl unpacks in small pieces, so MaxReplyBytes also bounds what a few
--- a/tests/failure/BrokenRepliesToClients.cpp
+++ b/tests/failure/BrokenRepliesToClients.cpp
@@ -1,7 +1,8 @@
-// Guards against replies of the store, a peer or an upstream that are broken
-// and end the process.
+// Guards against bytes that are no HTTP reply, and are taken for one from the
+// store, a peer or an upstream, or end the process.
 #include "NetFixture.h"
 #include "RawServer.h"
+#include "ReplyForms.h"
 
 using namespace shallot;
 
@@ -37,3 +38,47 @@
   }
   CHECK(ask(Sound).arrived());
 }
+
+TEST_CASE_FIXTURE(BrokenRepliesToClients,
+                  "a head that breaks the rule is no reply") {
+  for (const std::string &Bytes : test::brokenHeads()) {
+    CAPTURE(Bytes);
+    HttpReply Got = ask(Bytes);
+    CHECK_FALSE(Got.arrived());
+    CHECK(Got.Failure != ResultCode::TransferTimeout);
+    CHECK_FALSE(provesNotRun(Got.Failure));
+  }
+}
+
+TEST_CASE_FIXTURE(BrokenRepliesToClients, "what the RFCs allow is a reply") {
+  for (const std::string &Bytes : test::soundReplies()) {
+    CAPTURE(Bytes);
+    HttpReply Got = ask(Bytes);
+    CHECK(Got.arrived());
+    CHECK(Got.Status == 200);
+    CHECK(Got.Body == "ok");
+  }
+}
+
+TEST_CASE_FIXTURE(BrokenRepliesToClients,
+                  "fields without end are given up, trailers too") {
+  std::string Fields;
+  for (int N = 0; N < 1000; ++N)
+    Fields += "a:\r\n";
+  CHECK(ask("HTTP/1.1 200 OK\r\n" + Fields).Failure ==
+        ResultCode::UpstreamBadReply);
+  CHECK(ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "2\r\nok\r\n0\r\n" +
+            Fields)
+            .Failure == ResultCode::UpstreamBadReply);
+}
+
+TEST_CASE_FIXTURE(BrokenRepliesToClients,
+                  "trailers are no fields of the head") {
+  HttpReply Got = ask("HTTP/1.1 200 OK\r\nX-A: b\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      "2\r\nok\r\n0\r\nX-A: c\r\nNot-Executed: 1\r\n\r\n");
+  CHECK(Got.arrived());
+  CHECK(Got.Headers ==
+        HttpHeaders{{"X-A", "b"}, {"Transfer-Encoding", "chunked"}});
+}
