--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -277,7 +277,7 @@
     return;
   case ReadState::Malformed:
     refuse(ResultCode::MalformedHttp,
-           "the bytes do not form an HTTP/1.1 request");
+           "the bytes do not form an HTTP/1.1 request: " + Reader.fault());
     return;
   case ReadState::HeadersTooLarge:
     refuse(ResultCode::HeaderTooLarge, "send fewer or shorter header fields");
--- a/tests/http1.cmake
+++ b/tests/http1.cmake
@@ -8,3 +8,5 @@
           failure/RepliesBeforeTheBodyIsRead.cpp
           failure/ProcessesThatEndAreTold.cpp failure/RepliesWithoutLength.cpp
           failure/StrayBytesBelongToNobody.cpp)
+shallot_test(http1_error PACKAGES http1 LABELS error
+  SOURCES error/BrokenRequests.cpp)
