tests: real daemons whose replicas and store send broken answers

Front daemons, the stand-ins of the deployment, and a raw server that is every replica of a read, of an action and of one shard of a search, and the store of the second daemon. 21 broken forms and 8 sound ones. Nothing of a broken answer may reach a client, an action that was sent is told nothing that promises "not run", a search says that the part is missing, the connection is closed, the log has the reason, no daemon ends, and the same replicas serve again once their answers are sound.

--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -55,6 +55,13 @@
 set_tests_properties(messages_without_end PROPERTIES LABELS failure
   TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 
+# Real daemons, and replicas and a store whose answers are no HTTP.
+add_test(NAME broken_answers
+  COMMAND python3 ${CMAKE_CURRENT_LIST_DIR}/failure/broken_answers.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(broken_answers PROPERTIES LABELS failure
+  TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
 # Real daemons among signals, held addresses, late settings and lost outputs.
 foreach(SCENARIO signals starts outputs own fleet)
   add_test(NAME daemons_end_as_told_${SCENARIO}
