--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -62,6 +62,13 @@
 set_tests_properties(broken_answers PROPERTIES LABELS failure
   TIMEOUT 180 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
 
+# Real daemons that are stopped, and requests at any moment of the stop.
+add_test(NAME late_in_a_stop
+  COMMAND python3 ${CMAKE_CURRENT_LIST_DIR}/failure/late_in_a_stop.py
+          ${CMAKE_BINARY_DIR})
+set_tests_properties(late_in_a_stop PROPERTIES LABELS failure
+  TIMEOUT 120 ENVIRONMENT PYTHONDONTWRITEBYTECODE=1)
+
 # Real daemons among signals, held addresses, late settings and lost outputs.
 foreach(SCENARIO signals starts outputs own fleet)
   add_test(NAME daemons_end_as_told_${SCENARIO}
