--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 using internal::Message;
-using internal::MessageKind;
 using internal::MessageLimits;
 using internal::MessageReader;
 using internal::ReadState;
--- a/packages/http1/MessageReader.h
+++ b/packages/http1/MessageReader.h
@@ -22,8 +22,6 @@
 
 namespace shallot::internal {
 
-using shallot::MessageKind;
-
 /// A message as it came, without trailers.
 struct Message : HttpHead {
   std::string Body;
--- a/packages/http1/UpstreamPool.cpp
+++ b/packages/http1/UpstreamPool.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 using internal::Message;
-using internal::MessageKind;
 using internal::MessageReader;
 using internal::ReadState;
 using internal::StreamEnd;
--- a/tests/error/BrokenRequests.cpp
+++ b/tests/error/BrokenRequests.cpp
@@ -4,6 +4,7 @@
 #include "shallotshift/http1.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace shallot;
 
@@ -12,10 +13,11 @@
 struct BrokenRequests : NetFixture {
   BrokenRequests() {
     auto S = attempt([&] {
-      return CallerServer::open(Loop, Timers, At, {}, [this](ExchangePtr E) {
-        Got.push_back(E->request());
-        E->reply({200, {}, "ok", false});
-      });
+      return CallerServer::open(Loop, Timers, At, {},
+                                [this](const ExchangePtr &E) {
+                                  Got.push_back(E->request());
+                                  E->reply({200, {}, "ok", false});
+                                });
     });
     REQUIRE_MESSAGE(S, S.error().Detail);
     Server = std::move(*S);
@@ -47,7 +49,7 @@
         "Content-Length: 5", "Content-Length: +2", "Content-Length: 2, 2",
         "Request-Id : other", "Host : x", "Transfer-Encoding : chunked",
         "Transfer-Encoding: chunked"})
-    Forms.push_back(Start + Line + "\r\n" + TwoBytes);
+    Forms.push_back(fmt::format("{}{}\r\n{}", Start, Line, TwoBytes));
   Forms.push_back(Start + std::string("X\0A: b\r\n", 8) + TwoBytes);
   Forms.push_back("PUT /x HTTP/1.1\r\n X-A: b\r\n" + TwoBytes);
   for (const char *Line : {"Transfer-Encoding: gzip, chunked",
--- a/tests/failure/MessagesWithoutEnd.cpp
+++ b/tests/failure/MessagesWithoutEnd.cpp
@@ -119,18 +119,17 @@
 }
 
 TEST_CASE("heads of class 1xx without end are no reply") {
-  internal::MessageReader R(internal::MessageKind::Reply, {});
+  internal::MessageReader R(MessageKind::Reply, {});
   for (int N = 0; N < 1000; ++N)
     R.feed("HTTP/1.1 100 Continue\r\n\r\n");
   CHECK(R.state() == internal::ReadState::Malformed);
 }
 
 TEST_CASE("many short header lines count with the memory that they take") {
-  for (auto Kind :
-       {internal::MessageKind::Request, internal::MessageKind::Reply}) {
+  for (auto Kind : {MessageKind::Request, MessageKind::Reply}) {
     internal::MessageReader R(Kind, {});
-    R.feed(Kind == internal::MessageKind::Request ? "GET / HTTP/1.1\r\n"
-                                                  : "HTTP/1.1 200 OK\r\n");
+    R.feed(Kind == MessageKind::Request ? "GET / HTTP/1.1\r\n"
+                                        : "HTTP/1.1 200 OK\r\n");
     constexpr std::size_t Lines = 10000;
     for (std::size_t N = 0; N < Lines; ++N)
       R.feed("a:\r\n");
--- a/tests/fuzz/MessageTargets.cpp
+++ b/tests/fuzz/MessageTargets.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 using internal::Message;
-using internal::MessageKind;
 using internal::MessageLimits;
 using internal::MessageReader;
 using internal::ReadState;
