net: folded lines count for the bound of a reply's fields

A reply of 4 MB of folded lines was within every bound of HttpClient, and libcurl makes room for the whole value again with each line. The bound of 128 now counts lines of fields, folded ones too, in the head and in the trailers.

Test: net_failure, "fields without end are given up, trailers too": 1,000 folded lines. Before, it waited for the end of the reply (TransferTimeout). A measured effect of such a reply on a daemon was not found: messages_without_end held in this form before and after.

--- a/packages/base/HttpHead.cpp
+++ b/packages/base/HttpHead.cpp
@@ -117,7 +117,7 @@
   return Out + (Value.size() > MaxQuotedBytes ? "\"..." : "\"");
 }
 
-/// The request or reply ends with its head whatever its fields say
+/// A reply with \p Status ends with its head, whatever its fields say
 /// (RFC 9112, 6.3).
 bool hasNoBody(int Status) {
   return (Status >= 100 && Status < 200) || Status == 204 || Status == 304;
@@ -215,6 +215,7 @@
 
 bool HttpHeadParser::fieldLine(std::string_view Text) {
   bool Stored = State == Place::Fields;
+  ++FieldLines;
   if (!isFieldText(Text))
     return refuse("a control byte in a field", Text.substr(0, Text.find(':')));
   if (startsWithBlank(Text)) {
@@ -234,7 +235,6 @@
   if (!isToken(Name))
     return refuse("a field name that is no token", Name);
   FieldSeen = true;
-  ++Fields;
   if (Stored)
     Head.Headers.push_back(
         {std::string(Name), std::string(trimmed(Text.substr(Colon + 1)))});
@@ -307,9 +307,9 @@
   if (Head.End == MessageEnd::Close)
     return false;
   // The caller may go on in another protocol.
-  bool Request = !Head.Method.empty();
-  if (Request && (Head.Method == "CONNECT" ||
-                  hasListElement(Head.Headers, "Connection", "upgrade")))
+  bool IsRequest = !Head.Method.empty();
+  if (IsRequest && (Head.Method == "CONNECT" ||
+                    hasListElement(Head.Headers, "Connection", "upgrade")))
     return false;
   if (Head.Http10)
     return hasListElement(Head.Headers, "Connection", "keep-alive");
--- a/packages/base/HttpHead.h
+++ b/packages/base/HttpHead.h
@@ -57,7 +57,8 @@
   /// Reads the next line. \p Line has its line end. False when the message is
   /// broken, for which fault() has the reason.
   bool line(std::string_view Line);
-  /// False when no line of a sound message begins with \p Part.
+  /// False when no start line begins with \p Part, for which fault() has the
+  /// reason. Other lines may begin with anything.
   bool mayBegin(std::string_view Part);
 
   /// The head is read to its end. Lines that follow are trailers, which are
@@ -69,9 +70,9 @@
   /// What was read so far; complete once whole() is true.
   const HttpHead &head() const { return Head; }
   HttpHead &head() { return Head; }
-  /// Fields that were read: of the head, of 1xx heads before it and of the
-  /// trailers.
-  std::size_t fields() const { return Fields; }
+  /// Lines of fields that were read: of the head, of 1xx heads before it and of
+  /// the trailers.
+  std::size_t fieldLines() const { return FieldLines; }
   /// What was wrong and with which value; empty while nothing was.
   const std::string &fault() const { return Fault; }
 
@@ -91,7 +92,7 @@
   Place State = Place::StartLine;
   bool NoBody = false;
   bool FieldSeen = false; ///< In this head or these trailers.
-  std::size_t Fields = 0;
+  std::size_t FieldLines = 0;
   unsigned Interims = 0; ///< Replies of class 1xx before this one.
   HttpHead Head;
   std::string Fault;
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -19,8 +19,8 @@
 
 using internal::curl;
 
-/// A reply with more fields is not an honest one. libcurl keeps each, also of
-/// trailers, in far more memory than its bytes take.
+/// A reply with more lines of fields is not an honest one. libcurl keeps each,
+/// also of trailers, in far more memory than its bytes take.
 constexpr std::size_t MaxReplyHeaders = 128;
 
 /// Header lines that libcurl adds on its own and that we do not want. Expect:
@@ -135,7 +135,7 @@
 
 std::size_t onHeader(char *Data, std::size_t, std::size_t Size, void *Self) {
   auto &T = *static_cast<Transfer *>(Self);
-  bool Fits = fits(T, Size) && T.Head.fields() < MaxReplyHeaders;
+  bool Fits = fits(T, Size) && T.Head.fieldLines() < MaxReplyHeaders;
   return Fits && T.Head.line({Data, Size}) ? Size : 0;
 }
 
--- a/tests/failure/BrokenRepliesToClients.cpp
+++ b/tests/failure/BrokenRepliesToClients.cpp
@@ -71,6 +71,11 @@
             "2\r\nok\r\n0\r\n" +
             Fields)
             .Failure == ResultCode::UpstreamBadReply);
+  std::string Folded = "X-A: b\r\n";
+  for (int N = 0; N < 1000; ++N)
+    Folded += " b\r\n";
+  CHECK(ask("HTTP/1.1 200 OK\r\n" + Folded).Failure ==
+        ResultCode::UpstreamBadReply);
 }
 
 TEST_CASE_FIXTURE(BrokenRepliesToClients,
