tests: a read whose first answer is broken goes on to another replica

broken_answers: the first send of each request gets status 000 and the second a sound answer. A read is answered 200 after two sends, an action is sent once and told 504. Held by the rule; the health checks that the stand-ins allowed for do not exist.

--- a/tests/failure/broken_answers.py
+++ b/tests/failure/broken_answers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import json
 import pathlib
 import sys
@@ -68,9 +69,6 @@
 }
 
 
-HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-
-
 class BrokenDeployment(Deployment):
     """All replicas of some services are one raw server, and so is the store of
     the second daemon."""
@@ -91,23 +89,24 @@
 
 
 class Replica:
-    """Sends one reply for each request, whatever it is."""
+    """Sends one reply for each request, or `first` when its id is new."""
 
     def __init__(self):
         self.reply = b""
-        self.seen = set()  # Ids of the requests.
+        self.first = None
+        self.seen = collections.Counter()  # Sends, by the request's id.
         self.closed = 0    # Connections that the other end closed.
 
     async def serve(self, reader, writer):
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                for line in head.split("\r\n"):
-                    name, _, value = line.partition(":")
-                    if name.lower() == "request-id":
-                        self.seen.add(value.strip())
-                healthy = head.startswith("GET /health")
-                writer.write(HEALTHY if healthy else self.reply)
+                request_id = next((
+                    line.split(":")[1].strip() for line in head.split("\r\n")
+                    if line.lower().startswith("request-id:")), "")
+                self.seen[request_id] += 1
+                new = self.seen[request_id] == 1
+                writer.write(self.first if self.first and new else self.reply)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             self.closed += 1
@@ -179,6 +178,21 @@
         self.replica.reply = reply.encode("latin-1")
         await self.until_met(form, served)
 
+    async def meet_broken_first(self):
+        """A read goes on to another replica; an action is sent once."""
+        def met(route, request_id, status, answer):
+            sends = self.replica.seen[request_id]
+            if route == "book":
+                assert sends <= 1, f"{route}: sent {sends} times"
+                return sends == 1 and status == 504
+            if route == "pull":
+                return sends == 2 and status == 200 and answer.endswith("ok")
+            return True
+        self.replica.first = BROKEN["HTTP/1.1 000 OK"].encode()
+        self.replica.reply = SOUND["as usual"].encode()
+        await self.until_met("broken at first", met)
+        self.replica.first = None
+
     async def run(self, deployment):
         replicas = await asyncio.start_server(
             self.replica.serve, deployment.ip(250), REPLICA)
@@ -186,6 +200,7 @@
         for form, reply in BROKEN.items():
             await self.meet_broken(form, reply)
             await self.meet_sound("as usual", SOUND["as usual"])
+        await self.meet_broken_first()
         for form, reply in SOUND.items():
             await self.meet_sound(form, reply)
         replicas.close()
--- a/tests/failure/late_in_a_stop.py
+++ b/tests/failure/late_in_a_stop.py
@@ -24,7 +24,6 @@
          ("GET", "pull", 2.5, 2.0))
 REPLY = (b"HTTP/1.1 200 OK\r\nServer-Stamp: 3e1b.07\r\n"
          b"Content-Length: 2\r\n\r\nok")
-HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 SIGNALS = {"one SIGTERM": (0.0,), "three in series": (0.0, 2.0, 4.5)}
 
 
@@ -45,9 +44,6 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                if head.startswith("GET /health"):
-                    writer.write(HEALTHY)
-                    continue
                 fields = dict(line.lower().split(": ", 1)
                               for line in head.split("\r\n")[1:] if ": " in line)
                 self.ran.add(fields["request-id"])
