base: a fault repeats a field's name only up to the byte that broke the rule

"bad_reply" and the text of the 400 repeated up to 40 bytes of a line without a sound name, which may be a credential that a replica sends back ("Authorization Key ..: x"). What follows the first byte that no name may have is left out.

Test: http1_error, "the answer says what was wrong, and repeats nothing behind it".

That it fails without the change was read from the code before, not run.

--- a/packages/base/HttpHead.cpp
+++ b/packages/base/HttpHead.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view Major1 = "HTTP/1.";
 constexpr int SwitchingProtocols = 101;
 
-/// Those of RFC 9110 and of the registry that callers may use.
+/// Methods that callers may use: those of RFC 9110 and registered ones.
 constexpr std::string_view Methods[] = {
     "GET",        "POST",    "PUT",        "DELETE",      "HEAD",
     "PATCH",      "OPTIONS", "CONNECT",    "TRACE",       "COPY",
@@ -109,6 +109,15 @@
   }
 }
 
+/// The part of a field's name up to the byte that no name may have. What
+/// follows may be a caller's secret, which belongs in no log.
+std::string_view brokenName(std::string_view Text) {
+  auto Bad = std::ranges::find_if_not(
+      Text, [](char C) { return isIn(TokenBytes, C); });
+  auto Size = static_cast<std::size_t>(Bad - Text.begin());
+  return Text.substr(0, std::min(Size + 1, Text.size()));
+}
+
 /// \p Value without bytes that could be taken for something else in a log.
 std::string quoted(std::string_view Value) {
   std::string Out = "\"";
@@ -217,10 +226,10 @@
   bool Stored = State == Place::Fields;
   ++FieldLines;
   if (!isFieldText(Text))
-    return refuse("a control byte in a field", Text.substr(0, Text.find(':')));
+    return refuse("a control byte in a field", brokenName(Text));
   if (startsWithBlank(Text)) {
     if (!FieldSeen)
-      return refuse("a blank before the first field", Text);
+      return refuse("a blank before the first field", {});
     std::string_view More = trimmed(Text);
     if (Stored && !More.empty()) {
       std::string &Value = Head.Headers.back().Value;
@@ -233,7 +242,7 @@
     return refuse("a field without a colon", {});
   std::string_view Name = Text.substr(0, Colon);
   if (!isToken(Name))
-    return refuse("a field name that is no token", Name);
+    return refuse("a field name that is no token", brokenName(Name));
   FieldSeen = true;
   if (Stored)
     Head.Headers.push_back(
@@ -255,7 +264,7 @@
          refuse("too many replies of class 1xx", {});
 }
 
-/// RFC 9112, 6.1 to 6.3.
+/// Decides how the body ends (RFC 9112, 6.1 to 6.3).
 bool HttpHeadParser::readFraming() {
   const HttpHeader *Length = nullptr;
   bool Coded = false;
@@ -267,33 +276,38 @@
       return refuse("more than one Content-Length", H.Value);
     Length = &H;
   }
-  if (Coded) {
-    if (Length)
-      return refuse("a Content-Length beside Transfer-Encoding", Length->Value);
-    unsigned Codings = 0;
-    std::string_view Coding;
-    forEachElement(Head.Headers, "Transfer-Encoding", [&](std::string_view E) {
-      ++Codings;
-      Coding = E;
-    });
-    if (Codings != 1 || !sameHeaderName(Coding, "chunked") || Head.Http10)
-      return refuse("a Transfer-Encoding other than chunked", Coding);
-    Head.End = MessageEnd::Chunks;
-  } else if (Length) {
-    const std::string &Value = Length->Value;
-    const char *End = Value.data() + Value.size();
-    auto [At, Error] = std::from_chars(Value.data(), End, Head.Length);
-    if (Error != std::errc() || At != End)
-      return refuse("a Content-Length that is no number", Value);
-    Head.End = Head.Length == 0 ? MessageEnd::Head : MessageEnd::Length;
-  } else if (Kind == MessageKind::Reply) {
+  if (Coded && Length)
+    return refuse("a Content-Length beside Transfer-Encoding", Length->Value);
+  if (Kind == MessageKind::Reply)
     Head.End = MessageEnd::Close;
-  }
+  if ((Coded && !readCoding()) || (Length && !readLength(Length->Value)))
+    return false;
   if (NoBody || (Kind == MessageKind::Reply && hasNoBody(Head.Status)))
     Head.End = MessageEnd::Head;
   return true;
 }
 
+/// HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
+bool HttpHeadParser::readCoding() {
+  unsigned Codings = 0;
+  std::string_view Coding;
+  forEachElement(Head.Headers, "Transfer-Encoding", [&](std::string_view E) {
+    ++Codings;
+    Coding = E;
+  });
+  Head.End = MessageEnd::Chunks;
+  return (Codings == 1 && sameHeaderName(Coding, "chunked") && !Head.Http10) ||
+         refuse("a Transfer-Encoding other than chunked", Coding);
+}
+
+bool HttpHeadParser::readLength(std::string_view Value) {
+  const char *End = Value.data() + Value.size();
+  auto [At, Error] = std::from_chars(Value.data(), End, Head.Length);
+  Head.End = Head.Length == 0 ? MessageEnd::Head : MessageEnd::Length;
+  return (Error == std::errc() && At == End) ||
+         refuse("a Content-Length that is no number", Value);
+}
+
 bool hasListElement(const HttpHeaders &Headers, std::string_view Name,
                     std::string_view Token) {
   bool Found = false;
--- a/packages/base/HttpHead.h
+++ b/packages/base/HttpHead.h
@@ -3,8 +3,8 @@
 // Decides which bytes are the head of a message (RFC 9110, RFC 9112): its start
 // line, its fields, and how its body ends. Every reader of messages gives its
 // lines to an HttpHeadParser, whoever cuts the bytes into lines: what one
-// reader refuses, all do. ChunkLine has the rule for the lines of a chunked
-// body.
+// reader refuses, all do. chunkSize() has the rule for the lines between
+// chunks.
 //
 // Where the RFCs leave it to the recipient, these are accepted: a line that
 // ends with LF alone, a status line without the blank behind its status, folded
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 namespace shallot {
 
@@ -69,7 +70,7 @@
 
   /// What was read so far; complete once whole() is true.
   const HttpHead &head() const { return Head; }
-  HttpHead &head() { return Head; }
+  HttpHead takeHead() { return std::move(Head); }
   /// Lines of fields that were read: of the head, of 1xx heads before it and of
   /// the trailers.
   std::size_t fieldLines() const { return FieldLines; }
@@ -87,6 +88,8 @@
   bool fieldLine(std::string_view Text);
   bool endFields();
   bool readFraming();
+  bool readCoding();
+  bool readLength(std::string_view Value);
 
   MessageKind Kind;
   Place State = Place::StartLine;
--- a/packages/http1/MessageReader.cpp
+++ b/packages/http1/MessageReader.cpp
@@ -40,7 +40,7 @@
 
 Message MessageReader::take() {
   Message Out;
-  static_cast<HttpHead &>(Out) = std::move(Parser.head());
+  static_cast<HttpHead &>(Out) = Parser.takeHead();
   Out.KeepAlive = keepsConnection(Out);
   Out.Body = std::move(Body);
   Parser = HttpHeadParser(Kind);
@@ -63,10 +63,10 @@
   }
   std::string_view Piece = Bytes.substr(0, End + 1);
   if (Line.empty()) {
-    readWhole(Piece);
+    readWholeLine(Piece);
   } else {
     Line.append(Piece);
-    readWhole(std::exchange(Line, {}));
+    readWholeLine(std::exchange(Line, {}));
   }
   return Piece.size();
 }
@@ -87,7 +87,7 @@
     State = ReadState::HeadersTooLarge;
 }
 
-void MessageReader::readWhole(std::string_view Text) {
+void MessageReader::readWholeLine(std::string_view Text) {
   switch (Next) {
   case Part::ChunkSize:
     return readChunkSize(Text);
--- a/packages/http1/MessageReader.h
+++ b/packages/http1/MessageReader.h
@@ -87,7 +87,7 @@
   std::size_t readLine(std::string_view Bytes);
   std::size_t readBody(std::string_view Bytes);
   void checkPart(std::string_view Added);
-  void readWhole(std::string_view Text);
+  void readWholeLine(std::string_view Text);
   void readField(std::string_view Text);
   void readChunkSize(std::string_view Text);
   void beginBody();
--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -337,7 +337,7 @@
     T.Reply.Failure = ResultCode::ConnectionClosed;
   if (T.Reply.Failure == ResultCode::UpstreamBadReply)
     logBadReply(T);
-  T.Reply.Headers = std::move(T.Head.head().Headers);
+  T.Reply.Headers = T.Head.takeHead().Headers;
   T.Reply.Status = static_cast<int>(infoLong(T.Easy, CURLINFO_RESPONSE_CODE));
   T.Reply.NewConnection = openedConnection(T.Easy);
   T.Reply.Took = Loop.now() - T.Started;
--- a/tests/error/BrokenRequests.cpp
+++ b/tests/error/BrokenRequests.cpp
@@ -80,9 +80,12 @@
   CHECK(Got.empty());
 }
 
-TEST_CASE_FIXTURE(BrokenRequests, "the answer says what was wrong") {
-  std::string Answer = answerTo(Start + "X A: b\r\n" + TwoBytes);
-  CHECK(Answer.find("X A") != std::string::npos);
+TEST_CASE_FIXTURE(BrokenRequests, "the answer says what was wrong, and repeats "
+                                  "nothing behind it") {
+  std::string Answer = answerTo(Start + "X A secret: b\r\n" + TwoBytes);
+  CHECK(Answer.find(R"(a field name that is no token: \"X \")") !=
+        std::string::npos);
+  CHECK(Answer.find("secret") == std::string::npos);
 }
 
 TEST_CASE_FIXTURE(BrokenRequests, "what the RFCs allow is a request") {
