--- a/tests/ReplyForms.h
+++ b/tests/ReplyForms.h
@@ -1,5 +1,4 @@
-//===- ReplyForms.h - Replies that follow the RFCs or break them -*- C++
-//-*-===//
+//===- ReplyForms.h - Sound and broken replies ------------------*- C++ -*-===//
 //
 // Whole replies as bytes, for every reader of replies. The connection stays
 // open behind each.
--- a/tests/error/BrokenRequests.cpp
+++ b/tests/error/BrokenRequests.cpp
@@ -1,5 +1,4 @@
-// Guards against bytes that are no HTTP request and are taken for one, or
-// forwarded.
+// Guards against bytes that are no HTTP request and are taken for one.
 #include "NetRawCaller.h"
 #include "shallotshift/http1.h"
 
--- a/tests/failure/BrokenRepliesToClients.cpp
+++ b/tests/failure/BrokenRepliesToClients.cpp
@@ -1,5 +1,4 @@
-// Guards against bytes that are no HTTP reply, and are taken for one from the
-// store, a peer or an upstream, or end the process.
+// Guards against broken replies that HttpClient takes, or that end the process.
 #include "NetFixture.h"
 #include "RawServer.h"
 #include "ReplyForms.h"
--- a/tests/failure/broken_answers.py
+++ b/tests/failure/broken_answers.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
-"""Guards against bytes that are no HTTP answer and reach a client, or end a
-daemon.
+"""Guards against broken answers that reach a client, or end a daemon.
 
     broken_answers.py BUILD
 """
--- a/tests/failure/late_in_a_stop.py
+++ b/tests/failure/late_in_a_stop.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
-"""Guards against requests that are taken late in a planned stop and cut off
-without an answer.
+"""Guards against requests that are taken late in a stop and get no answer.
 
     late_in_a_stop.py BUILD
 """
