--- a/packages/http1/CallerServer.cpp
+++ b/packages/http1/CallerServer.cpp
@@ -290,8 +290,7 @@
     return;
   case ReadState::Body:
     wait(S->Options.IdleTimeout, ResultCode::HalfRequest);
-    if (!SawContinue &&
-        !headerValue(Reader.head().Headers, "Expect").empty()) {
+    if (!SawContinue && !headerValue(Reader.head().Headers, "Expect").empty()) {
       SawContinue = true;
       Socket->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
